--- /dev/null
+++ b/crates/call/src/core.rs
@@ -0,0 +1,396 @@
+//! The state machine of one call.
+
+use std::sync::Arc;
+
+use types::{Answer, Moment, Outcome, Refusal, ServerId, Span};
+
+use crate::budget::Budget;
+
+/// Attempts of one call that are refused for load, or hedged, at most.
+const MOST_LOADED: u32 = 3;
+/// Attempts of one call at most, whatever the reason.
+const MOST_TRIES: usize = 6;
+/// Time after which to come back if nothing better is known.
+const DEFAULT_AFTER: Span = Span::from_millis(1_000);
+
+/// Picks backend servers.
+pub trait Choose {
+    /// A backend server for the next attempt, other than those in `tried`.
+    fn choose(&mut self, tried: &[ServerId]) -> Option<ServerId>;
+}
+
+/// What is known of a call when it begins.
+#[derive(Debug, Clone, Copy)]
+pub struct Request {
+    /// Whether it may run more than once.
+    pub idempotent: bool,
+    /// Whether a call above this one is a repeat already. Then this one isn't repeated for load, so
+    /// that repeats don't multiply over levels of nested calls.
+    pub repeat: bool,
+    /// Last moment at which the answer is wanted.
+    pub deadline: Moment,
+}
+
+/// When a call becomes impatient.
+#[derive(Debug, Clone, Copy)]
+pub struct Timing {
+    /// Silence after which the gate is asked.
+    pub patience: Span,
+    /// Time after which an idempotent request is sent to a second backend server.
+    pub hedge: Span,
+    /// Time between two tries to ask.
+    pub pause: Span,
+}
+
+/// Number of an attempt within its call.
+pub type Try = usize;
+
+/// How a call ends.
+#[derive(Debug, Clone, PartialEq, Eq)]
+pub enum Ending {
+    /// With the whole answer.
+    Answer(Arc<Answer>),
+    /// Refused, and true: it was not run.
+    NotRun {
+        /// Why not.
+        refusal: Refusal,
+        /// Time after which to come back.
+        after: Span,
+    },
+    /// Without an answer, and nobody can tell whether it ran.
+    Unknown {
+        /// Whether the deadline has passed.
+        late: bool,
+    },
+}
+
+/// What the carrier is to do.
+#[derive(Debug, Clone, PartialEq, Eq)]
+pub enum Action {
+    /// Send the request as this attempt to the gate of this backend server.
+    Send {
+        /// Number of the attempt.
+        attempt: Try,
+        /// The backend server.
+        server: ServerId,
+        /// Whether it repeats another one.
+        repeat: bool,
+    },
+    /// Ask over a fresh connection what became of the attempt.
+    Ask(Try),
+    /// Ask as well, and stop the attempt.
+    Cancel(Try),
+    /// The attempt is settled: nobody will ask about it any more.
+    Settle(Try),
+    /// Tell the caller. Nothing follows but cancellations.
+    Finish(Ending),
+}
+
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+enum Phase {
+    /// Sent, and asked about if there is no word until the moment.
+    Sent(Moment),
+    /// Asked, and no reply yet.
+    Asked,
+    /// To be asked again at the moment.
+    Pausing(Moment),
+    /// Nothing more is to be learned about it.
+    Settled,
+}
+
+#[derive(Debug)]
+struct Attempt {
+    phase: Phase,
+    /// Whether it is known that it was not run.
+    barred: bool,
+}
+
+/// One call. See the crate's documentation.
+#[derive(Debug)]
+pub struct Call {
+    request: Request,
+    timing: Timing,
+    attempts: Vec<Attempt>,
+    tried: Vec<ServerId>,
+    loaded: u32,
+    hedge: Moment,
+    last: (Refusal, Span),
+    finished: bool,
+}
+
+impl Call {
+    /// A call that has done nothing yet.
+    pub fn new(request: Request, timing: Timing) -> Self {
+        Self {
+            request,
+            timing,
+            attempts: Vec::new(),
+            tried: Vec::new(),
+            loaded: 0,
+            hedge: Moment::MAX,
+            last: (Refusal::Down, DEFAULT_AFTER),
+            finished: false,
+        }
+    }
+
+    /// Whether the caller has been told.
+    pub fn is_finished(&self) -> bool {
+        self.finished
+    }
+
+    /// Sends the first attempt.
+    pub fn begin(&mut self, now: Moment, choose: &mut dyn Choose) -> Vec<Action> {
+        self.hedge = match self.request.idempotent && !self.request.repeat {
+            true => now + self.timing.hedge,
+            false => Moment::MAX,
+        };
+        match now >= self.request.deadline {
+            true => self.finish(Ending::NotRun {
+                refusal: Refusal::Late,
+                after: Span::default(),
+            }),
+            false => self.send_or_finish(now, choose),
+        }
+    }
+
+    /// The gate told the outcome of an attempt, in reply to it or to a question about it.
+    pub fn heard(
+        &mut self,
+        attempt: Try,
+        outcome: Outcome,
+        now: Moment,
+        choose: &mut dyn Choose,
+        budget: &mut dyn Budget,
+    ) -> Vec<Action> {
+        if self.attempts[attempt].phase == Phase::Settled {
+            return Vec::new();
+        }
+        let mut actions = self.settle(attempt);
+        match outcome {
+            _ if self.finished => {}
+            Outcome::Answer(answer) => actions.extend(self.finish(Ending::Answer(answer))),
+            Outcome::NotRun { refusal, after } => {
+                self.attempts[attempt].barred = true;
+                self.note_refusal(refusal, after);
+                actions.extend(self.go_on(refusal.is_load(), now, choose, budget));
+            }
+            Outcome::Unknown => actions.extend(self.after_unknown(now, choose, budget)),
+        }
+        actions
+    }
+
+    /// The connection that carried an attempt broke, or the node at its end can't be reached.
+    pub fn broken(
+        &mut self,
+        attempt: Try,
+        now: Moment,
+        choose: &mut dyn Choose,
+        budget: &mut dyn Budget,
+    ) -> Vec<Action> {
+        match self.attempts[attempt].phase {
+            Phase::Sent(_) if self.request.idempotent && !self.finished => {
+                let mut actions = self.settle(attempt);
+                actions.extend(self.after_unknown(now, choose, budget));
+                actions
+            }
+            Phase::Sent(_) => self.ask(attempt),
+            _ => Vec::new(),
+        }
+    }
+
+    /// A question got no reply, though somebody may still listen there.
+    pub fn unasked(&mut self, attempt: Try, now: Moment) -> Vec<Action> {
+        match self.attempts[attempt].phase {
+            Phase::Asked if self.finished => self.settle(attempt),
+            Phase::Asked => {
+                self.attempts[attempt].phase = Phase::Pausing(now + self.timing.pause);
+                Vec::new()
+            }
+            _ => Vec::new(),
+        }
+    }
+
+    /// Time passes.
+    pub fn tick(
+        &mut self,
+        now: Moment,
+        choose: &mut dyn Choose,
+        budget: &mut dyn Budget,
+    ) -> Vec<Action> {
+        if self.finished {
+            return Vec::new();
+        }
+        if now >= self.request.deadline {
+            return self.give_up(true);
+        }
+        let mut actions = Vec::new();
+        for attempt in 0..self.attempts.len() {
+            match self.attempts[attempt].phase {
+                Phase::Sent(at) | Phase::Pausing(at) if at <= now => {
+                    actions.extend(self.ask(attempt));
+                }
+                _ => {}
+            }
+        }
+        if self.hedge <= now {
+            self.hedge = Moment::MAX;
+            actions.extend(self.repeat(now, choose, budget).unwrap_or_default());
+        }
+        actions
+    }
+
+    /// The caller went away: everything that is open is stopped.
+    pub fn abandon(&mut self) -> Vec<Action> {
+        self.finished = true;
+        self.cancel_open()
+    }
+
+    /// The moment at which [`tick`](Self::tick) has something to do.
+    pub fn next_tick(&self) -> Moment {
+        let waits = self.attempts.iter().filter_map(|a| match a.phase {
+            Phase::Sent(at) | Phase::Pausing(at) => Some(at),
+            _ => None,
+        });
+        waits.fold(self.request.deadline.min(self.hedge), Moment::min)
+    }
+
+    fn open(&self) -> usize {
+        self.attempts
+            .iter()
+            .filter(|a| a.phase != Phase::Settled)
+            .count()
+    }
+
+    fn settle(&mut self, attempt: Try) -> Vec<Action> {
+        self.attempts[attempt].phase = Phase::Settled;
+        vec![Action::Settle(attempt)]
+    }
+
+    fn ask(&mut self, attempt: Try) -> Vec<Action> {
+        self.attempts[attempt].phase = Phase::Asked;
+        vec![Action::Ask(attempt)]
+    }
+
+    fn note_refusal(&mut self, refusal: Refusal, after: Span) {
+        self.last = (refusal, if after.0 == 0 { DEFAULT_AFTER } else { after });
+        // The gate forgot the session and is still the right one.
+        if refusal == Refusal::Session {
+            self.tried.pop();
+        }
+    }
+
+    /// An attempt wasn't run: tries elsewhere, or ends if nothing else is open.
+    fn go_on(
+        &mut self,
+        loaded: bool,
+        now: Moment,
+        choose: &mut dyn Choose,
+        budget: &mut dyn Budget,
+    ) -> Vec<Action> {
+        if self.open() > 0 {
+            return Vec::new();
+        }
+        if now >= self.request.deadline {
+            return self.give_up(true);
+        }
+        match loaded {
+            true => match self.repeat(now, choose, budget) {
+                Some(actions) => actions,
+                None => self.give_up(false),
+            },
+            false => self.send_or_finish(now, choose),
+        }
+    }
+
+    fn after_unknown(
+        &mut self,
+        now: Moment,
+        choose: &mut dyn Choose,
+        budget: &mut dyn Budget,
+    ) -> Vec<Action> {
+        match self.request.idempotent {
+            true => self.go_on(true, now, choose, budget),
+            false => self.give_up(false),
+        }
+    }
+
+    /// Sends one more attempt if the budget allows it and somewhere is left to go.
+    fn repeat(
+        &mut self,
+        now: Moment,
+        choose: &mut dyn Choose,
+        budget: &mut dyn Budget,
+    ) -> Option<Vec<Action>> {
+        let allowed = !self.request.repeat && self.loaded + 1 < MOST_LOADED;
+        if !allowed || self.attempts.len() >= MOST_TRIES {
+            return None;
+        }
+        let server = choose.choose(&self.tried)?;
+        if !budget.spend() {
+            return None;
+        }
+        self.loaded += 1;
+        Some(self.send(server, now))
+    }
+
+    fn send_or_finish(&mut self, now: Moment, choose: &mut dyn Choose) -> Vec<Action> {
+        let server = match self.attempts.len() < MOST_TRIES {
+            true => choose.choose(&self.tried),
+            false => None,
+        };
+        match server {
+            Some(server) => self.send(server, now),
+            None => self.give_up(false),
+        }
+    }
+
+    fn send(&mut self, server: ServerId, now: Moment) -> Vec<Action> {
+        let sole = self.attempts.iter().all(|a| a.barred);
+        assert!(
+            self.request.idempotent || sole,
+            "invariant: only an idempotent request is sent again while it may run",
+        );
+        let attempt = self.attempts.len();
+        let impatient = now + self.timing.patience;
+        self.attempts.push(Attempt {
+            phase: Phase::Sent(impatient),
+            barred: false,
+        });
+        self.tried.push(server.clone());
+        vec![Action::Send {
+            attempt,
+            server,
+            repeat: self.loaded > 0,
+        }]
+    }
+
+    /// Ends without an answer.
+    fn give_up(&mut self, late: bool) -> Vec<Action> {
+        let barred = self.attempts.iter().all(|a| a.barred);
+        let (refusal, after) = self.last;
+        let refusal = if late { Refusal::Late } else { refusal };
+        match barred {
+            true => self.finish(Ending::NotRun { refusal, after }),
+            false => self.finish(Ending::Unknown { late }),
+        }
+    }
+
+    fn finish(&mut self, ending: Ending) -> Vec<Action> {
+        assert!(!self.finished, "invariant: a call ends once");
+        self.finished = true;
+        let mut actions = vec![Action::Finish(ending)];
+        actions.extend(self.cancel_open());
+        actions
+    }
+
+    fn cancel_open(&mut self) -> Vec<Action> {
+        let mut actions = Vec::new();
+        for (number, attempt) in self.attempts.iter_mut().enumerate() {
+            if attempt.phase != Phase::Settled {
+                attempt.phase = Phase::Asked;
+                actions.push(Action::Cancel(number));
+            }
+        }
+        actions
+    }
+}
--- /dev/null
+++ b/crates/fleet/src/lib.rs
@@ -0,0 +1,22 @@
+//! How release notes spread over the fleet without an elected reader and without shared state.
+//!
+//! Every node reads the platform at its share of the read budget, so the cost doesn't grow with the
+//! fleet. A node that learns a revision tells a few peers at once, and now and then compares views
+//! with a random peer, which mends what telling missed. Who turns out to know less pulls.
+//!
+//! [`Spread`] decides whom to tell, compare with and read from, and when. [`History`] holds the view
+//! and the texts of the last notes, so that a peer a few notes behind gets these and only a newcomer
+//! gets the whole view. Nothing ever moves a view back: both take only what extends it.
+//!
+//! [`Lease`] says for how long a view may be acted on. A node that was paused or cut off finds it run
+//! out, and takes no new work until it has compared its view with somebody again.
+
+mod history;
+mod join;
+mod lease;
+mod spread;
+
+pub use history::{Extension, History, HistoryError};
+pub use join::Join;
+pub use lease::Lease;
+pub use spread::{Action, Budget, Spread};
--- /dev/null
+++ b/crates/fleet/src/spread.rs
@@ -0,0 +1,191 @@
+//! Whom to tell, to compare with and to read from.
+
+use std::{collections::BTreeMap, net::SocketAddr};
+
+use rand::{RngExt, rngs::SmallRng, seq::IndexedRandom};
+use types::{Moment, Rate, Revision, Span};
+
+/// Peers told at once of a new revision.
+const FANOUT: usize = 4;
+/// Peers that a node keeps connections with for spreading.
+const MOST_NEIGHBOURS: usize = 8;
+/// Time between two comparisons with a random peer.
+const COMPARE_PERIOD: Span = Span::from_millis(1_000);
+/// Time after which one neighbour is replaced by another.
+const RENEW_PERIOD: Span = Span::from_millis(60_000);
+/// Shortest time between two reads of the platform.
+const LEAST_READ_PERIOD: Span = Span::from_millis(250);
+
+/// Reads of the platform that the whole fleet may make.
+#[derive(Debug, Clone, Copy)]
+pub struct Budget {
+    /// Reads per second, all nodes together.
+    pub reads: Rate,
+}
+
+/// What the carrier is to do.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub enum Action {
+    /// Read the platform's notes and host list.
+    Read,
+    /// Tell a peer the own view, and learn the peer's.
+    Compare(SocketAddr),
+    /// Fetch what a peer knows more.
+    Pull(SocketAddr),
+}
+
+/// The state machine that spreads notes. See the crate's documentation.
+#[derive(Debug)]
+pub struct Spread {
+    own: SocketAddr,
+    budget: Budget,
+    members: Vec<SocketAddr>,
+    neighbours: Vec<SocketAddr>,
+    revision: Revision,
+    /// Peers from which a pull is under way, and what they know.
+    pulling: BTreeMap<SocketAddr, Revision>,
+    read: Moment,
+    compare: Moment,
+    renew: Moment,
+    rng: SmallRng,
+}
+
+impl Spread {
+    /// A node at `own` that knows nothing yet. `seeds` are peers to begin with.
+    pub fn new(own: SocketAddr, seeds: Vec<SocketAddr>, budget: Budget, rng: SmallRng) -> Self {
+        let mut spread = Self {
+            own,
+            budget,
+            members: Vec::new(),
+            neighbours: Vec::new(),
+            revision: Revision::default(),
+            pulling: BTreeMap::new(),
+            read: Moment(0),
+            compare: Moment(0),
+            renew: Moment(0),
+            rng,
+        };
+        spread.set_members(seeds);
+        spread
+    }
+
+    /// Puts other members in place. Neighbours that are still members stay.
+    pub fn set_members(&mut self, mut members: Vec<SocketAddr>) {
+        members.retain(|m| *m != self.own);
+        members.sort_unstable();
+        members.dedup();
+        self.members = members;
+        let members = &self.members;
+        self.neighbours.retain(|n| members.binary_search(n).is_ok());
+        self.fill_neighbours();
+    }
+
+    /// Whether a peer is known to have a newer view.
+    pub fn is_behind(&self) -> bool {
+        !self.pulling.is_empty()
+    }
+
+    /// The peers that this node spreads to.
+    pub fn neighbours(&self) -> &[SocketAddr] {
+        &self.neighbours
+    }
+
+    /// Whether the fleet has any other member.
+    pub fn is_alone(&self) -> bool {
+        self.members.is_empty()
+    }
+
+    /// The own view advanced: tells some neighbours.
+    pub fn advanced(&mut self, revision: Revision) -> Vec<Action> {
+        assert!(revision >= self.revision, "invariant: a view never reverts");
+        if revision == self.revision {
+            return Vec::new();
+        }
+        self.revision = revision;
+        self.pulling.retain(|_, knows| *knows > revision);
+        let told = self.neighbours.sample(&mut self.rng, FANOUT);
+        told.copied().map(Action::Compare).collect()
+    }
+
+    /// A peer named its revision.
+    pub fn heard(&mut self, peer: SocketAddr, revision: Revision) -> Vec<Action> {
+        let newer = revision > self.revision && peer != self.own;
+        let known = self.pulling.values().any(|knows| *knows >= revision);
+        match newer && !known {
+            true => {
+                self.pulling.insert(peer, revision);
+                vec![Action::Pull(peer)]
+            }
+            false => Vec::new(),
+        }
+    }
+
+    /// A pull from a peer ended, well or not.
+    pub fn pulled(&mut self, peer: SocketAddr) {
+        self.pulling.remove(&peer);
+    }
+
+    /// A neighbour can't be reached: another takes its place.
+    pub fn lost(&mut self, peer: SocketAddr) {
+        self.pulled(peer);
+        if self.members.len() > self.neighbours.len() {
+            self.neighbours.retain(|n| *n != peer);
+            self.fill_neighbours();
+        }
+    }
+
+    /// Time passes.
+    pub fn tick(&mut self, now: Moment) -> Vec<Action> {
+        let mut actions = Vec::new();
+        if now >= self.renew {
+            self.renew = now + self.jitter(RENEW_PERIOD);
+            self.renew_neighbour();
+        }
+        if now >= self.read {
+            self.read = now + self.jitter(self.read_period());
+            actions.push(Action::Read);
+        }
+        if now >= self.compare {
+            self.compare = now + self.jitter(COMPARE_PERIOD);
+            let peer = self.neighbours.choose(&mut self.rng).copied();
+            actions.extend(peer.map(Action::Compare));
+        }
+        actions
+    }
+
+    /// The moment at which [`tick`](Self::tick) has something to do.
+    pub fn next_tick(&self) -> Moment {
+        self.read.min(self.compare).min(self.renew)
+    }
+
+    /// Mean time between two reads of this node: its share of the budget.
+    pub fn read_period(&self) -> Span {
+        let nodes = (self.members.len() + 1) as f64;
+        let seconds = nodes / self.budget.reads.per_second().max(0.001);
+        Span((seconds * 1e6) as u64).max(LEAST_READ_PERIOD)
+    }
+
+    fn jitter(&mut self, period: Span) -> Span {
+        period.scale(self.rng.random_range(0.75..1.25))
+    }
+
+    fn renew_neighbour(&mut self) {
+        if self.members.len() > self.neighbours.len() && !self.neighbours.is_empty() {
+            let gone = self.rng.random_range(0..self.neighbours.len());
+            self.neighbours.swap_remove(gone);
+            self.fill_neighbours();
+        }
+    }
+
+    fn fill_neighbours(&mut self) {
+        let most = MOST_NEIGHBOURS.min(self.members.len());
+        while self.neighbours.len() < most {
+            let Some(peer) = self.members.choose(&mut self.rng).copied() else {
+                return;
+            };
+            if !self.neighbours.contains(&peer) {
+                self.neighbours.push(peer);
+            }
+        }
+    }
+}
--- /dev/null
+++ b/crates/gate/src/allowance.rs
@@ -0,0 +1,149 @@
+//! How many requests a backend server bears now.
+//!
+//! Two bounds hold at once, and the smaller one counts:
+//!
+//! - the *ramp*, from the release note: a cold backend server bears `cold` requests, and after
+//!   `warm_ms` of answering it bears `slots`, linear in between;
+//! - the *level*, from evidence: it rises with good answers and falls when answers become slow or
+//!   fail, in the manner of additive increase and multiplicative decrease.
+//!
+//! The backend server's own answers are the evidence. Its load report isn't asked: it lags or lies.
+
+use note::Limits;
+use types::{Moment, Span};
+
+/// Weight of one answer in the fast mean of latencies.
+const FAST_WEIGHT: f64 = 0.125;
+/// Weight of one answer in the slow mean of latencies.
+const SLOW_WEIGHT: f64 = 0.01;
+/// Ratio of the fast to the slow mean from which a backend server counts as slowed down.
+const SLOW_RATIO: f64 = 2.5;
+/// Factor by which the level falls on trouble.
+const DECREASE: f64 = 0.7;
+/// Smallest change of latency that counts as slowing down.
+const SLOW_MARGIN: Span = Span::from_millis(5);
+
+/// What one finished request says about its backend server.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub enum Evidence {
+    /// A whole answer after this time.
+    Good(Span),
+    /// The backend server shed the request, or gave no answer by its deadline.
+    Overload,
+    /// The connection broke or could not be made, or the backend server named another incarnation:
+    /// it is down or was started anew, and so is cold.
+    Restarted,
+    /// Nothing, as for a cancelled request.
+    None,
+}
+
+/// The number of requests that a backend server bears, learned from its answers.
+#[derive(Debug, Clone)]
+pub struct Allowance {
+    limits: Limits,
+    level: f64,
+    /// When the backend server began to answer after it turned cold.
+    answering: Option<Moment>,
+    fast: f64,
+    slow: f64,
+    /// Until when further trouble is the same trouble.
+    pardoned: Moment,
+}
+
+impl Allowance {
+    /// An allowance for a backend server about which nothing is known, so that it counts as cold.
+    pub fn new(limits: Limits) -> Self {
+        let level = f64::from(limits.cold.0);
+        Self {
+            limits,
+            level,
+            answering: None,
+            fast: 0.0,
+            slow: 0.0,
+            pardoned: Moment(0),
+        }
+    }
+
+    /// Puts other limits in force. What was learned stays, within the new limits.
+    pub fn set_limits(&mut self, limits: Limits) {
+        self.limits = limits;
+        let (cold, slots) = (self.limits.cold.0, self.limits.slots.0);
+        self.level = self.level.max(f64::from(cold)).min(f64::from(slots));
+    }
+
+    /// Requests that may run at `now`, at least one and at most the slots.
+    pub fn allowed(&self, now: Moment) -> usize {
+        let bound = self.level.min(self.ramp(now));
+        let most = self.limits.slots.0.max(1) as usize;
+        (bound as usize).clamp(1, most)
+    }
+
+    /// Mean time of late answers.
+    pub fn typical(&self) -> Span {
+        Span(self.fast as u64)
+    }
+
+    /// Learns from a request that finished at `now`.
+    pub fn learn(&mut self, evidence: Evidence, now: Moment) {
+        match evidence {
+            Evidence::Good(took) => self.learn_good(took, now),
+            Evidence::Overload => self.decrease(now),
+            Evidence::Restarted => self.turn_cold(),
+            Evidence::None => {}
+        }
+    }
+
+    fn ramp(&self, now: Moment) -> f64 {
+        let cold = f64::from(self.limits.cold.0);
+        let slots = f64::from(self.limits.slots.0);
+        let warm = self.limits.warm().0.max(1) as f64;
+        let part = match self.answering {
+            Some(began) => (now.since(began).0 as f64 / warm).min(1.0),
+            None => 0.0,
+        };
+        cold + (slots - cold) * part
+    }
+
+    fn learn_good(&mut self, took: Span, now: Moment) {
+        self.answering.get_or_insert(now);
+        let took = took.0 as f64;
+        let first = self.slow == 0.0;
+        self.fast = if first {
+            took
+        } else {
+            self.fast + FAST_WEIGHT * (took - self.fast)
+        };
+        match self.is_slow() {
+            true if !first => self.decrease(now),
+            _ => self.increase(took, first),
+        }
+    }
+
+    fn increase(&mut self, took: f64, first: bool) {
+        self.slow = if first {
+            took
+        } else {
+            self.slow + SLOW_WEIGHT * (took - self.slow)
+        };
+        self.level = (self.level + 1.0 / self.level).min(f64::from(self.limits.slots.0));
+    }
+
+    fn decrease(&mut self, now: Moment) {
+        if now < self.pardoned {
+            return;
+        }
+        self.pardoned = now + self.typical();
+        self.level = (self.level * DECREASE).max(f64::from(self.limits.cold.0));
+        // A change that lasts becomes the new normal.
+        self.slow += (self.fast - self.slow).max(0.0) * FAST_WEIGHT;
+    }
+
+    fn is_slow(&self) -> bool {
+        self.fast > self.slow * SLOW_RATIO && self.fast - self.slow > SLOW_MARGIN.0 as f64
+    }
+
+    fn turn_cold(&mut self) {
+        self.level = f64::from(self.limits.cold.0);
+        self.answering = None;
+    }
+}
--- /dev/null
+++ b/crates/gate/src/core.rs
@@ -0,0 +1,386 @@
+//! The gate itself: a state machine without clock, randomness or I/O.
+
+use std::{collections::BTreeMap, sync::Arc};
+
+use note::Limits;
+use serde::Serialize;
+use types::{Answer, AttemptId, Boot, Moment, Outcome, Refusal, Seq, SessionId, Span};
+
+use crate::{
+    allowance::{Allowance, Evidence},
+    queue::Queue,
+    session::{Fate, Gap, Sessions},
+};
+
+/// What a gate may remember at most.
+#[derive(Debug, Clone, Copy)]
+pub struct Bounds {
+    /// Sessions with ingresses.
+    pub sessions: usize,
+    /// Fates within one session.
+    pub fates: usize,
+    /// Bytes of answers kept for ingresses that may ask.
+    pub answers: u64,
+}
+
+impl Default for Bounds {
+    fn default() -> Self {
+        Self {
+            sessions: 4_096,
+            fates: 4_096,
+            answers: 16 << 20,
+        }
+    }
+}
+
+/// An attempt as it comes to the gate.
+#[derive(Debug, Clone, Copy)]
+pub struct Offer {
+    /// The attempt.
+    pub id: AttemptId,
+    /// Lowest number of the session that its ingress hasn't settled.
+    pub floor: Seq,
+    /// Last moment at which the request is wanted.
+    pub deadline: Moment,
+}
+
+/// How a started attempt ended.
+#[derive(Debug, Clone)]
+pub enum Finish {
+    /// The whole answer came.
+    Answered(Arc<Answer>),
+    /// The backend server refused and promises that it didn't run the request.
+    Shed,
+    /// No connection could be made, so nothing was sent.
+    Unsent,
+    /// Something was sent and no whole answer came.
+    Broken,
+    /// No answer came by the deadline.
+    Expired,
+    /// The carrier gave up on the backend server on [`Action::Abort`].
+    Aborted,
+}
+
+/// What the carrier is to do.
+#[derive(Debug, Clone, PartialEq, Eq)]
+pub enum Action {
+    /// Send the request to the backend server, and give up at the deadline.
+    Start(AttemptId, Moment),
+    /// Tell everybody who waits for this attempt.
+    Reply(AttemptId, Outcome),
+    /// Cancel the request at the backend server.
+    Abort(AttemptId),
+}
+
+/// The load of a backend server as its gate knows it.
+#[derive(Debug, Clone, Copy, Default, PartialEq, Eq, Serialize)]
+pub struct Load {
+    /// Requests that run.
+    pub running: u32,
+    /// Requests that wait.
+    pub waiting: u32,
+    /// Requests that may run.
+    pub allowed: u32,
+}
+
+#[derive(Debug)]
+struct Run {
+    began: Moment,
+}
+
+/// The gate of one backend server. See the crate's documentation.
+#[derive(Debug)]
+pub struct Gate {
+    boot: Boot,
+    limits: Limits,
+    sessions: Sessions,
+    allowance: Allowance,
+    queue: Queue,
+    running: BTreeMap<AttemptId, Run>,
+    /// Whether operators let the backend server take new work.
+    open: bool,
+    stopping: bool,
+    /// Last moment at which the node's view may be acted on.
+    fresh: Moment,
+    /// Incarnation that the backend server named last.
+    server: Option<Boot>,
+}
+
+impl Gate {
+    /// A gate that takes no work until [`set_open`](Self::set_open) and
+    /// [`set_fresh`](Self::set_fresh) say so.
+    pub fn new(boot: Boot, limits: Limits, bounds: Bounds) -> Self {
+        Self {
+            boot,
+            sessions: Sessions::new(boot, bounds.sessions, bounds.fates, bounds.answers),
+            allowance: Allowance::new(limits.clone()),
+            limits,
+            queue: Queue::default(),
+            running: BTreeMap::new(),
+            open: false,
+            stopping: false,
+            fresh: Moment(0),
+            server: None,
+        }
+    }
+
+    /// Incarnation of this gate.
+    pub fn boot(&self) -> Boot {
+        self.boot
+    }
+
+    /// Opens a session for an ingress.
+    pub fn open_session(&mut self, ingress: Boot, now: Moment) -> SessionId {
+        self.sessions.open(ingress, now)
+    }
+
+    /// Puts other limits in force.
+    pub fn set_limits(&mut self, limits: Limits) {
+        self.allowance.set_limits(limits.clone());
+        self.limits = limits;
+    }
+
+    /// Operators let the backend server take new work, or no more. What waits is refused then.
+    pub fn set_open(&mut self, open: bool) -> Vec<Action> {
+        self.open = open;
+        match open {
+            true => Vec::new(),
+            false => self.refuse_waiting(Refusal::Leaving),
+        }
+    }
+
+    /// The node's view may be acted on until `fresh`.
+    pub fn set_fresh(&mut self, fresh: Moment) {
+        self.fresh = self.fresh.max(fresh);
+    }
+
+    /// The node stops: nothing new is taken, and what waits or runs is finished.
+    pub fn stop(&mut self) {
+        self.stopping = true;
+    }
+
+    /// Whether nothing waits or runs.
+    pub fn is_idle(&self) -> bool {
+        self.running.is_empty() && self.queue.len() == 0
+    }
+
+    /// An attempt comes.
+    pub fn offer(&mut self, offer: Offer, now: Moment) -> Vec<Action> {
+        let id = offer.id;
+        self.sessions.raise(id, offer.floor, now);
+        match self.sessions.fate(id) {
+            Err(Gap::Elsewhere) => reply(id, Outcome::refused(Refusal::Session)),
+            Err(Gap::Forgotten) => reply(id, Outcome::Unknown),
+            Err(Gap::Settled) => reply(id, Outcome::refused(Refusal::Barred)),
+            Ok(Some(fate)) => repeat(id, fate),
+            Ok(None) => self.admit(offer, now),
+        }
+    }
+
+    /// An ingress asks what became of an attempt that gave it no word.
+    ///
+    /// If the attempt never came it is barred. With `cancel` it is stopped if it waits or runs.
+    pub fn ask(&mut self, id: AttemptId, cancel: bool, now: Moment) -> Vec<Action> {
+        match self.sessions.fate(id) {
+            Err(_) => reply(id, Outcome::Unknown),
+            Ok(None) => self.refuse(id, Refusal::Barred, Span::default()),
+            Ok(Some(Fate::Open)) if cancel => self.cancel(id, now),
+            Ok(Some(fate)) => repeat(id, fate),
+        }
+    }
+
+    /// A started attempt ended.
+    ///
+    /// # Panics
+    ///
+    /// If the attempt isn't running: the carrier reported it twice.
+    pub fn done(&mut self, id: AttemptId, finish: Finish, now: Moment) -> Vec<Action> {
+        let run = self.running.remove(&id).expect("an attempt ends once");
+        let took = now.since(run.began);
+        let (evidence, outcome) = match finish {
+            Finish::Answered(answer) => (Evidence::Good(took), Outcome::Answer(answer)),
+            Finish::Expired => (Evidence::Overload, Outcome::Unknown),
+            Finish::Shed => (Evidence::Overload, self.refusal(Refusal::Shed, now)),
+            Finish::Unsent => (Evidence::Restarted, self.refusal(Refusal::Down, now)),
+            Finish::Broken => (Evidence::Restarted, Outcome::Unknown),
+            Finish::Aborted => (Evidence::None, Outcome::Unknown),
+        };
+        self.allowance.learn(evidence, now);
+        self.sessions.record(id, fate_of(&outcome));
+        let mut actions = reply(id, outcome);
+        actions.extend(self.start_waiting(now));
+        actions
+    }
+
+    /// The backend server named its incarnation. Another one than before is cold.
+    pub fn heard_server(&mut self, server: Boot, now: Moment) {
+        let before = self.server.replace(server);
+        if before.is_some_and(|b| b != server) {
+            self.allowance.learn(Evidence::Restarted, now);
+        }
+    }
+
+    /// Time passes: what waited too long is refused, and the allowance may have grown.
+    pub fn tick(&mut self, now: Moment) -> Vec<Action> {
+        self.start_waiting(now)
+    }
+
+    /// The moment at which [`tick`](Self::tick) has something to do, if any.
+    pub fn next_tick(&self) -> Option<Moment> {
+        self.queue.earliest()
+    }
+
+    /// The load now.
+    pub fn load(&self, now: Moment) -> Load {
+        Load {
+            running: self.running.len() as u32,
+            waiting: self.queue.len() as u32,
+            allowed: self.allowance.allowed(now) as u32,
+        }
+    }
+
+    /// Number of sessions, number of fates remembered, and bytes of answers kept.
+    pub fn sizes(&self) -> (usize, usize, u64) {
+        self.sessions.sizes()
+    }
+
+    /// Incarnations of the ingresses that hold sessions.
+    pub fn ingresses(&self) -> Vec<Boot> {
+        self.sessions.ingresses().collect()
+    }
+
+    fn admit(&mut self, offer: Offer, now: Moment) -> Vec<Action> {
+        match self.closed(offer.deadline, now) {
+            Some(refusal) => self.refuse(offer.id, refusal, self.wait(self.queue.len(), now)),
+            None if self.has_slot(now) => self.start(offer.id, offer.deadline, now),
+            None => self.enqueue(offer, now),
+        }
+    }
+
+    fn closed(&self, deadline: Moment, now: Moment) -> Option<Refusal> {
+        match () {
+            () if self.stopping => Some(Refusal::Stopping),
+            () if !self.open => Some(Refusal::Leaving),
+            () if now > self.fresh => Some(Refusal::Stale),
+            () if now >= deadline => Some(Refusal::Late),
+            () => None,
+        }
+    }
+
+    fn has_slot(&self, now: Moment) -> bool {
+        self.queue.len() == 0 && self.running.len() < self.allowance.allowed(now)
+    }
+
+    fn enqueue(&mut self, offer: Offer, now: Moment) -> Vec<Action> {
+        let full = self.queue.len() >= self.limits.queue.0 as usize;
+        let wait = self.wait(self.queue.ahead(offer.deadline), now);
+        if full || now + wait + self.allowance.typical() > offer.deadline {
+            return self.refuse(offer.id, Refusal::Busy, wait);
+        }
+        self.sessions.record(offer.id, Fate::Open);
+        self.queue.push(offer.deadline, offer.id);
+        Vec::new()
+    }
+
+    /// Expected wait behind `ahead` requests: Little's law over the running ones.
+    fn wait(&self, ahead: usize, now: Moment) -> Span {
+        let rounds = (ahead + 1) as f64 / self.allowance.allowed(now) as f64;
+        self.allowance.typical().scale(rounds)
+    }
+
+    fn start(&mut self, id: AttemptId, deadline: Moment, now: Moment) -> Vec<Action> {
+        self.sessions.record(id, Fate::Open);
+        let before = self.running.insert(id, Run { began: now });
+        assert!(before.is_none(), "invariant: an attempt starts once, {id}");
+        let most = self.allowance.allowed(now);
+        assert!(
+            self.running.len() <= most,
+            "invariant: no more runs than is borne, {id}"
+        );
+        assert!(
+            now < deadline,
+            "invariant: nothing starts past its deadline, {id}"
+        );
+        vec![Action::Start(id, deadline)]
+    }
+
+    fn start_waiting(&mut self, now: Moment) -> Vec<Action> {
+        let mut actions = Vec::new();
+        while self
+            .queue
+            .earliest()
+            .is_some_and(|deadline| deadline <= now)
+        {
+            let late = self.queue.pop().map(|(_, id)| id);
+            actions.extend(late.into_iter().flat_map(|id| self.refuse_late(id)));
+        }
+        while self.running.len() < self.allowance.allowed(now) {
+            let Some((deadline, id)) = self.queue.pop() else {
+                break;
+            };
+            actions.extend(self.start(id, deadline, now));
+        }
+        actions
+    }
+
+    fn refuse_late(&mut self, id: AttemptId) -> Vec<Action> {
+        self.refuse(id, Refusal::Late, Span::default())
+    }
+
+    fn refuse_waiting(&mut self, refusal: Refusal) -> Vec<Action> {
+        let waiting = self.queue.drain();
+        waiting
+            .into_iter()
+            .flat_map(|id| self.refuse(id, refusal, Span::default()))
+            .collect()
+    }
+
+    fn refuse(&mut self, id: AttemptId, refusal: Refusal, after: Span) -> Vec<Action> {
+        assert!(
+            !self.running.contains_key(&id),
+            "invariant: a true refusal, {id}"
+        );
+        self.sessions.record(id, Fate::Barred);
+        reply(id, Outcome::NotRun { refusal, after })
+    }
+
+    fn refusal(&self, refusal: Refusal, now: Moment) -> Outcome {
+        Outcome::NotRun {
+            refusal,
+            after: self.wait(self.queue.len(), now),
+        }
+    }
+
+    fn cancel(&mut self, id: AttemptId, now: Moment) -> Vec<Action> {
+        match self.queue.remove(id) {
+            true => {
+                let mut actions = self.refuse(id, Refusal::Cancelled, Span::default());
+                actions.extend(self.start_waiting(now));
+                actions
+            }
+            false => vec![Action::Abort(id)],
+        }
+    }
+}
+
+fn reply(id: AttemptId, outcome: Outcome) -> Vec<Action> {
+    vec![Action::Reply(id, outcome)]
+}
+
+/// The same word again for an attempt that came before. What is open replies when it ends.
+fn repeat(id: AttemptId, fate: Fate) -> Vec<Action> {
+    match fate {
+        Fate::Open => Vec::new(),
+        Fate::Barred => reply(id, Outcome::refused(Refusal::Barred)),
+        Fate::Ran(answer) => reply(id, Outcome::Answer(answer)),
+        Fate::Lost => reply(id, Outcome::Unknown),
+    }
+}
+
+fn fate_of(outcome: &Outcome) -> Fate {
+    match outcome {
+        Outcome::NotRun { .. } => Fate::Barred,
+        Outcome::Answer(answer) => Fate::Ran(Arc::clone(answer)),
+        Outcome::Unknown => Fate::Lost,
+    }
+}
--- /dev/null
+++ b/crates/gate/tests/allowance.rs
@@ -0,0 +1,81 @@
+//! How many requests a backend server is given.
+
+use gate::{Allowance, Evidence};
+use note::Limits;
+use types::{Moment, Slots, Span};
+
+fn limits() -> Limits {
+    Limits {
+        slots: Slots(10),
+        cold: Slots(2),
+        warm_ms: 1_000,
+        ..Limits::default()
+    }
+}
+
+fn at(ms: u64) -> Moment {
+    Moment(ms * 1_000)
+}
+
+const GOOD: Evidence = Evidence::Good(Span::from_millis(10));
+
+/// Good answers each millisecond.
+fn warm_up(allowance: &mut Allowance, from: u64, to: u64) {
+    (from..to).for_each(|ms| allowance.learn(GOOD, at(ms)));
+}
+
+#[test]
+fn a_cold_backend_server_gets_no_more_than_it_bears_however_good_its_answers() {
+    let mut allowance = Allowance::new(limits());
+    for ms in 0..1_000 {
+        allowance.learn(GOOD, at(ms));
+        let bears = 2.0 + 8.0 * ms as f64 / 1_000.0;
+        assert!(allowance.allowed(at(ms)) as f64 <= bears, "at {ms} ms");
+    }
+    warm_up(&mut allowance, 1_000, 1_100);
+    assert_eq!(allowance.allowed(at(1_100)), 10);
+}
+
+#[test]
+fn a_backend_server_that_turns_cold_without_warning_starts_again_at_the_bottom() {
+    let mut allowance = Allowance::new(limits());
+    warm_up(&mut allowance, 0, 2_000);
+    allowance.learn(Evidence::Restarted, at(2_000));
+    assert_eq!(allowance.allowed(at(2_000)), 2);
+    assert_eq!(
+        allowance.allowed(at(60_000)),
+        2,
+        "time without answers warms nothing"
+    );
+}
+
+#[test]
+fn slow_answers_lower_the_allowance_and_good_ones_raise_it_again() {
+    let mut allowance = Allowance::new(limits());
+    warm_up(&mut allowance, 0, 2_000);
+    for ms in 2_000..2_100 {
+        allowance.learn(Evidence::Good(Span::from_millis(80)), at(ms));
+    }
+    let slowed = allowance.allowed(at(2_100));
+    assert!(slowed < 10, "{slowed}");
+    warm_up(&mut allowance, 2_100, 2_600);
+    assert_eq!(allowance.allowed(at(2_600)), 10);
+}
+
+#[test]
+fn limits_that_come_after_the_start_are_in_force_at_once() {
+    let mut allowance = Allowance::new(Limits::default());
+    let wide = Limits {
+        slots: Slots(10),
+        cold: Slots(10),
+        ..Limits::default()
+    };
+    allowance.set_limits(wide);
+    assert_eq!(allowance.allowed(at(0)), 10);
+    allowance.set_limits(Limits {
+        slots: Slots(4),
+        cold: Slots(1),
+        ..Limits::default()
+    });
+    assert!(allowance.allowed(at(0)) <= 4);
+}
--- /dev/null
+++ b/crates/node/src/gatekeeper/carry.rs
@@ -0,0 +1,271 @@
+//! The actor's state and what it does with the gate's actions.
+
+use std::{collections::HashMap, sync::Arc};
+
+use board::Board;
+use futures::future::BoxFuture;
+use gate::{Action, Bounds, Finish, Gate};
+use kameo::actor::WeakActorRef;
+use note::{Limits, Server, Service};
+use tokio::{sync::oneshot, task::JoinHandle, time::sleep_until};
+use types::{AttemptId, Boot, Moment, Outcome, Refusal, ServerId};
+
+use super::{Ask, Done, Dumped, Opened, Reply, Run, Tick, follow};
+use crate::{
+    backend::{Backend, Ended, ServerRequest, Target},
+    meter::Meter,
+};
+
+/// An attempt that waits or runs.
+struct Work {
+    /// Taken when the attempt starts.
+    request: Option<ServerRequest>,
+    idempotent: bool,
+    listeners: Vec<oneshot::Sender<Reply>>,
+    /// Dropped to cancel the running request.
+    running: Option<oneshot::Sender<()>>,
+}
+
+/// The actor that carries one gate.
+pub(crate) struct Gatekeeper {
+    board: Arc<Board>,
+    backend: Arc<dyn Backend>,
+    meter: Arc<Meter>,
+    gate: Gate,
+    server: Option<(Server, Service)>,
+    work: HashMap<AttemptId, Work>,
+    actor: Option<WeakActorRef<Self>>,
+    timer: Option<(Moment, JoinHandle<()>)>,
+}
+
+impl Gatekeeper {
+    pub(super) fn new(board: Arc<Board>, backend: Arc<dyn Backend>, meter: Arc<Meter>) -> Self {
+        let gate = Gate::new(board.identity.boot, Limits::default(), Bounds::default());
+        Self {
+            board,
+            backend,
+            meter,
+            gate,
+            server: None,
+            work: HashMap::new(),
+            actor: None,
+            timer: None,
+        }
+    }
+
+    pub(super) fn attach(&mut self, actor: WeakActorRef<Self>) {
+        self.actor = Some(actor);
+    }
+
+    /// Takes over what the board says now.
+    pub(super) fn refresh(&mut self) {
+        let view = self.board.view();
+        let server = view.state.server_on(&self.board.identity.host).cloned();
+        let both = server.and_then(|s| Some((s.clone(), view.state.service(&s.service)?.clone())));
+        let before = self.server.as_ref().map(|(_, service)| &service.limits);
+        match &both {
+            Some((_, service)) if before != Some(&service.limits) => {
+                self.gate.set_limits(service.limits.clone());
+            }
+            _ => {}
+        }
+        self.server = both;
+        let id = self.server.as_ref().map(|(server, _)| server.id.clone());
+        let actions = follow(&self.board, &mut self.gate, id.as_ref());
+        self.carry_out(actions);
+        let now = self.board.clock.now();
+        let actions = self.gate.tick(now);
+        self.carry_out(actions);
+    }
+
+    pub(super) fn open(&mut self, ingress: Boot) -> Opened {
+        let now = self.board.clock.now();
+        let session = self.gate.open_session(ingress, now);
+        Opened {
+            boot: self.gate.boot(),
+            session,
+            clock: now,
+        }
+    }
+
+    pub(super) fn run(&mut self, msg: Run) {
+        if self.server_id() != Some(&msg.server) {
+            let reply = self.reply(Outcome::refused(Refusal::Misplaced));
+            let _ = msg.reply.send(reply);
+            return;
+        }
+        let id = msg.offer.id;
+        let work = self.work.entry(id).or_insert_with(|| Work {
+            request: Some(msg.request),
+            idempotent: msg.idempotent,
+            listeners: Vec::new(),
+            running: None,
+        });
+        work.listeners.push(msg.reply);
+        let now = self.board.clock.now();
+        let actions = self.gate.offer(msg.offer, now);
+        self.carry_out(actions);
+    }
+
+    pub(super) fn ask(&mut self, msg: Ask) {
+        let now = self.board.clock.now();
+        let work = self.work.entry(msg.id).or_insert_with(|| Work {
+            request: None,
+            idempotent: false,
+            listeners: Vec::new(),
+            running: None,
+        });
+        work.listeners.push(msg.reply);
+        let actions = self.gate.ask(msg.id, msg.cancel, now);
+        self.carry_out(actions);
+    }
+
+    /// An idempotent attempt that nobody waits for is stopped. Another runs on: its ingress may
+    /// have lost the connection only, and ask.
+    pub(super) fn unwatched(&mut self, id: AttemptId) {
+        let Some(work) = self.work.get_mut(&id) else {
+            return;
+        };
+        work.listeners.retain(|listener| !listener.is_closed());
+        if work.idempotent && work.listeners.is_empty() {
+            let now = self.board.clock.now();
+            let actions = self.gate.ask(id, true, now);
+            self.carry_out(actions);
+        }
+    }
+
+    pub(super) fn done(&mut self, id: AttemptId, finish: Finish, server: Option<Boot>) {
+        let now = self.board.clock.now();
+        if let Some(server) = server {
+            self.gate.heard_server(server, now);
+        }
+        let actions = self.gate.done(id, finish, now);
+        self.carry_out(actions);
+    }
+
+    pub(super) fn dump(&self) -> Dumped {
+        let (sessions, fates, answer_bytes) = self.gate.sizes();
+        Dumped {
+            server: self.server_id().cloned(),
+            load: self.gate.load(self.board.clock.now()),
+            sessions,
+            fates,
+            answer_bytes,
+            ingresses: self.gate.ingresses(),
+            probes: 0,
+            idle: self.gate.is_idle(),
+        }
+    }
+
+    fn server_id(&self) -> Option<&ServerId> {
+        self.server.as_ref().map(|(server, _)| &server.id)
+    }
+
+    fn reply(&self, outcome: Outcome) -> Reply {
+        let clock = self.board.clock.now();
+        Reply {
+            outcome,
+            load: self.gate.load(clock),
+            revision: self.board.view.borrow().revision,
+            boot: self.gate.boot(),
+            clock,
+        }
+    }
+
+    fn carry_out(&mut self, actions: Vec<Action>) {
+        for action in actions {
+            match action {
+                Action::Start(id, deadline) => self.start(id, deadline),
+                Action::Reply(id, outcome) => self.answer(id, outcome),
+                Action::Abort(id) => self.abort(id),
+            }
+        }
+        self.set_timer();
+    }
+
+    fn start(&mut self, id: AttemptId, deadline: Moment) {
+        let work = self.work.get_mut(&id).expect("a started attempt has come");
+        let request = work.request.take().expect("an attempt starts once");
+        let (server, service) = self.server.as_ref().expect("an open gate has a server");
+        let target = Target {
+            address: server.address,
+            sheds: service.sheds.clone(),
+            most: service.limits.body.0,
+        };
+        let running = self
+            .backend
+            .run(request, target, self.board.clock.instant(deadline));
+        let (keep, cancelled) = oneshot::channel();
+        work.running = Some(keep);
+        tokio::spawn(finish(self.actor.clone(), id, running, cancelled));
+    }
+
+    fn answer(&mut self, id: AttemptId, outcome: Outcome) {
+        let Some(work) = self.work.remove(&id) else {
+            return;
+        };
+        self.meter.attempt(name(&outcome));
+        let reply = self.reply(outcome);
+        for listener in work.listeners {
+            let _ = listener.send(reply.clone());
+        }
+    }
+
+    /// Cancels a running attempt, which closes its connection to the backend server.
+    fn abort(&mut self, id: AttemptId) {
+        if let Some(work) = self.work.get_mut(&id) {
+            work.running = None;
+        }
+    }
+
+    fn set_timer(&mut self) {
+        let wanted = self.gate.next_tick();
+        let set = self.timer.as_ref().map(|(at, _)| *at);
+        if wanted == set {
+            return;
+        }
+        if let Some((_, task)) = self.timer.take() {
+            task.abort();
+        }
+        let Some(at) = wanted else { return };
+        let when = self.board.clock.instant(at);
+        let actor = self.actor.clone();
+        let task = tokio::spawn(async move {
+            sleep_until(when).await;
+            if let Some(actor) = actor.and_then(|a| a.upgrade()) {
+                let _ = actor.tell(Tick).await;
+            }
+        });
+        self.timer = Some((at, task));
+    }
+}
+
+/// Waits for a running request, or for its cancellation, and reports how it ended, once.
+async fn finish(
+    actor: Option<WeakActorRef<Gatekeeper>>,
+    id: AttemptId,
+    running: BoxFuture<'static, Ended>,
+    cancelled: oneshot::Receiver<()>,
+) {
+    let Ended { finish, boot } = tokio::select! {
+        ended = running => ended,
+        _ = cancelled => Finish::Aborted.into(),
+    };
+    if let Some(actor) = actor.and_then(|a| a.upgrade()) {
+        let _ = actor
+            .tell(Done {
+                id,
+                finish,
+                server: boot,
+            })
+            .await;
+    }
+}
+
+fn name(outcome: &Outcome) -> &'static str {
+    match outcome {
+        Outcome::Answer(_) => "answer",
+        Outcome::Unknown => "unknown",
+        Outcome::NotRun { refusal, .. } => refusal.name(),
+    }
+}
--- /dev/null
+++ b/crates/node/src/ingress/drive.rs
@@ -0,0 +1,398 @@
+//! Carries one call through its attempts.
+//!
+//! All that a call waits for is polled by the handler's own task, so dropping the handler drops it.
+//! What must go on after the caller has its answer, or has gone away, is sent by tasks that own what
+//! they need: questions that stop the attempts that are still open.
+
+use std::{
+    pin::Pin,
+    sync::{Arc, OnceLock},
+};
+
+use call::{Action, Call, Ending, Request, Sent, Try};
+use futures::{
+    FutureExt, StreamExt,
+    future::{AbortHandle, BoxFuture, abortable},
+    stream::FuturesUnordered,
+};
+use tokio::time::{Sleep, sleep_until};
+use types::{Moment, Outcome, Refusal, ServerId};
+
+use super::{
+    Ingress,
+    accept::{Accepted, Rejection},
+    desk::{Clerk, Purse},
+};
+use crate::{
+    gatekeeper::Reply,
+    peers::{Attempt, Fault, Peer},
+    spreader::Heard,
+};
+
+/// Carries a call to its end.
+pub(super) async fn drive(ingress: &Arc<Ingress>, accepted: Accepted) -> Result<Ending, Rejection> {
+    let timing = ingress
+        .desks
+        .begin(&accepted.service, accepted.limits.retries);
+    let request = Request {
+        idempotent: accepted.idempotent,
+        repeat: accepted.request.repeat,
+        deadline: accepted.deadline,
+    };
+    let mut drive = Drive {
+        ingress: Arc::clone(ingress),
+        call: Call::new(request, timing),
+        accepted,
+        attempts: Vec::new(),
+        pending: FuturesUnordered::new(),
+    };
+    Ok(drive.run().await)
+}
+
+/// An attempt under way.
+struct Open {
+    server: ServerId,
+    peer: Arc<Peer>,
+    /// Set once the attempt has a name, which is before it is sent.
+    sent: Arc<OnceLock<Sent>>,
+    sending: AbortHandle,
+    settled: bool,
+}
+
+enum Event {
+    Ran {
+        attempt: Try,
+        result: Result<Reply, Fault>,
+        asked: Moment,
+    },
+    Asked {
+        attempt: Try,
+        result: Result<Reply, Fault>,
+        asked: Moment,
+    },
+    /// The attempt was dropped on purpose.
+    Dropped,
+}
+
+struct Drive {
+    ingress: Arc<Ingress>,
+    call: Call,
+    accepted: Accepted,
+    attempts: Vec<Open>,
+    pending: FuturesUnordered<BoxFuture<'static, Event>>,
+}
+
+impl Drive {
+    async fn run(&mut self) -> Ending {
+        let now = self.now();
+        let actions = self.decide(|call, clerk, _| call.begin(now, clerk));
+        if let Some(ending) = self.carry_out(actions) {
+            return ending;
+        }
+        let mut timer = Box::pin(sleep_until(self.wake()));
+        loop {
+            let actions = tokio::select! {
+                Some(event) = self.pending.next() => self.take(event),
+                () = &mut timer => self.tick(),
+            };
+            if let Some(ending) = self.carry_out(actions) {
+                return ending;
+            }
+            let wake = self.wake();
+            rearm(timer.as_mut(), wake);
+        }
+    }
+
+    fn now(&self) -> Moment {
+        self.ingress.board.clock.now()
+    }
+
+    fn wake(&self) -> tokio::time::Instant {
+        self.ingress.board.clock.instant(self.call.next_tick())
+    }
+
+    /// Lets the call decide with the service's table and budget at hand.
+    fn decide(
+        &mut self,
+        step: impl FnOnce(&mut Call, &mut Clerk<'_>, &mut Purse<'_>) -> Vec<Action>,
+    ) -> Vec<Action> {
+        let desks = &self.ingress.desks;
+        let service = &self.accepted.service;
+        let mut clerk = Clerk {
+            desks,
+            service,
+            now: self.ingress.board.clock.now(),
+        };
+        let mut purse = Purse { desks, service };
+        step(&mut self.call, &mut clerk, &mut purse)
+    }
+
+    fn tick(&mut self) -> Vec<Action> {
+        let now = self.now();
+        self.decide(|call, clerk, purse| call.tick(now, clerk, purse))
+    }
+
+    fn take(&mut self, event: Event) -> Vec<Action> {
+        let now = self.now();
+        match event {
+            Event::Dropped => Vec::new(),
+            Event::Ran {
+                attempt,
+                result: Ok(reply),
+                asked,
+            }
+            | Event::Asked {
+                attempt,
+                result: Ok(reply),
+                asked,
+            } => {
+                self.learn(attempt, &reply, asked, now);
+                let outcome = reply.outcome;
+                self.decide(|call, clerk, purse| call.heard(attempt, outcome, now, clerk, purse))
+            }
+            Event::Ran {
+                attempt,
+                result: Err(Fault::Broken),
+                ..
+            } => self.decide(|call, clerk, purse| call.broken(attempt, now, clerk, purse)),
+            // Nothing was sent.
+            Event::Ran {
+                attempt,
+                result: Err(fault),
+                ..
+            } => {
+                self.fail(attempt, fault, now);
+                self.hear_refusal(attempt, Refusal::Down, now)
+            }
+            // The incarnation that was asked has ended.
+            Event::Asked {
+                attempt,
+                result: Err(Fault::Refused),
+                ..
+            } => {
+                self.fail(attempt, Fault::Refused, now);
+                let outcome = Outcome::Unknown;
+                self.decide(|call, clerk, purse| call.heard(attempt, outcome, now, clerk, purse))
+            }
+            Event::Asked {
+                attempt,
+                result: Err(fault),
+                ..
+            } => {
+                self.fail(attempt, fault, now);
+                self.call.unasked(attempt, now)
+            }
+        }
+    }
+
+    fn hear_refusal(&mut self, attempt: Try, refusal: Refusal, now: Moment) -> Vec<Action> {
+        let outcome = Outcome::refused(refusal);
+        self.decide(|call, clerk, purse| call.heard(attempt, outcome, now, clerk, purse))
+    }
+
+    fn fail(&self, attempt: Try, fault: Fault, now: Moment) {
+        let server = &self.attempts[attempt].server;
+        self.ingress
+            .desks
+            .failed(&self.accepted.service, server, fault, now);
+    }
+
+    fn learn(&self, attempt: Try, reply: &Reply, asked: Moment, now: Moment) {
+        let open = &self.attempts[attempt];
+        if let Some(sent) = open.sent.get() {
+            open.peer.hear(sent.id, reply, asked, now);
+        }
+        let took = now.since(asked);
+        self.ingress
+            .desks
+            .heard(&self.accepted.service, &open.server, reply, took, now);
+        if reply.revision > self.ingress.board.view.borrow().revision {
+            let heard = Heard {
+                peer: open.peer.address,
+                revision: reply.revision,
+            };
+            let _ = self.ingress.spreader.tell(heard).try_send();
+        }
+    }
+
+    /// Does what the call says, and returns its ending when it comes to it.
+    fn carry_out(&mut self, actions: Vec<Action>) -> Option<Ending> {
+        let mut ending = None;
+        let mut queue = std::collections::VecDeque::from(actions);
+        while let Some(action) = queue.pop_front() {
+            match action {
+                Action::Send {
+                    attempt,
+                    server,
+                    repeat,
+                } => {
+                    queue.extend(self.send(attempt, server, repeat));
+                }
+                Action::Ask(attempt) => queue.extend(self.ask(attempt)),
+                Action::Cancel(attempt) => self.cancel(attempt),
+                Action::Settle(attempt) => self.settle(attempt),
+                Action::Finish(end) => ending = Some(end),
+            }
+        }
+        ending
+    }
+
+    fn send(&mut self, attempt: Try, server: ServerId, repeat: bool) -> Vec<Action> {
+        let Some(peer) = self.ingress.peer(&server) else {
+            // The view changed since the choice.
+            self.attempts.push(self.unsendable(server));
+            let now = self.now();
+            return self.hear_refusal(attempt, Refusal::Misplaced, now);
+        };
+        self.ingress.desks.sent(&self.accepted.service, &server);
+        let sent = Arc::new(OnceLock::new());
+        let mut request = self.accepted.request.clone();
+        request.repeat |= repeat;
+        let outgoing = Outgoing {
+            ingress: Arc::clone(&self.ingress),
+            peer: Arc::clone(&peer),
+            server: server.clone(),
+            idempotent: self.accepted.idempotent,
+            deadline: self.accepted.deadline,
+            request,
+            sent: Arc::clone(&sent),
+        };
+        let (running, sending) = abortable(outgoing.run(attempt));
+        let event = running.map(|done| done.unwrap_or(Event::Dropped));
+        self.pending.push(event.boxed());
+        self.attempts.push(Open {
+            server,
+            peer,
+            sent,
+            sending,
+            settled: false,
+        });
+        Vec::new()
+    }
+
+    fn unsendable(&self, server: ServerId) -> Open {
+        let peer = self.ingress.peers.get(self.ingress.board.identity.node);
+        let (_, sending) = abortable(std::future::ready(()));
+        Open {
+            server,
+            peer,
+            sent: Arc::default(),
+            sending,
+            settled: true,
+        }
+    }
+
+    fn ask(&mut self, attempt: Try) -> Vec<Action> {
+        let open = &self.attempts[attempt];
+        let Some(sent) = open.sent.get().copied() else {
+            // It has no name yet, so nothing was sent, and now nothing will be.
+            open.sending.abort();
+            let now = self.now();
+            return self.hear_refusal(attempt, Refusal::Down, now);
+        };
+        let peer = Arc::clone(&open.peer);
+        let asked = self.now();
+        let asking = async move {
+            let result = peer.client.ask(sent.id, false).await;
+            Event::Asked {
+                attempt,
+                result,
+                asked,
+            }
+        };
+        self.pending.push(asking.boxed());
+        Vec::new()
+    }
+
+    /// Stops an open attempt without waiting for it.
+    fn cancel(&mut self, attempt: Try) {
+        let open = &mut self.attempts[attempt];
+        open.sending.abort();
+        if std::mem::replace(&mut open.settled, true) {
+            return;
+        }
+        self.ingress
+            .desks
+            .closed(&self.accepted.service, &open.server);
+        let Some(sent) = open.sent.get().copied() else {
+            return;
+        };
+        let peer = Arc::clone(&open.peer);
+        tokio::spawn(async move {
+            let _ = peer.client.ask(sent.id, true).await;
+            peer.settle(sent.id);
+        });
+    }
+
+    fn settle(&mut self, attempt: Try) {
+        let open = &mut self.attempts[attempt];
+        if std::mem::replace(&mut open.settled, true) {
+            return;
+        }
+        self.ingress
+            .desks
+            .closed(&self.accepted.service, &open.server);
+        if let Some(sent) = open.sent.get() {
+            open.peer.settle(sent.id);
+        }
+    }
+}
+
+/// The caller has gone away if the call isn't finished by now.
+impl Drop for Drive {
+    fn drop(&mut self) {
+        if !self.call.is_finished() {
+            let actions = self.call.abandon();
+            self.carry_out(actions);
+        }
+    }
+}
+
+/// An attempt that is to be sent.
+struct Outgoing {
+    ingress: Arc<Ingress>,
+    peer: Arc<Peer>,
+    server: ServerId,
+    idempotent: bool,
+    deadline: Moment,
+    request: crate::backend::ServerRequest,
+    sent: Arc<OnceLock<Sent>>,
+}
+
+impl Outgoing {
+    async fn run(self, attempt: Try) -> Event {
+        let board = &self.ingress.board;
+        let sent = match self.peer.name(board, self.deadline).await {
+            Ok(sent) => sent,
+            Err(fault) => {
+                return Event::Ran {
+                    attempt,
+                    result: Err(fault),
+                    asked: board.clock.now(),
+                };
+            }
+        };
+        let _ = self.sent.set(sent);
+        let outgoing = Attempt {
+            sent,
+            server: self.server,
+            idempotent: self.idempotent,
+            request: self.request,
+            revision: board.view.borrow().revision,
+            node: board.identity.node,
+        };
+        let asked = board.clock.now();
+        let result = self.peer.client.run(outgoing).await;
+        Event::Ran {
+            attempt,
+            result,
+            asked,
+        }
+    }
+}
+
+fn rearm(timer: Pin<&mut Sleep>, wake: tokio::time::Instant) {
+    if timer.deadline() != wake {
+        timer.reset(wake);
+    }
+}
--- /dev/null
+++ b/crates/node/src/ops.rs
@@ -0,0 +1,265 @@
+//! The life of a node, from settings to a graceful shutdown.
+
+use std::{error::Error, fmt, io, net::SocketAddr, sync::Arc, time::Duration};
+
+use axum::Router;
+use board::{Board, Identity, Phase};
+use kameo::actor::ActorRef;
+use platform::{HttpPlatform, PlatformError};
+use tokio::{
+    net::TcpListener,
+    signal::unix::{SignalKind, signal},
+    sync::watch,
+    task::JoinHandle,
+    time::{Instant, sleep, timeout_at},
+};
+use tonic::transport::server::TcpIncoming;
+use types::Boot;
+use wire::peer::peer_server::PeerServer;
+
+use crate::{
+    admin::{self, Admin},
+    backend::HttpBackend,
+    gatekeeper::{self, Gatekeeper},
+    ingress::{self, Desks, Ingress},
+    meter::Meter,
+    peers::{Peers, server::PeerService},
+    settings::Settings,
+    spreader,
+};
+
+/// Time for which a stopping node goes on answering, so that peers and callers learn of it.
+const LINGER: Duration = Duration::from_millis(500);
+/// Time between two looks whether the gate is idle.
+const IDLE_POLL: Duration = Duration::from_millis(20);
+/// Largest message from a peer.
+const MOST_MESSAGE_BYTES: usize = 20 << 20;
+
+/// Why a node could not run.
+#[derive(Debug)]
+pub enum RunError {
+    /// An address can't be listened on.
+    Listen {
+        /// The address.
+        address: SocketAddr,
+        /// Why not.
+        cause: io::Error,
+    },
+    /// The client of the configuration service can't be set up.
+    Platform(PlatformError),
+    /// The client of the backend server can't be set up.
+    Backend(reqwest::Error),
+    /// Signals can't be handled.
+    Signals(io::Error),
+}
+
+impl fmt::Display for RunError {
+    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        match self {
+            Self::Listen { address, .. } => write!(f, "can't listen on {address}"),
+            Self::Platform(_) => f.write_str("can't set up the configuration service's client"),
+            Self::Backend(_) => f.write_str("can't set up the backend server's client"),
+            Self::Signals(_) => f.write_str("can't handle signals"),
+        }
+    }
+}
+
+impl Error for RunError {
+    fn source(&self) -> Option<&(dyn Error + 'static)> {
+        match self {
+            Self::Listen { cause, .. } | Self::Signals(cause) => Some(cause),
+            Self::Platform(cause) => Some(cause),
+            Self::Backend(cause) => Some(cause),
+        }
+    }
+}
+
+/// Runs a node until a signal stops it.
+///
+/// # Errors
+///
+/// [`RunError`] if it can't start.
+pub async fn run(settings: Settings) -> Result<(), RunError> {
+    let mut signals = Signals::new()?;
+    let node = start(&settings).await?;
+    log::info!(host:% = settings.host, boot:% = node.board.identity.boot; "started");
+    signals.stop().await;
+    log::info!(within_ms = settings.stop_ms; "stopping");
+    let deadline = Instant::now() + settings.stop().duration();
+    tokio::select! {
+        () = node.stop(deadline) => log::info!("stopped"),
+        () = signals.stop() => log::warn!("stopped_at_once"),
+    }
+    Ok(())
+}
+
+struct Node {
+    board: Arc<Board>,
+    gatekeeper: ActorRef<Gatekeeper>,
+    /// Closes the callers' side.
+    callers: Server,
+    /// Closes the peers' side.
+    peers: Server,
+    /// Closes the admin API, as the last.
+    admin: Server,
+}
+
+/// A server and the switch that closes it.
+struct Server {
+    close: watch::Sender<bool>,
+    task: JoinHandle<()>,
+}
+
+async fn start(settings: &Settings) -> Result<Node, RunError> {
+    let board = Board::new(Identity {
+        host: settings.host.clone(),
+        zone: settings.zone.clone(),
+        node: settings.node,
+        boot: Boot(rand::random::<u64>() >> 1),
+    });
+    let meter = Arc::new(Meter::new());
+    let platform = HttpPlatform::new(&settings.platform).map_err(RunError::Platform)?;
+    let backend = HttpBackend::new().map_err(RunError::Backend)?;
+    let callers = listen(settings.listen).await?;
+    let peers = listen(settings.node).await?;
+    let admin = listen(settings.admin).await?;
+
+    let gatekeeper = gatekeeper::spawn(&board, Arc::new(backend), &meter);
+    let seeds = settings.seeds.clone();
+    let spreader = spreader::spawn(&board, Arc::new(platform), &meter, seeds, settings.reads);
+    let ingress = Arc::new(Ingress {
+        board: Arc::clone(&board),
+        peers: Peers::new(Arc::clone(&board), gatekeeper.clone()),
+        desks: Desks::new(board.identity.boot, settings.policy),
+        meter,
+        spreader: spreader.clone(),
+    });
+    tokio::spawn(Arc::clone(&ingress).follow());
+
+    let service = PeerService::new(Arc::clone(&board), gatekeeper.clone(), spreader.clone());
+    let peers = serve_peers(peers, service);
+    let callers = serve_http(callers, ingress::router(Arc::clone(&ingress)));
+    let admin_state = Admin {
+        ingress,
+        gatekeeper: gatekeeper.clone(),
+        spreader,
+    };
+    let admin = serve_http(admin, admin::router(Arc::new(admin_state)));
+    Ok(Node {
+        board,
+        gatekeeper,
+        callers,
+        peers,
+        admin,
+    })
+}
+
+impl Node {
+    /// Stops in an order that cuts nothing, by `deadline` at the latest.
+    ///
+    /// The gate takes nothing new and finishes what it has. Until it has, the callers' side stays
+    /// open for nested calls of its backend server. Then the callers' side closes and finishes, and
+    /// last the peers' side.
+    async fn stop(self, deadline: Instant) {
+        self.board.phase.send_replace(Phase::Stopping);
+        let orderly = async {
+            sleep(LINGER).await;
+            finish(&self.gatekeeper).await;
+            self.callers.close().await;
+            finish(&self.gatekeeper).await;
+            self.peers.close().await;
+            self.admin.close().await;
+        };
+        if timeout_at(deadline, orderly).await.is_err() {
+            log::warn!("stop_deadline_passed");
+        }
+    }
+}
+
+/// Waits until nothing waits or runs at the gate.
+async fn finish(gatekeeper: &ActorRef<Gatekeeper>) {
+    while gatekeeper
+        .ask(gatekeeper::Dump)
+        .await
+        .is_ok_and(|dump| !dump.idle)
+    {
+        sleep(IDLE_POLL).await;
+    }
+}
+
+impl Server {
+    /// Takes no new connections and waits until the open ones have finished their requests.
+    async fn close(self) {
+        self.close.send_replace(true);
+        let _ = self.task.await;
+    }
+}
+
+async fn listen(address: SocketAddr) -> Result<TcpListener, RunError> {
+    TcpListener::bind(address)
+        .await
+        .map_err(|cause| RunError::Listen { address, cause })
+}
+
+async fn closed(mut close: watch::Receiver<bool>) {
+    let _ = close.wait_for(|closed| *closed).await;
+}
+
+fn serve_http(listener: TcpListener, router: Router) -> Server {
+    let (close, closing) = watch::channel(false);
+    let listener = axum::serve::ListenerExt::tap_io(listener, |stream| {
+        let _ = stream.set_nodelay(true);
+    });
+    let task = tokio::spawn(async move {
+        let serving = axum::serve(listener, router).with_graceful_shutdown(closed(closing));
+        if let Err(error) = serving.await {
+            log::error!(error:% = error; "http_server_failed");
+        }
+    });
+    Server { close, task }
+}
+
+fn serve_peers(listener: TcpListener, service: PeerService) -> Server {
+    let (close, closing) = watch::channel(false);
+    let service = PeerServer::new(service)
+        .max_decoding_message_size(MOST_MESSAGE_BYTES)
+        .max_encoding_message_size(usize::MAX);
+    let incoming = TcpIncoming::from(listener).with_nodelay(Some(true));
+    let task = tokio::spawn(async move {
+        let router = tonic::transport::Server::builder().add_service(service);
+        let serving = router.serve_with_incoming_shutdown(incoming, closed(closing));
+        if let Err(error) = serving.await {
+            log::error!(error:% = error; "peer_server_failed");
+        }
+    });
+    Server { close, task }
+}
+
+/// Signals that stop the process.
+struct Signals {
+    term: tokio::signal::unix::Signal,
+    int: tokio::signal::unix::Signal,
+    hup: tokio::signal::unix::Signal,
+}
+
+impl Signals {
+    fn new() -> Result<Self, RunError> {
+        let on = |kind| signal(kind).map_err(RunError::Signals);
+        Ok(Self {
+            term: on(SignalKind::terminate())?,
+            int: on(SignalKind::interrupt())?,
+            hup: on(SignalKind::hangup())?,
+        })
+    }
+
+    /// Waits for SIGTERM or SIGINT. SIGHUP is logged: settings are read at the start only.
+    async fn stop(&mut self) {
+        loop {
+            tokio::select! {
+                _ = self.term.recv() => return,
+                _ = self.int.recv() => return,
+                _ = self.hup.recv() => log::warn!("hangup_ignored"),
+            }
+        }
+    }
+}
--- /dev/null
+++ b/crates/node/src/peers/convert.rs
@@ -0,0 +1,212 @@
+//! Wire messages to and from what the decisions use.
+
+use std::{fmt, net::SocketAddr, sync::Arc};
+
+use bytes::Bytes;
+use call::Sent;
+use gate::Load;
+use types::{Answer, Boot, CallId, Header, IdError, Moment, Outcome, Refusal, Revision, Seq};
+use types::{SessionId, Span};
+use wire::peer;
+
+use super::Attempt;
+use crate::{
+    backend::ServerRequest,
+    gatekeeper::{Opened, Reply},
+};
+
+/// Why a message from another node can't be understood.
+#[derive(Debug)]
+pub(crate) enum ConvertError {
+    /// A field that must be there is missing.
+    Missing,
+    /// A name is none.
+    Name(IdError),
+    /// An address is none.
+    Address,
+}
+
+impl fmt::Display for ConvertError {
+    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        match self {
+            Self::Missing => f.write_str("a field is missing"),
+            Self::Name(error) => write!(f, "a name {error}"),
+            Self::Address => f.write_str("an address is malformed"),
+        }
+    }
+}
+
+pub(crate) fn opened(reply: peer::OpenReply) -> Opened {
+    Opened {
+        boot: Boot(reply.boot),
+        session: SessionId(reply.session),
+        clock: Moment(reply.clock),
+    }
+}
+
+pub(crate) fn to_run_request(attempt: Attempt) -> peer::RunRequest {
+    let Attempt {
+        sent,
+        server,
+        idempotent,
+        request,
+        revision,
+        node,
+    } = attempt;
+    peer::RunRequest {
+        attempt: Some(sent.id.into()),
+        floor: sent.floor.0,
+        deadline: sent.deadline.0,
+        revision: revision.0,
+        call: Bytes::copy_from_slice(&request.call.0.to_be_bytes()),
+        server: server.to_string(),
+        method: request.method.to_string(),
+        path: request.path.to_string(),
+        headers: to_headers(&request.headers),
+        body: request.body,
+        idempotent,
+        depth: request.depth,
+        repeat: request.repeat,
+        node: node.to_string(),
+    }
+}
+
+pub(crate) fn attempt(request: peer::RunRequest) -> Result<Attempt, ConvertError> {
+    let id = request.attempt.ok_or(ConvertError::Missing)?.into();
+    let call = request
+        .call
+        .as_ref()
+        .try_into()
+        .map_err(|_| ConvertError::Missing)?;
+    let node: SocketAddr = request.node.parse().map_err(|_| ConvertError::Address)?;
+    Ok(Attempt {
+        sent: Sent {
+            id,
+            floor: Seq(request.floor),
+            deadline: Moment(request.deadline),
+        },
+        server: request.server.parse().map_err(ConvertError::Name)?,
+        idempotent: request.idempotent,
+        request: ServerRequest {
+            call: CallId(u128::from_be_bytes(call)),
+            method: request.method.into(),
+            path: request.path.into(),
+            headers: headers(request.headers),
+            body: request.body,
+            depth: request.depth,
+            repeat: request.repeat,
+        },
+        revision: Revision(request.revision),
+        node,
+    })
+}
+
+pub(crate) fn to_outcome(reply: Reply) -> peer::Outcome {
+    use peer::outcome::Result as R;
+    let result = match reply.outcome {
+        Outcome::Unknown => R::Unknown(peer::Unknown {}),
+        Outcome::NotRun { refusal, after } => R::NotRun(peer::NotRun {
+            refusal: to_refusal(refusal).into(),
+            after_ms: u32::try_from(after.as_millis()).unwrap_or(u32::MAX),
+        }),
+        Outcome::Answer(answer) => R::Answer(peer::Answer {
+            status: u32::from(answer.status),
+            headers: to_headers(&answer.headers),
+            body: answer.body.clone(),
+        }),
+    };
+    peer::Outcome {
+        result: Some(result),
+        load: Some(peer::Load {
+            running: reply.load.running,
+            waiting: reply.load.waiting,
+            allowed: reply.load.allowed,
+        }),
+        revision: reply.revision.0,
+        boot: reply.boot.0,
+        clock: reply.clock.0,
+    }
+}
+
+/// An outcome that can't be understood counts as unknown.
+pub(crate) fn reply(message: peer::Outcome) -> Reply {
+    use peer::outcome::Result as R;
+    let outcome = match message.result {
+        Some(R::NotRun(not_run)) => match refusal(not_run.refusal()) {
+            Some(refusal) => Outcome::NotRun {
+                refusal,
+                after: Span::from_millis(not_run.after_ms.into()),
+            },
+            None => Outcome::Unknown,
+        },
+        Some(R::Answer(answer)) => Outcome::Answer(Arc::new(Answer {
+            status: answer.status as u16,
+            headers: headers(answer.headers),
+            body: answer.body,
+        })),
+        Some(R::Unknown(_)) | None => Outcome::Unknown,
+    };
+    let load = message.load.unwrap_or_default();
+    Reply {
+        outcome,
+        load: Load {
+            running: load.running,
+            waiting: load.waiting,
+            allowed: load.allowed,
+        },
+        revision: Revision(message.revision),
+        boot: Boot(message.boot),
+        clock: Moment(message.clock),
+    }
+}
+
+fn to_headers(headers: &[Header]) -> Vec<peer::Header> {
+    let to = |h: &Header| peer::Header {
+        name: h.name.to_string(),
+        value: h.value.clone(),
+    };
+    headers.iter().map(to).collect()
+}
+
+fn headers(headers: Vec<peer::Header>) -> Vec<Header> {
+    headers
+        .into_iter()
+        .map(|h| Header {
+            name: h.name.into(),
+            value: h.value,
+        })
+        .collect()
+}
+
+fn to_refusal(refusal: Refusal) -> peer::Refusal {
+    match refusal {
+        Refusal::Busy => peer::Refusal::Busy,
+        Refusal::Late => peer::Refusal::Late,
+        Refusal::Leaving => peer::Refusal::Leaving,
+        Refusal::Stopping => peer::Refusal::Stopping,
+        Refusal::Stale => peer::Refusal::Stale,
+        Refusal::Barred => peer::Refusal::Barred,
+        Refusal::Session => peer::Refusal::Session,
+        Refusal::Misplaced => peer::Refusal::Misplaced,
+        Refusal::Down => peer::Refusal::Down,
+        Refusal::Shed => peer::Refusal::Shed,
+        Refusal::Cancelled => peer::Refusal::Cancelled,
+    }
+}
+
+fn refusal(refusal: peer::Refusal) -> Option<Refusal> {
+    Some(match refusal {
+        peer::Refusal::Unspecified => return None,
+        peer::Refusal::Busy => Refusal::Busy,
+        peer::Refusal::Late => Refusal::Late,
+        peer::Refusal::Leaving => Refusal::Leaving,
+        peer::Refusal::Stopping => Refusal::Stopping,
+        peer::Refusal::Stale => Refusal::Stale,
+        peer::Refusal::Barred => Refusal::Barred,
+        peer::Refusal::Session => Refusal::Session,
+        peer::Refusal::Misplaced => Refusal::Misplaced,
+        peer::Refusal::Down => Refusal::Down,
+        peer::Refusal::Shed => Refusal::Shed,
+        peer::Refusal::Cancelled => Refusal::Cancelled,
+    })
+}
--- /dev/null
+++ b/crates/note/src/lib.rs
@@ -0,0 +1,21 @@
+//! Release notes: the only way in which operators drive the system.
+//!
+//! A [`Note`] lists what is added, changed and withdrawn. Notes arrive in the platform's order, and
+//! [`View::fold`] folds each into the state before it. Every node folds the same notes in the same
+//! order with no other input, so every node reaches the same verdict: a note that is invalid, or
+//! that clashes with one its author hadn't seen, is rejected whole and the reason is kept on show.
+//!
+//! The flow is text -> [`Note`] ([`parse`]) -> faults ([`check`]) -> next [`View`]. A view carries a
+//! digest chained over all notes so far, so that two nodes that were served different histories
+//! notice. A newcomer takes a peer's [`View`] instead of the history, which bounds what it reads by
+//! the size of the state.
+
+mod check;
+mod fold;
+mod parse;
+mod state;
+
+pub use check::{Fault, Problem, check};
+pub use fold::{Digest, Rejection, View};
+pub use parse::{Batch, Note, NoteError, Withdrawal, parse};
+pub use state::{Entry, Limits, Route, Server, ServerStatus, Service, State, Zone, ZoneStatus};
--- /dev/null
+++ b/crates/note/tests/fold.rs
@@ -0,0 +1,110 @@
+//! Folding of notes: same verdict everywhere, rejected whole, never back.
+
+use note::{Problem, View};
+use serde_json::{Value, json};
+use types::Revision;
+
+fn zone(id: &str) -> Value {
+    json!({ "id": id, "region": "r" })
+}
+
+fn note(after: u64, add: Value, change: Value) -> String {
+    json!({ "author": "op", "after": after, "add": add, "change": change }).to_string()
+}
+
+fn base() -> View {
+    let mut view = View::default();
+    let add = json!({ "zones": [zone("a"), zone("b")], "services": [{ "id": "fees" }] });
+    assert_eq!(view.fold(&note(0, add, json!({}))), vec![]);
+    view
+}
+
+#[test]
+fn a_note_that_clashes_with_an_unseen_change_is_rejected_whole() {
+    let mut view = base();
+    let out = json!({ "zones": [{ "id": "a", "region": "r", "status": "out" }] });
+    assert_eq!(view.fold(&note(1, json!({}), out)), vec![]);
+
+    let stale = json!({ "zones": [zone("a"), { "id": "b", "region": "r", "status": "out" }] });
+    let before = view.state.clone();
+    let faults = view.fold(&note(1, json!({}), stale));
+
+    assert_eq!(faults.len(), 1);
+    assert_eq!(faults[0].place, "change.zones[0]");
+    assert_eq!(
+        faults[0].problem,
+        Problem::Clash {
+            changed: Revision(2)
+        }
+    );
+    assert_eq!(view.state, before, "nothing of a rejected note is in force");
+    assert_eq!(view.revision, Revision(3), "a rejected note counts as seen");
+    assert_eq!(view.rejected.len(), 1);
+}
+
+#[test]
+fn all_faults_of_a_note_are_listed_with_their_places() {
+    let mut view = base();
+    let add = json!({
+        "zones": [zone("a"), zone("c"), zone("c")],
+        "services": [{ "id": "rinks", "limits": { "slots": 0, "retries": 2.0 } }],
+        "servers": [{
+            "id": "s", "service": "none", "zone": "none", "host": "h",
+            "node": "127.0.0.1:1", "address": "127.0.0.1:2",
+        }],
+    });
+    let places: Vec<String> = view
+        .fold(&note(9, add, json!({})))
+        .iter()
+        .map(|f| f.place.to_string())
+        .collect();
+    assert_eq!(
+        places,
+        [
+            "after",
+            "add.zones[0]",
+            "add.zones[2]",
+            "add.services[0].limits.slots",
+            "add.services[0].limits.retries",
+            "add.servers[0].service",
+            "add.servers[0].zone",
+        ]
+    );
+}
+
+#[test]
+fn text_that_is_no_note_is_rejected_and_the_next_one_still_folds() {
+    let mut view = base();
+    assert_eq!(view.fold("{")[0].problem, Problem::Malformed);
+    let unknown = json!({ "author": "op", "after": 1, "rename": {} }).to_string();
+    assert_eq!(view.fold(&unknown)[0].problem, Problem::Malformed);
+    assert_eq!(
+        view.fold(&note(3, json!({ "zones": [zone("c")] }), json!({}))),
+        vec![]
+    );
+}
+
+#[test]
+fn different_histories_have_different_digests() {
+    let (mut one, mut other) = (base(), base());
+    assert_eq!(one.digest, other.digest);
+    one.fold("x");
+    other.fold("y");
+    assert_eq!(one.revision, other.revision);
+    assert_ne!(one.digest, other.digest);
+}
+
+#[test]
+fn a_withdrawn_zone_must_not_be_in_use() {
+    let mut view = base();
+    let add = json!({ "servers": [{
+        "id": "s", "service": "fees", "zone": "a", "host": "h",
+        "node": "127.0.0.1:1", "address": "127.0.0.1:2",
+    }] });
+    assert_eq!(view.fold(&note(1, add, json!({}))), vec![]);
+    let gone = json!({ "author": "op", "after": 2, "withdraw": { "zones": ["a", "b"] } });
+    let faults = view.fold(&gone.to_string());
+    assert_eq!(faults.len(), 1);
+    assert_eq!(faults[0].place, "withdraw.zones[0]");
+    assert_eq!(faults[0].problem, Problem::InUse);
+}
--- /dev/null
+++ b/crates/platform/src/lib.rs
@@ -0,0 +1,81 @@
+//! What the platform publishes, and the client that reads it.
+//!
+//! The platform's configuration service can only be read. It serves the release notes in one order,
+//! and a list of hosts that lags. Both may be old, and the service may be down: callers treat every
+//! read as a hint that may only move them forward.
+
+mod http;
+
+use std::{collections::BTreeMap, error::Error, fmt, sync::Arc};
+
+use futures::future::BoxFuture;
+use serde::{Deserialize, Serialize};
+use types::{HostId, Revision};
+
+pub use http::HttpPlatform;
+
+/// Notes after a revision, as many as fit one value of the service.
+#[derive(Debug, Clone, Serialize, Deserialize)]
+pub struct Page {
+    /// Revision of the newest note that the service knows.
+    pub head: Revision,
+    /// Texts of the notes that follow the revision that was asked for, in order.
+    pub notes: Vec<Arc<str>>,
+}
+
+/// State of a host as the platform's list shows it.
+#[derive(Debug, Clone, Copy, PartialEq, Eq, Serialize, Deserialize)]
+#[serde(rename_all = "lowercase")]
+pub enum HostStatus {
+    /// Live.
+    Live,
+    /// About to be stopped.
+    Leaving,
+}
+
+/// The platform's list of hosts.
+pub type HostList = BTreeMap<HostId, HostStatus>;
+
+/// Why the platform could not be read.
+#[derive(Debug)]
+pub enum PlatformError {
+    /// No answer came.
+    Unreachable(reqwest::Error),
+    /// The service refused, such as for too many reads.
+    Refused {
+        /// The HTTP status.
+        status: u16,
+    },
+    /// The answer can't be understood.
+    Malformed(reqwest::Error),
+}
+
+impl fmt::Display for PlatformError {
+    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        match self {
+            Self::Unreachable(_) => f.write_str("the configuration service gave no answer"),
+            Self::Refused { status } => {
+                write!(f, "the configuration service refused with status {status}")
+            }
+            Self::Malformed(_) => f.write_str("the configuration service's answer is malformed"),
+        }
+    }
+}
+
+impl Error for PlatformError {
+    fn source(&self) -> Option<&(dyn Error + 'static)> {
+        match self {
+            Self::Unreachable(cause) | Self::Malformed(cause) => Some(cause),
+            Self::Refused { .. } => None,
+        }
+    }
+}
+
+/// The platform, as far as the system needs it.
+pub trait Platform: Send + Sync {
+    /// Reads the notes after `after`.
+    fn notes(&self, after: Revision) -> BoxFuture<'_, Result<Page, PlatformError>>;
+
+    /// Reads the list of hosts.
+    fn hosts(&self) -> BoxFuture<'_, Result<HostList, PlatformError>>;
+}
--- /dev/null
+++ b/crates/rig/src/lib.rs
@@ -0,0 +1,19 @@
+//! Stand-ins for everything around the system, and tools to load and measure it.
+//!
+//! Nothing here is part of the product. Each stand-in speaks the protocol of what it stands for and
+//! grows a failure only when a proof needs it:
+//!
+//! - [`platform`]: the configuration service and the host list;
+//! - [`server`]: a backend server;
+//! - [`link`]: a connection between two hosts that can be delayed, cut or go silent;
+//! - [`load`]: callers, open loop;
+//! - [`fleet`]: starts nodes as processes and ends them;
+//! - [`cluster`]: all of these as one small deployment.
+
+pub mod cluster;
+pub mod fleet;
+pub mod link;
+pub mod load;
+pub mod platform;
+pub mod report;
+pub mod server;
--- /dev/null
+++ b/crates/route/src/lib.rs
@@ -0,0 +1,15 @@
+//! Choice of a backend server at an ingress.
+//!
+//! Every choice is a guess: what an ingress knows of a backend server is what its own calls told it,
+//! and that is old when it arrives. So a choice is cheap, avoids what lately refused, and leaves the
+//! decision to the gate, which may refuse truthfully.
+//!
+//! A [`Table`] holds, for one service, the backend servers that the ingress uses and what it learned
+//! of them. A [`Policy`] picks one of the candidates. [`TwoChoices`] is the one in use; the others
+//! are baselines that the experiments compare it with.
+
+mod policy;
+mod table;
+
+pub use policy::{LeastReported, Policy, PolicyKind, Random, RoundRobin, TwoChoices};
+pub use table::{Member, Peer, Table};
--- /dev/null
+++ b/crates/route/src/policy.rs
@@ -0,0 +1,166 @@
+//! Ways to pick one of several backend servers.
+
+use std::{fmt, str::FromStr};
+
+use rand::{RngExt, rngs::SmallRng};
+use serde::{Deserialize, Serialize};
+use types::Moment;
+
+use crate::table::Peer;
+
+/// Score of the best local backend server from which others are looked at.
+const SPILL_SCORE: f64 = 0.8;
+/// How much better a remote backend server must be to be worth the way.
+const REMOTE_MARGIN: f64 = 0.2;
+
+/// Picks one of the candidates by its position, `None` if there are none.
+pub trait Policy: fmt::Debug + Send {
+    /// The position of the one picked.
+    fn pick(&mut self, peers: &[&Peer], now: Moment, rng: &mut SmallRng) -> Option<usize>;
+}
+
+/// The policies that settings can name.
+#[derive(Debug, Clone, Copy, Default, PartialEq, Eq, Serialize, Deserialize)]
+#[serde(rename_all = "kebab-case")]
+pub enum PolicyKind {
+    /// [`TwoChoices`].
+    #[default]
+    TwoChoices,
+    /// [`Random`].
+    Random,
+    /// [`RoundRobin`].
+    RoundRobin,
+    /// [`LeastReported`].
+    LeastReported,
+}
+
+impl PolicyKind {
+    /// A policy of this kind.
+    pub fn build(self) -> Box<dyn Policy> {
+        match self {
+            Self::TwoChoices => Box::new(TwoChoices),
+            Self::Random => Box::new(Random),
+            Self::RoundRobin => Box::new(RoundRobin::default()),
+            Self::LeastReported => Box::new(LeastReported),
+        }
+    }
+}
+
+impl fmt::Display for PolicyKind {
+    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        f.write_str(match self {
+            Self::TwoChoices => "two-choices",
+            Self::Random => "random",
+            Self::RoundRobin => "round-robin",
+            Self::LeastReported => "least-reported",
+        })
+    }
+}
+
+/// The text names no policy.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub struct UnknownPolicy;
+
+impl fmt::Display for UnknownPolicy {
+    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        f.write_str("allowed are two-choices, random, round-robin and least-reported")
+    }
+}
+
+impl std::error::Error for UnknownPolicy {}
+
+impl FromStr for PolicyKind {
+    type Err = UnknownPolicy;
+
+    fn from_str(text: &str) -> Result<Self, UnknownPolicy> {
+        let all = [
+            Self::TwoChoices,
+            Self::Random,
+            Self::RoundRobin,
+            Self::LeastReported,
+        ];
+        all.into_iter()
+            .find(|kind| kind.to_string() == text)
+            .ok_or(UnknownPolicy)
+    }
+}
+
+/// The better of two random candidates, local ones first while they are not crowded.
+#[derive(Debug)]
+pub struct TwoChoices;
+
+impl Policy for TwoChoices {
+    fn pick(&mut self, peers: &[&Peer], now: Moment, rng: &mut SmallRng) -> Option<usize> {
+        let (local, remote): (Vec<_>, Vec<_>) =
+            (0..peers.len()).partition(|at| peers[*at].member.local);
+        let near = better_of_two(peers, &local, now, rng);
+        match near {
+            Some((_, score)) if score <= SPILL_SCORE => near,
+            _ => closer(near, better_of_two(peers, &remote, now, rng)),
+        }
+        .map(|(at, _)| at)
+    }
+}
+
+type Scored = (usize, f64);
+
+fn closer(near: Option<Scored>, far: Option<Scored>) -> Option<Scored> {
+    match (near, far) {
+        (Some(n), Some(f)) if f.1 + REMOTE_MARGIN < n.1 => Some(f),
+        (Some(n), _) => Some(n),
+        (None, far) => far,
+    }
+}
+
+fn better_of_two(
+    peers: &[&Peer],
+    among: &[usize],
+    now: Moment,
+    rng: &mut SmallRng,
+) -> Option<Scored> {
+    let first = rng.random_range(0..among.len().max(1));
+    let step = rng.random_range(1..among.len().max(2));
+    let second = (first + step) % among.len().max(1);
+    let scored = |at: &usize| (*at, peers[*at].score(now));
+    let pair = [among.get(first).map(scored), among.get(second).map(scored)];
+    pair.into_iter()
+        .flatten()
+        .min_by(|a, b| a.1.total_cmp(&b.1))
+}
+
+/// Any candidate, all equally likely.
+#[derive(Debug)]
+pub struct Random;
+
+impl Policy for Random {
+    fn pick(&mut self, peers: &[&Peer], _now: Moment, rng: &mut SmallRng) -> Option<usize> {
+        (!peers.is_empty()).then(|| rng.random_range(0..peers.len()))
+    }
+}
+
+/// One candidate after the other.
+#[derive(Debug, Default)]
+pub struct RoundRobin {
+    next: usize,
+}
+
+impl Policy for RoundRobin {
+    fn pick(&mut self, peers: &[&Peer], _now: Moment, _rng: &mut SmallRng) -> Option<usize> {
+        self.next = self.next.wrapping_add(1);
+        (!peers.is_empty()).then(|| self.next % peers.len())
+    }
+}
+
+/// The candidate with the least reported load, however old the report.
+#[derive(Debug)]
+pub struct LeastReported;
+
+impl Policy for LeastReported {
+    fn pick(&mut self, peers: &[&Peer], _now: Moment, rng: &mut SmallRng) -> Option<usize> {
+        let least = peers.iter().map(|p| p.reported).min()?;
+        let lowest: Vec<usize> = (0..peers.len())
+            .filter(|at| peers[*at].reported == least)
+            .collect();
+        Some(lowest[rng.random_range(0..lowest.len())])
+    }
+}
