Prove at most once and a true "not run" under failure

Cause looked for: which interleavings of loss, delay, repetition, restarts and pauses let a request run twice or make a refusal untrue.

Change: a randomised model joins calls and gates over a fake network and checks every step's outcome (crates/call/tests/once.rs); nine scripted scenarios do the same over real processes (crates/rig/tests/scripts/once). A call may now go back to a backend server whose gate barred the attempt or forgot the session; before, a service with one backend server ended in 503 there ("y" in requests_lost).

Ruled out: that the checks are blind. With a mechanism left out the same model finds the fault: resending on silence, a "not run" without a bar and a memory that forgets within an incarnation all show as failures, and a deadline that travels as a span lets a request begin late.

Conclusion: holds within the model and the scenarios. It rests on the transport delivering a request at most once across incarnations; the scenario with cut answers shows that no library sends again.

--- a/crates/call/src/core.rs
+++ b/crates/call/src/core.rs
@@ -100,9 +100,12 @@
 
 #[derive(Debug)]
 struct Attempt {
+    server: ServerId,
     phase: Phase,
     /// Whether it is known that it was not run.
     barred: bool,
+    /// Whether the refusal leaves the backend server as good as before.
+    revisit: bool,
 }
 
 /// One call. See the crate's documentation.
@@ -111,7 +114,6 @@
     request: Request,
     timing: Timing,
     attempts: Vec<Attempt>,
-    tried: Vec<ServerId>,
     loaded: u32,
     hedge: Moment,
     last: (Refusal, Span),
@@ -125,7 +127,6 @@
             request,
             timing,
             attempts: Vec::new(),
-            tried: Vec::new(),
             loaded: 0,
             hedge: Moment::MAX,
             last: (Refusal::Down, DEFAULT_AFTER),
@@ -171,7 +172,7 @@
             Outcome::Answer(answer) => actions.extend(self.finish(Ending::Answer(answer))),
             Outcome::NotRun { refusal, after } => {
                 self.attempts[attempt].barred = true;
-                self.note_refusal(refusal, after);
+                self.note_refusal(attempt, refusal, after);
                 actions.extend(self.go_on(refusal.is_load(), now, choose, budget));
             }
             Outcome::Unknown => actions.extend(self.after_unknown(now, choose, budget)),
@@ -271,12 +272,15 @@
         vec![Action::Ask(attempt)]
     }
 
-    fn note_refusal(&mut self, refusal: Refusal, after: Span) {
+    fn note_refusal(&mut self, attempt: Try, refusal: Refusal, after: Span) {
         self.last = (refusal, if after.0 == 0 { DEFAULT_AFTER } else { after });
-        // The gate forgot the session and is still the right one.
-        if refusal == Refusal::Session {
-            self.tried.pop();
-        }
+        self.attempts[attempt].revisit = matches!(refusal, Refusal::Session | Refusal::Barred);
+    }
+
+    /// Backend servers that the next attempt doesn't go to.
+    fn tried(&self) -> Vec<ServerId> {
+        let tried = self.attempts.iter().filter(|a| !a.revisit);
+        tried.map(|a| a.server.clone()).collect()
     }
 
     /// An attempt wasn't run: tries elsewhere, or ends if nothing else is open.
@@ -325,7 +329,7 @@
         if !allowed || self.attempts.len() >= MOST_TRIES {
             return None;
         }
-        let server = choose.choose(&self.tried)?;
+        let server = choose.choose(&self.tried())?;
         if !budget.spend() {
             return None;
         }
@@ -335,7 +339,7 @@
 
     fn send_or_finish(&mut self, now: Moment, choose: &mut dyn Choose) -> Vec<Action> {
         let server = match self.attempts.len() < MOST_TRIES {
-            true => choose.choose(&self.tried),
+            true => choose.choose(&self.tried()),
             false => None,
         };
         match server {
@@ -352,11 +356,14 @@
         );
         let attempt = self.attempts.len();
         let impatient = now + self.timing.patience;
+        let phase = Phase::Sent(impatient);
+        let target = server.clone();
         self.attempts.push(Attempt {
-            phase: Phase::Sent(impatient),
+            server: target,
+            phase,
             barred: false,
+            revisit: false,
         });
-        self.tried.push(server.clone());
         vec![Action::Send {
             attempt,
             server,
--- /dev/null
+++ b/crates/call/tests/support/mod.rs
@@ -0,0 +1,629 @@
+//! Calls and gates joined by a fake network that loses, delays, reorders and repeats messages.
+//!
+//! Each step is one event, picked by the test: nothing happens by itself and no clock runs.
+
+use std::{collections::BTreeMap, sync::Arc};
+
+use call::{Action, Bucket, Call, Choose, Ending, Link, Request, Sent, Timing, Try};
+use gate::{Action as GateAction, Bounds, Finish, Gate, Offer};
+use note::Limits;
+use types::{Answer, AttemptId, Boot, Moment, Outcome, Refusal, ServerId, Slots, Span};
+
+/// Number of gates.
+pub(crate) const GATES: usize = 3;
+/// Number of ingresses.
+pub(crate) const INGRESSES: usize = 2;
+/// Time that each call gets.
+const CALL_TIME: Span = Span::from_millis(400);
+/// Distance of the gates' clocks from the ingresses'.
+const CLOCK_STEP: Span = Span::from_millis(77_000);
+
+/// Which mechanism is left out, to see that the checks notice.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub(crate) enum Without {
+    /// None.
+    Nothing,
+    /// Requests count as idempotent, so silence sends them elsewhere.
+    Care,
+    /// A gate says "not run" of an attempt that never came, but doesn't bar it.
+    Bars,
+    /// A gate forgets everything now and then, as a fence with a timer would.
+    Memory,
+    /// Deadlines travel as spans, so they stretch while a message waits.
+    Moments,
+}
+
+/// One step. The numbers pick among what there is.
+#[derive(Debug, Clone, Copy)]
+pub(crate) enum Step {
+    Begin(u8),
+    Deliver(u16),
+    Repeat(u16),
+    Lose(u16),
+    End(u16, u8),
+    Wait(u8),
+    RestartGate(u8),
+    RestartIngress(u8),
+    Abandon(u16),
+}
+
+#[derive(Debug, Clone)]
+enum Message {
+    Run {
+        boot: Boot,
+        offer: Offer,
+        to: usize,
+        call: usize,
+        attempt: Try,
+    },
+    Ask {
+        boot: Boot,
+        id: AttemptId,
+        to: usize,
+        call: usize,
+        attempt: Try,
+        cancel: bool,
+    },
+    Reply {
+        call: usize,
+        attempt: Try,
+        outcome: Outcome,
+    },
+}
+
+struct Running {
+    call: usize,
+    /// Whether the backend server began, which a connection that failed rules out.
+    id: AttemptId,
+}
+
+struct Process {
+    gate: Gate,
+    /// Who waits for which attempt.
+    waiting: Vec<(AttemptId, usize, Try)>,
+    running: Vec<Running>,
+    /// Call that each attempt belongs to.
+    owners: BTreeMap<AttemptId, usize>,
+}
+
+struct Ingress {
+    boot: Boot,
+    links: Vec<Option<Link>>,
+}
+
+struct Caller {
+    call: Call,
+    ingress: Boot,
+    at: usize,
+    deadline: Moment,
+    sent: BTreeMap<Try, (usize, Sent)>,
+    told: Vec<Ending>,
+    alive: bool,
+}
+
+/// Everything.
+pub(crate) struct World {
+    without: Without,
+    now: Moment,
+    boots: u64,
+    gates: Vec<Process>,
+    ingresses: Vec<Ingress>,
+    callers: Vec<Caller>,
+    flying: Vec<Message>,
+    budget: Bucket,
+    /// Times that the request of each call was run at a backend server.
+    runs: BTreeMap<usize, u32>,
+    /// Requests that began after their deadline had passed.
+    late: u32,
+    turn: usize,
+}
+
+struct Any {
+    turn: usize,
+}
+
+impl Choose for Any {
+    fn choose(&mut self, tried: &[ServerId]) -> Option<ServerId> {
+        let ids = (0..GATES).map(|at| server((self.turn + at) % GATES));
+        ids.into_iter().find(|id| !tried.contains(id))
+    }
+}
+
+fn server(at: usize) -> ServerId {
+    format!("server-{at}").parse().expect("a name")
+}
+
+fn place(id: &ServerId) -> usize {
+    id.as_str()
+        .trim_start_matches("server-")
+        .parse()
+        .expect("a number")
+}
+
+fn clock(gate: usize, now: Moment) -> Moment {
+    now + CLOCK_STEP.scale(gate as f64)
+}
+
+impl World {
+    pub(crate) fn new(without: Without) -> Self {
+        let mut world = Self {
+            without,
+            now: Moment(1_000_000),
+            boots: 0,
+            gates: Vec::new(),
+            ingresses: Vec::new(),
+            callers: Vec::new(),
+            flying: Vec::new(),
+            budget: Bucket::default(),
+            runs: BTreeMap::new(),
+            late: 0,
+            turn: 0,
+        };
+        for _ in 0..GATES {
+            let process = world.process();
+            world.gates.push(process);
+        }
+        for _ in 0..INGRESSES {
+            let ingress = world.ingress();
+            world.ingresses.push(ingress);
+        }
+        world
+    }
+
+    fn boot(&mut self) -> Boot {
+        self.boots += 1;
+        Boot(self.boots)
+    }
+
+    fn process(&mut self) -> Process {
+        let limits = Limits {
+            slots: Slots(2),
+            cold: Slots(2),
+            queue: Slots(2),
+            ..Limits::default()
+        };
+        let bounds = Bounds {
+            sessions: 3,
+            fates: 6,
+            answers: 8,
+        };
+        let mut gate = Gate::new(self.boot(), limits, bounds);
+        gate.set_open(true);
+        gate.set_fresh(Moment::MAX);
+        Process {
+            gate,
+            waiting: Vec::new(),
+            running: Vec::new(),
+            owners: BTreeMap::new(),
+        }
+    }
+
+    fn ingress(&mut self) -> Ingress {
+        Ingress {
+            boot: self.boot(),
+            links: vec![None; GATES],
+        }
+    }
+
+    pub(crate) fn step(&mut self, step: Step) {
+        match step {
+            Step::Begin(at) => self.begin(at as usize % INGRESSES),
+            Step::Deliver(at) => {
+                if let Some(message) = self.take(at) {
+                    self.deliver(message);
+                }
+            }
+            Step::Repeat(at) if !self.flying.is_empty() => {
+                let message = self.flying[at as usize % self.flying.len()].clone();
+                self.deliver(message);
+            }
+            Step::Repeat(_) => {}
+            Step::Lose(at) => {
+                if let Some(message) = self.take(at) {
+                    self.lose(message);
+                }
+            }
+            Step::End(at, how) => self.end(at as usize, how),
+            Step::Wait(ms) => self.wait(Span::from_millis(u64::from(ms))),
+            Step::RestartGate(at) => self.restart_gate(at as usize % GATES),
+            Step::RestartIngress(at) => self.restart_ingress(at as usize % INGRESSES),
+            Step::Abandon(at) => self.abandon(at as usize),
+        }
+    }
+
+    /// Delivers everything that is left and lets all calls end.
+    pub(crate) fn settle(&mut self) {
+        for round in 0..200 {
+            while let Some(message) = self.take(0) {
+                self.deliver(message);
+            }
+            for gate in 0..GATES {
+                if !self.gates[gate].running.is_empty() {
+                    self.end(gate, round);
+                }
+            }
+            self.wait(Span::from_millis(20));
+        }
+    }
+
+    /// What was broken, if anything.
+    pub(crate) fn faults(&self) -> Vec<String> {
+        let mut faults = Vec::new();
+        for (number, caller) in self.callers.iter().enumerate() {
+            let runs = self.runs.get(&number).copied().unwrap_or_default();
+            if runs > 1 {
+                faults.push(format!("call {number} ran {runs} times"));
+            }
+            match caller.told.as_slice() {
+                [] if caller.alive => faults.push(format!("call {number} was never told")),
+                [Ending::NotRun { .. }] if runs > 0 => {
+                    faults.push(format!("call {number} ran and was told that it wasn't"));
+                }
+                [Ending::Answer(answer)] if answer.status as usize != number => {
+                    faults.push(format!("call {number} got the answer of {}", answer.status));
+                }
+                [] | [_] => {}
+                _ => faults.push(format!("call {number} was told more than once")),
+            }
+        }
+        if self.late > 0 {
+            faults.push(format!("{} requests began after their deadline", self.late));
+        }
+        faults
+    }
+
+    /// What callers were told, by name.
+    pub(crate) fn endings(&self) -> impl Iterator<Item = &'static str> {
+        self.callers
+            .iter()
+            .flat_map(|c| &c.told)
+            .map(|ending| match ending {
+                Ending::Answer(_) => "answer",
+                Ending::NotRun { refusal, .. } => refusal.name(),
+                Ending::Unknown { late: true } => "unknown_late",
+                Ending::Unknown { late: false } => "unknown",
+            })
+    }
+
+    /// Number of calls that ended with an answer.
+    pub(crate) fn answered(&self) -> usize {
+        let answered = |c: &&Caller| matches!(c.told.as_slice(), [Ending::Answer(_)]);
+        self.callers.iter().filter(answered).count()
+    }
+
+    fn take(&mut self, at: u16) -> Option<Message> {
+        let count = self.flying.len();
+        (count > 0).then(|| self.flying.remove(at as usize % count))
+    }
+
+    fn begin(&mut self, at: usize) {
+        let request = Request {
+            idempotent: self.without == Without::Care,
+            repeat: false,
+            deadline: self.now + CALL_TIME,
+        };
+        let timing = Timing {
+            patience: Span::from_millis(60),
+            hedge: Span::from_millis(40),
+            pause: Span::from_millis(10),
+        };
+        self.turn += 1;
+        self.callers.push(Caller {
+            call: Call::new(request, timing),
+            ingress: self.ingresses[at].boot,
+            at,
+            deadline: request.deadline,
+            sent: BTreeMap::new(),
+            told: Vec::new(),
+            alive: true,
+        });
+        let number = self.callers.len() - 1;
+        let mut any = Any { turn: self.turn };
+        let actions = self.callers[number].call.begin(self.now, &mut any);
+        self.carry_out(number, actions);
+    }
+
+    fn carry_out(&mut self, number: usize, actions: Vec<Action>) {
+        for action in actions {
+            match action {
+                Action::Send {
+                    attempt, server, ..
+                } => self.send(number, attempt, place(&server)),
+                Action::Ask(attempt) => self.ask(number, attempt, false),
+                Action::Cancel(attempt) => self.ask(number, attempt, true),
+                Action::Settle(attempt) => self.settle_attempt(number, attempt),
+                Action::Finish(ending) => self.callers[number].told.push(ending),
+            }
+        }
+    }
+
+    fn send(&mut self, number: usize, attempt: Try, to: usize) {
+        let caller = &mut self.callers[number];
+        let ingress = &mut self.ingresses[caller.at];
+        let process = &mut self.gates[to];
+        let there = clock(to, self.now);
+        let link = ingress.links[to].get_or_insert_with(|| {
+            let session = process.gate.open_session(ingress.boot, there);
+            Link::new(process.gate.boot(), session, there, self.now, self.now)
+        });
+        let sent = link.send(caller.deadline);
+        caller.sent.insert(attempt, (to, sent));
+        let offer = Offer {
+            id: sent.id,
+            floor: sent.floor,
+            deadline: sent.deadline,
+        };
+        let boot = process.gate.boot();
+        self.flying.push(Message::Run {
+            boot,
+            offer,
+            to,
+            call: number,
+            attempt,
+        });
+    }
+
+    fn ask(&mut self, number: usize, attempt: Try, cancel: bool) {
+        let (to, sent) = self.callers[number].sent[&attempt];
+        let boot = self.gates[to].gate.boot();
+        let id = sent.id;
+        self.flying.push(Message::Ask {
+            boot,
+            id,
+            to,
+            call: number,
+            attempt,
+            cancel,
+        });
+    }
+
+    fn settle_attempt(&mut self, number: usize, attempt: Try) {
+        let caller = &self.callers[number];
+        let (to, sent) = caller.sent[&attempt];
+        if let Some(link) = self.ingresses[caller.at].links[to].as_mut() {
+            link.settle(sent.id);
+        }
+    }
+
+    fn deliver(&mut self, message: Message) {
+        match message {
+            Message::Run { boot, to, .. } | Message::Ask { boot, to, .. }
+                if self.gates[to].gate.boot() != boot =>
+            {
+                self.lose(message);
+            }
+            Message::Run {
+                offer,
+                to,
+                call,
+                attempt,
+                ..
+            } => {
+                let process = &mut self.gates[to];
+                process.owners.insert(offer.id, call);
+                process.waiting.push((offer.id, call, attempt));
+                let now = clock(to, self.now);
+                let offer = match self.without {
+                    Without::Moments => Offer {
+                        deadline: now + CALL_TIME,
+                        ..offer
+                    },
+                    _ => offer,
+                };
+                let actions = process.gate.offer(offer, now);
+                self.carry_out_gate(to, actions);
+            }
+            Message::Ask {
+                id,
+                to,
+                call,
+                attempt,
+                cancel,
+                ..
+            } => {
+                self.deliver_ask(id, to, call, attempt, cancel);
+            }
+            Message::Reply {
+                call,
+                attempt,
+                outcome,
+            } => self.reply(call, attempt, outcome),
+        }
+    }
+
+    fn deliver_ask(&mut self, id: AttemptId, to: usize, call: usize, attempt: Try, cancel: bool) {
+        let process = &mut self.gates[to];
+        let came = process.owners.contains_key(&id);
+        if self.without == Without::Bars && !came {
+            let outcome = Outcome::refused(Refusal::Barred);
+            self.flying.push(Message::Reply {
+                call,
+                attempt,
+                outcome,
+            });
+            return;
+        }
+        process.waiting.push((id, call, attempt));
+        let actions = process.gate.ask(id, cancel, clock(to, self.now));
+        self.carry_out_gate(to, actions);
+    }
+
+    fn carry_out_gate(&mut self, at: usize, actions: Vec<GateAction>) {
+        for action in actions {
+            match action {
+                GateAction::Start(id, deadline) => {
+                    let call = self.gates[at].owners[&id];
+                    self.gates[at].running.push(Running { call, id });
+                    self.late += u32::from(self.now >= self.callers[call].deadline);
+                    assert!(clock(at, self.now) < deadline);
+                    *self.runs.entry(call).or_default() += 1;
+                }
+                GateAction::Abort(id) => self.finish(at, id, Finish::Aborted),
+                GateAction::Reply(id, outcome) => {
+                    let waiting = std::mem::take(&mut self.gates[at].waiting);
+                    let (told, rest) = waiting.into_iter().partition(|(w, ..)| *w == id);
+                    self.gates[at].waiting = rest;
+                    let told: Vec<(AttemptId, usize, Try)> = told;
+                    self.flying
+                        .extend(told.into_iter().map(|(_, call, attempt)| Message::Reply {
+                            call,
+                            attempt,
+                            outcome: outcome.clone(),
+                        }));
+                }
+            }
+        }
+    }
+
+    fn finish(&mut self, at: usize, id: AttemptId, finish: Finish) {
+        let running = &mut self.gates[at].running;
+        let Some(place) = running.iter().position(|r| r.id == id) else {
+            return;
+        };
+        let run = running.remove(place);
+        if matches!(finish, Finish::Unsent | Finish::Shed) {
+            // The backend server never ran it.
+            *self.runs.get_mut(&run.call).expect("it was counted") -= 1;
+        }
+        let now = clock(at, self.now);
+        let actions = self.gates[at].gate.done(id, finish, now);
+        self.carry_out_gate(at, actions);
+    }
+
+    fn end(&mut self, pick: usize, how: u8) {
+        let at = pick % GATES;
+        let running = &self.gates[at].running;
+        if running.is_empty() {
+            return;
+        }
+        let run = &running[(pick / GATES) % running.len()];
+        let answer = Answer {
+            status: run.call as u16,
+            ..Answer::default()
+        };
+        let finish = match how % 8 {
+            0 => Finish::Broken,
+            1 => Finish::Unsent,
+            2 => Finish::Shed,
+            3 => Finish::Expired,
+            _ => Finish::Answered(Arc::new(answer)),
+        };
+        let id = run.id;
+        self.finish(at, id, finish);
+    }
+
+    fn reply(&mut self, number: usize, attempt: Try, outcome: Outcome) {
+        if !self.callers[number].alive {
+            return;
+        }
+        let (at, (to, sent)) = (self.callers[number].at, self.callers[number].sent[&attempt]);
+        let forgotten = matches!(
+            outcome,
+            Outcome::Unknown
+                | Outcome::NotRun {
+                    refusal: Refusal::Session,
+                    ..
+                }
+        );
+        let link = &mut self.ingresses[at].links[to];
+        let current = link
+            .as_ref()
+            .is_some_and(|l| l.session() == sent.id.session);
+        if forgotten && current {
+            *link = None;
+        }
+        let mut any = Any { turn: self.turn };
+        let call = &mut self.callers[number].call;
+        let actions = call.heard(attempt, outcome, self.now, &mut any, &mut self.budget);
+        self.carry_out(number, actions);
+    }
+
+    fn lose(&mut self, message: Message) {
+        let (number, attempt, asked) = match message {
+            Message::Run { call, attempt, .. } => (call, attempt, false),
+            Message::Ask { call, attempt, .. } => (call, attempt, true),
+            // Silence: the ingress learns nothing.
+            Message::Reply { .. } => return,
+        };
+        if !self.callers[number].alive {
+            return;
+        }
+        let mut any = Any { turn: self.turn };
+        let caller = &mut self.callers[number];
+        let (to, sent) = caller.sent[&attempt];
+        let ended = self.gates[to].gate.boot() != sent.id.boot;
+        let budget = &mut self.budget;
+        let actions = match asked {
+            true if ended => {
+                caller
+                    .call
+                    .heard(attempt, Outcome::Unknown, self.now, &mut any, budget)
+            }
+            true => caller.call.unasked(attempt, self.now),
+            false => caller.call.broken(attempt, self.now, &mut any, budget),
+        };
+        self.carry_out(number, actions);
+    }
+
+    fn wait(&mut self, span: Span) {
+        self.now = self.now + span;
+        for number in 0..self.callers.len() {
+            if self.callers[number].alive && self.callers[number].call.next_tick() <= self.now {
+                let mut any = Any { turn: self.turn };
+                let call = &mut self.callers[number].call;
+                let actions = call.tick(self.now, &mut any, &mut self.budget);
+                self.carry_out(number, actions);
+            }
+        }
+        for at in 0..GATES {
+            let now = clock(at, self.now);
+            let actions = self.gates[at].gate.tick(now);
+            self.carry_out_gate(at, actions);
+        }
+    }
+
+    fn restart_gate(&mut self, at: usize) {
+        let boot = self.gates[at].gate.boot();
+        let new = self.process();
+        let old = std::mem::replace(&mut self.gates[at], new);
+        if self.without == Without::Memory {
+            // The same incarnation goes on with nothing remembered.
+            self.gates[at].gate = Gate::new(
+                boot,
+                Limits {
+                    slots: Slots(2),
+                    cold: Slots(2),
+                    ..Limits::default()
+                },
+                Bounds::default(),
+            );
+            self.gates[at].gate.set_open(true);
+            self.gates[at].gate.set_fresh(Moment::MAX);
+            for _ in 0..9 {
+                self.gates[at].gate.open_session(Boot(0), self.now);
+            }
+            self.gates[at].owners = old.owners;
+        }
+    }
+
+    fn restart_ingress(&mut self, at: usize) {
+        let boot = self.ingresses[at].boot;
+        for caller in self.callers.iter_mut().filter(|c| c.ingress == boot) {
+            caller.alive = false;
+        }
+        self.ingresses[at] = self.ingress();
+    }
+
+    fn abandon(&mut self, pick: usize) {
+        if self.callers.is_empty() {
+            return;
+        }
+        let number = pick % self.callers.len();
+        if !self.callers[number].alive || self.callers[number].call.is_finished() {
+            return;
+        }
+        let actions = self.callers[number].call.abandon();
+        self.callers[number].alive = false;
+        self.carry_out(number, actions);
+    }
+}
--- a/crates/node/src/gatekeeper/carry.rs
+++ b/crates/node/src/gatekeeper/carry.rs
@@ -10,7 +10,7 @@
 use tokio::{sync::oneshot, task::JoinHandle, time::sleep_until};
 use types::{AttemptId, Boot, Moment, Outcome, Refusal, ServerId};
 
-use super::{Ask, Done, Dumped, Opened, Reply, Run, Tick, follow};
+use super::{Ask, Done, Dumped, Opened, Reply, Run, Tick, follow, outcome_name};
 use crate::{
     backend::{Backend, Ended, ServerRequest, Target},
     meter::Meter,
@@ -204,7 +204,7 @@
         let Some(work) = self.work.remove(&id) else {
             return;
         };
-        self.meter.attempt(name(&outcome));
+        self.meter.attempt(outcome_name(&outcome));
         let reply = self.reply(outcome);
         for listener in work.listeners {
             let _ = listener.send(reply.clone());
@@ -261,11 +261,3 @@
             .await;
     }
 }
-
-fn name(outcome: &Outcome) -> &'static str {
-    match outcome {
-        Outcome::Answer(_) => "answer",
-        Outcome::Unknown => "unknown",
-        Outcome::NotRun { refusal, .. } => refusal.name(),
-    }
-}
--- a/crates/node/src/gatekeeper/mod.rs
+++ b/crates/node/src/gatekeeper/mod.rs
@@ -218,3 +218,12 @@
     }
     gate.set_open(open)
 }
+
+/// Short name of an outcome, for logs and metrics.
+pub(crate) fn outcome_name(outcome: &Outcome) -> &'static str {
+    match outcome {
+        Outcome::Answer(_) => "answer",
+        Outcome::Unknown => "unknown",
+        Outcome::NotRun { refusal, .. } => refusal.name(),
+    }
+}
--- a/crates/node/src/ingress/drive.rs
+++ b/crates/node/src/ingress/drive.rs
@@ -24,7 +24,7 @@
     desk::{Clerk, Purse},
 };
 use crate::{
-    gatekeeper::Reply,
+    gatekeeper::{Reply, outcome_name},
     peers::{Attempt, Fault, Peer},
     spreader::Heard,
 };
@@ -147,6 +147,7 @@
                 asked,
             } => {
                 self.learn(attempt, &reply, asked, now);
+                self.log(attempt, outcome_name(&reply.outcome));
                 let outcome = reply.outcome;
                 self.decide(|call, clerk, purse| call.heard(attempt, outcome, now, clerk, purse))
             }
@@ -190,7 +191,14 @@
         self.decide(|call, clerk, purse| call.heard(attempt, outcome, now, clerk, purse))
     }
 
+    fn log(&self, attempt: Try, outcome: &str) {
+        let call = self.accepted.request.call;
+        let server = &self.attempts[attempt].server;
+        log::debug!(call:% = call, attempt, server:% = server, outcome; "attempt_heard");
+    }
+
     fn fail(&self, attempt: Try, fault: Fault, now: Moment) {
+        self.log(attempt, fault.name());
         let server = &self.attempts[attempt].server;
         self.ingress
             .desks
--- a/crates/node/src/peers/mod.rs
+++ b/crates/node/src/peers/mod.rs
@@ -39,6 +39,17 @@
     Broken,
 }
 
+impl Fault {
+    /// The name for logs.
+    pub(crate) fn name(self) -> &'static str {
+        match self {
+            Self::Refused => "refused",
+            Self::Unreached => "unreached",
+            Self::Broken => "broken",
+        }
+    }
+}
+
 /// An attempt on its way to a gate.
 #[derive(Debug, Clone)]
 pub(crate) struct Attempt {
--- a/crates/rig/src/cluster.rs
+++ b/crates/rig/src/cluster.rs
@@ -253,6 +253,11 @@
         Node::start(spec, &settings, &self.folder())
     }
 
+    /// Address of a node for callers.
+    pub fn target(&self, at: usize) -> SocketAddr {
+        self.builder.specs()[at].listen()
+    }
+
     /// Where the files of this cluster go.
     pub fn folder(&self) -> PathBuf {
         PathBuf::from(env!("CARGO_MANIFEST_DIR"))
--- a/crates/rig/src/server.rs
+++ b/crates/rig/src/server.rs
@@ -23,7 +23,7 @@
 use futures::stream;
 use rand::RngExt;
 use serde::{Deserialize, Serialize};
-use tokio::{net::TcpListener, time::sleep};
+use tokio::{net::TcpListener, sync::watch, time::sleep};
 
 /// Time for which a backend server that fell over only fails.
 const FALLEN: Duration = Duration::from_millis(500);
@@ -117,6 +117,7 @@
 #[derive(Debug, Clone)]
 pub struct Server {
     inner: Arc<Mutex<Inner>>,
+    up: Arc<watch::Sender<bool>>,
     client: reqwest::Client,
 }
 
@@ -138,6 +139,7 @@
             .expect("a plain client");
         Self {
             inner: Arc::new(Mutex::new(inner)),
+            up: Arc::new(watch::Sender::new(true)),
             client,
         }
     }
@@ -158,6 +160,11 @@
         inner.started = Instant::now();
     }
 
+    /// Takes no connections while it is not up, and closes those that are idle.
+    pub fn set_up(&self, up: bool) {
+        self.up.send_replace(up);
+    }
+
     /// What it saw.
     pub fn counts(&self) -> Counts {
         self.inner().counts.clone()
@@ -174,14 +181,26 @@
     ///
     /// If the address can't be listened on.
     pub async fn serve(&self, address: SocketAddr) -> io::Result<()> {
-        let listener = TcpListener::bind(address).await?;
-        let router = Router::new()
+        let mut up = self.up.subscribe();
+        loop {
+            let _ = up.wait_for(|up| *up).await;
+            let listener = TcpListener::bind(address).await?;
+            let mut down = self.up.subscribe();
+            axum::serve(listener, self.router())
+                .with_graceful_shutdown(async move {
+                    let _ = down.wait_for(|up| !*up).await;
+                })
+                .await?;
+        }
+    }
+
+    fn router(&self) -> Router {
+        Router::new()
             .route("/load", get(load))
             .route("/control/counts", get(counts))
             .route("/control/conduct", post(conduct))
             .fallback(run)
-            .with_state(self.clone());
-        axum::serve(listener, router).await
+            .with_state(self.clone())
     }
 
     /// Begins a request, unless it sheds or has fallen over.
@@ -273,7 +292,8 @@
     sleep(server.service_time()).await;
     let query = parts.uri.query().unwrap_or_default();
     let path = parts.uri.path();
-    let nested = nest(&server, path, number(query, "depth"), &parts.headers).await;
+    let to = value(query, "to").map_or(path.to_owned(), |service| format!("/{service}/item"));
+    let nested = nest(&server, &to, number(query, "depth"), &parts.headers).await;
     let echo = Echo {
         id,
         received,
@@ -347,12 +367,15 @@
         .unwrap_or_default()
 }
 
+fn value<'a>(query: &'a str, name: &str) -> Option<&'a str> {
+    let mut pairs = query.split('&').filter_map(|pair| pair.split_once('='));
+    pairs.find(|(key, _)| *key == name).map(|(_, value)| value)
+}
+
 fn number(query: &str, name: &str) -> u32 {
-    let pairs = query.split('&').filter_map(|pair| pair.split_once('='));
-    pairs
-        .into_iter()
-        .find(|(key, _)| *key == name)
-        .map_or(0, |(_, v)| v.parse().unwrap_or(0))
+    value(query, name)
+        .and_then(|v| v.parse().ok())
+        .unwrap_or_default()
 }
 
 async fn load(State(server): State<Server>) -> Json<usize> {
--- /dev/null
+++ b/crates/rig/tests/scripts.rs
@@ -0,0 +1,27 @@
+//! Scripted scenarios over real processes. Each file below `scripts/` is one scenario; its expected
+//! output holds outcomes, counts and final states, and no times.
+
+mod support;
+
+use support::script::Script;
+
+macro_rules! scenarios {
+    ($($net:literal $name:ident $file:literal;)*) => {$(
+        #[test]
+        fn $name() -> std::io::Result<()> {
+            goldenscript::run(&mut Script::new(stringify!($name), $net), concat!("tests/scripts/", $file))
+        }
+    )*};
+}
+
+scenarios! {
+    30 a_killed_gate_leaves_the_outcome_unknown_and_nothing_is_resent "once/gate_killed";
+    31 a_frozen_gate_runs_nothing_late "once/gate_frozen";
+    32 a_silent_connection_is_asked_about_over_a_fresh_one "once/silent_connection";
+    33 replies_that_are_lost_are_asked_for "once/replies_lost";
+    34 requests_that_are_lost_never_run_later "once/requests_lost";
+    35 broken_answers_are_unknown_and_never_passed_off_as_whole "once/broken_answers";
+    36 refusals_of_a_backend_server_are_tried_elsewhere "once/elsewhere";
+    37 a_caller_that_goes_away_cancels_its_call "once/caller_gone";
+    38 a_killed_ingress_leaves_one_run "once/ingress_killed";
+}
--- /dev/null
+++ b/crates/rig/tests/support/mod.rs
@@ -0,0 +1,3 @@
+//! Helpers of the tests over real processes.
+
+pub(crate) mod script;
--- /dev/null
+++ b/crates/rig/tests/support/script.rs
@@ -0,0 +1,504 @@
+//! The commands of scripted scenarios.
+
+use std::{
+    collections::{BTreeMap, HashMap},
+    error::Error,
+    future::Future,
+    time::Duration,
+};
+
+use goldenscript::{Context, Runner};
+use reqwest::Method;
+use rig::{
+    cluster::{Cluster, cluster},
+    fleet::client,
+    platform::Conduct,
+    server::Echo,
+};
+use serde_json::{Value, json};
+use tokio::{
+    runtime::Runtime,
+    task::JoinHandle,
+    time::{sleep, timeout},
+};
+
+/// Longest time that a scenario waits for anything.
+const PATIENCE: Duration = Duration::from_secs(40);
+/// Time between two looks.
+const POLL: Duration = Duration::from_millis(10);
+
+#[derive(Debug, goldenscript::Command)]
+pub(crate) enum Command {
+    /// Starts a cluster: `cluster linked draws=1 fees=2`.
+    Cluster(
+        #[arg(pos, many, optional)] Vec<String>,
+        #[arg(key, many)] Vec<(String, usize)>,
+    ),
+    /// Sends a request in the background: `send x POST fees via=0`.
+    Send {
+        name: String,
+        method: String,
+        service: String,
+        #[arg(key)]
+        via: usize,
+        #[arg(key)]
+        deadline: Option<u64>,
+        #[arg(key)]
+        depth: Option<u32>,
+        /// Service of the nested calls.
+        #[arg(key)]
+        to: Option<String>,
+    },
+    /// Sends so many requests one after the other and prints the statuses.
+    Burst {
+        count: usize,
+        method: String,
+        service: String,
+        #[arg(key)]
+        via: usize,
+    },
+    /// Waits for the answer to a request and prints it.
+    Await(Vec<String>),
+    /// The caller of a request goes away.
+    Leave(String),
+    /// Waits until a request has begun at a backend server.
+    Begun(String),
+    /// Waits until a backend server has begun so many requests.
+    Began(usize, u64),
+    /// Prints how often a request was begun.
+    Runs(Vec<String>),
+    /// Waits until so many requests were cancelled at a backend server.
+    Cancelled(usize, u64),
+    /// Changes a backend server: `server 0 answering=silent slow=10`.
+    Server(usize, #[arg(key, many)] Vec<(String, String)>),
+    /// A backend server takes no connections, or does again.
+    Down(usize),
+    Up(usize),
+    /// Sends a signal to a node: `signal 1 STOP`.
+    Signal(usize, String),
+    Kill(usize),
+    Start(usize),
+    /// Waits until a node takes work, or until it is in another phase.
+    Ready(usize),
+    /// Waits until a node ends by itself and prints its exit code.
+    Exit(usize),
+    /// Changes the link to a node: `link 1 deaf`.
+    Link(usize, String),
+    /// Changes the platform: `platform down`, `platform stale=1`, `platform up`.
+    Platform(String),
+    /// Publishes a change: `publish zone a out`.
+    Publish(Vec<String>),
+    /// Shows a host as leaving on the platform's list.
+    Leaving(usize),
+    /// Waits until nodes have a revision in force: `in_force 2 0 1`.
+    InForce(u64, Vec<usize>),
+    /// Prints the revisions that nodes have in force.
+    Revisions(Vec<usize>),
+    Sleep(u64),
+}
+
+#[derive(Debug, Clone)]
+struct Ended {
+    text: String,
+}
+
+/// A scenario that runs.
+pub(crate) struct Script {
+    name: &'static str,
+    net: u8,
+    runtime: Runtime,
+    cluster: Option<Cluster>,
+    requests: HashMap<String, (String, JoinHandle<Ended>)>,
+    published: u64,
+}
+
+impl Script {
+    pub(crate) fn new(name: &'static str, net: u8) -> Self {
+        let runtime = Runtime::new().expect("a runtime");
+        Self {
+            name,
+            net,
+            runtime,
+            cluster: None,
+            requests: HashMap::new(),
+            published: 1,
+        }
+    }
+
+    fn cluster(&mut self) -> &mut Cluster {
+        self.cluster
+            .as_mut()
+            .expect("the scenario starts a cluster first")
+    }
+
+    fn wait<T>(&self, until: impl Future<Output = T>) -> Result<T, Box<dyn Error>> {
+        self.runtime
+            .block_on(async { timeout(PATIENCE, until).await.map_err(Into::into) })
+    }
+
+    fn start(&mut self, options: &[String], services: &[(String, usize)]) -> Outcome {
+        let mut builder = cluster(self.name, self.net);
+        for (service, servers) in services {
+            builder = builder.service(service, *servers);
+        }
+        if options.iter().any(|o| o == "linked") {
+            builder = builder.linked();
+        }
+        if options.iter().any(|o| o == "slow") {
+            builder = builder.conduct(|c| c.service_ms = 300.0);
+        }
+        self.cluster = Some(self.wait(builder.start())??);
+        Ok(String::new())
+    }
+
+    fn send(&mut self, name: &str, request: Request) -> Outcome {
+        let id = format!("{:032x}", self.requests.len() + 1);
+        let target = self.cluster().target(request.via);
+        let sending = self
+            .runtime
+            .spawn(request.send(target.to_string(), id.clone()));
+        self.requests.insert(name.to_owned(), (id, sending));
+        Ok(String::new())
+    }
+
+    fn burst(&mut self, count: usize, request: &Request) -> Outcome {
+        let mut endings: BTreeMap<String, usize> = BTreeMap::new();
+        for _ in 0..count {
+            let id = format!("{:032x}", rand::random::<u128>());
+            let target = self.cluster().target(request.via).to_string();
+            let ended = self.wait(request.clone().send(target, id))?;
+            *endings.entry(ended.text).or_default() += 1;
+        }
+        Ok(endings
+            .iter()
+            .map(|(text, count)| format!("{count} x {text}\n"))
+            .collect())
+    }
+
+    fn await_all(&mut self, names: &[String]) -> Outcome {
+        let mut output = String::new();
+        for name in names {
+            let (id, sending) = self.requests.remove(name).ok_or("no such request")?;
+            let ended = self.wait(sending)??;
+            output += &format!("{name}: {}\n", ended.text);
+            let done = self.runtime.spawn(async move { ended });
+            self.requests.insert(name.clone(), (id, done));
+        }
+        Ok(output)
+    }
+
+    fn runs(&mut self, name: &str) -> u64 {
+        let id = self.requests[name].0.clone();
+        self.cluster().servers.iter().map(|s| s.runs_of(&id)).sum()
+    }
+
+    fn begun(&mut self, name: &str) -> Outcome {
+        let id = self.requests[name].0.clone();
+        let servers = self.cluster().servers.clone();
+        self.wait(async move {
+            while servers.iter().all(|s| s.runs_of(&id) == 0) {
+                sleep(POLL).await;
+            }
+        })?;
+        Ok(String::new())
+    }
+
+    fn began(&mut self, at: usize, count: u64) -> Outcome {
+        let server = self.cluster().servers[at].clone();
+        self.wait(async move {
+            while server.counts().runs < count {
+                sleep(POLL).await;
+            }
+        })?;
+        Ok(String::new())
+    }
+
+    fn cancelled(&mut self, at: usize, count: u64) -> Outcome {
+        let server = self.cluster().servers[at].clone();
+        self.wait(async move {
+            while server.counts().cancelled < count {
+                sleep(POLL).await;
+            }
+        })?;
+        Ok(format!("{count} cancelled\n"))
+    }
+
+    fn change_server(&mut self, at: usize, fields: &[(String, String)]) -> Outcome {
+        let server = self.cluster().servers[at].clone();
+        for (field, value) in fields {
+            let value: Value = serde_json::from_str(value).unwrap_or_else(|_| json!(value));
+            let mut changed = Ok(());
+            server.change(|conduct| {
+                let mut all = json!(conduct);
+                all[field] = value;
+                changed = serde_json::from_value(all).map(|new| *conduct = new);
+            });
+            changed?;
+        }
+        Ok(String::new())
+    }
+
+    fn change_link(&mut self, at: usize, what: &str) -> Outcome {
+        let link = self.cluster().links[at].clone();
+        match what {
+            "silence" => link.silence_open(),
+            "deaf" => link.change(|w| w.deaf = true),
+            "mute" => link.change(|w| w.mute = true),
+            "closed" => link.change(|w| w.closed = true),
+            "heal" => link.change(|w| (w.deaf, w.mute, w.closed) = (false, false, false)),
+            _ => return Err("no such weather".into()),
+        }
+        Ok(String::new())
+    }
+
+    fn platform(&mut self, what: &str) -> Outcome {
+        let conduct = match what.split_once('-') {
+            None if what == "down" => Conduct {
+                down: true,
+                ..Conduct::default()
+            },
+            None if what == "up" => Conduct::default(),
+            Some(("stale", revision)) => Conduct {
+                stale: Some(revision.parse()?),
+                ..Conduct::default()
+            },
+            _ => return Err("no such conduct".into()),
+        };
+        self.cluster().platform.set_conduct(conduct);
+        Ok(String::new())
+    }
+
+    fn publish(&mut self, words: &[String]) -> Outcome {
+        let words: Vec<&str> = words.iter().map(String::as_str).collect();
+        let change = match words.as_slice() {
+            ["zone", zone, status] => {
+                json!({ "zones": [{ "id": zone, "region": "r", "status": status }] })
+            }
+            ["server", at, status] => {
+                let at: usize = at.parse()?;
+                let mut server = self.server_entry(at)?;
+                server["status"] = json!(status);
+                json!({ "servers": [server] })
+            }
+            _ => return Err("no such change".into()),
+        };
+        let note = json!({ "author": "op", "after": self.published, "change": change });
+        self.published = self.cluster().platform.publish(&note.to_string());
+        Ok(format!("revision {}\n", self.published))
+    }
+
+    fn server_entry(&mut self, at: usize) -> Result<Value, Box<dyn Error>> {
+        let admin = self.cluster().nodes[0].spec.admin();
+        let notes = async move {
+            client()
+                .get(format!("http://{admin}/notes"))
+                .send()
+                .await?
+                .json::<Value>()
+                .await
+        };
+        let notes = self.wait(notes)??;
+        Ok(notes["state"]["servers"][format!("server-{at}")]["item"].clone())
+    }
+
+    fn revision(&mut self, at: usize) -> Result<Option<u64>, Box<dyn Error>> {
+        let node = &self.cluster.as_ref().expect("a cluster").nodes[at];
+        Ok(self
+            .wait(node.state())?
+            .and_then(|state| state["revision"].as_u64()))
+    }
+
+    fn in_force(&mut self, revision: u64, nodes: &[usize]) -> Outcome {
+        for at in nodes {
+            let node = &self.cluster.as_ref().expect("a cluster").nodes[*at];
+            self.wait(async {
+                while node.state().await.and_then(|s| s["revision"].as_u64()) != Some(revision) {
+                    sleep(POLL).await;
+                }
+            })?;
+        }
+        Ok(format!("revision {revision} is in force\n"))
+    }
+
+    fn signal(&mut self, at: usize, signal: &str) -> Outcome {
+        let node = &self.cluster.as_ref().expect("a cluster").nodes[at];
+        self.wait(node.signal(signal))?;
+        Ok(String::new())
+    }
+
+    fn kill(&mut self, at: usize) -> Outcome {
+        let runtime = &self.runtime;
+        let node = &mut self.cluster.as_mut().expect("a cluster").nodes[at];
+        runtime.block_on(node.kill());
+        Ok(String::new())
+    }
+
+    fn start_node(&mut self, at: usize) -> Outcome {
+        let _guard = self.runtime.enter();
+        let cluster = self.cluster.as_mut().expect("a cluster");
+        let node = cluster.start_node(at)?;
+        cluster.nodes[at] = node;
+        Ok(String::new())
+    }
+
+    fn ready(&mut self, at: usize) -> Outcome {
+        let node = &self.cluster.as_ref().expect("a cluster").nodes[at];
+        self.wait(node.ready())??;
+        Ok(format!("node {at} is ready\n"))
+    }
+
+    fn exit(&mut self, at: usize) -> Outcome {
+        let runtime = &self.runtime;
+        let node = &mut self.cluster.as_mut().expect("a cluster").nodes[at];
+        let code = runtime.block_on(async { timeout(PATIENCE, node.wait()).await })?;
+        Ok(format!(
+            "exit code {}\n",
+            code.map_or("none".to_owned(), |c| c.to_string())
+        ))
+    }
+}
+
+type Outcome = Result<String, Box<dyn Error>>;
+
+#[derive(Debug, Clone)]
+struct Request {
+    method: String,
+    service: String,
+    via: usize,
+    deadline: u64,
+    depth: u32,
+    to: Option<String>,
+}
+
+impl Request {
+    async fn send(self, target: String, id: String) -> Ended {
+        let to = self
+            .to
+            .map(|service| format!("&to={service}"))
+            .unwrap_or_default();
+        let url = format!(
+            "http://{target}/{}/item?depth={}{to}",
+            self.service, self.depth
+        );
+        let method: Method = self.method.parse().expect("a method");
+        let request = client()
+            .request(method, url)
+            .header("x-request-id", &id)
+            .header("x-deadline-ms", self.deadline);
+        let Ok(answer) = request.send().await else {
+            return Ended {
+                text: "no answer".to_owned(),
+            };
+        };
+        let status = answer.status().as_u16();
+        let header = |name| {
+            answer
+                .headers()
+                .get(name)
+                .and_then(|v| v.to_str().ok())
+                .map(str::to_owned)
+        };
+        let outcome = header("x-outcome");
+        let back = header("retry-after").map(|_| ", says when to come back");
+        let body = answer.bytes().await.unwrap_or_default();
+        let own = serde_json::from_slice::<Echo>(&body).is_ok_and(|echo| echo.id == id);
+        let what = match (status, outcome) {
+            (200, _) if own => "whole answer".to_owned(),
+            (_, Some(outcome)) => outcome,
+            _ => "no echo".to_owned(),
+        };
+        Ended {
+            text: format!("{status} {what}{}", back.unwrap_or_default()),
+        }
+    }
+}
+
+impl Runner for Script {
+    type Command = Command;
+
+    fn run(&mut self, command: &Command, _context: &Context) -> Outcome {
+        match command {
+            Command::Cluster(options, services) => self.start(options, services),
+            Command::Send {
+                name,
+                method,
+                service,
+                via,
+                deadline,
+                depth,
+                to,
+            } => {
+                let request = Request {
+                    method: method.clone(),
+                    service: service.clone(),
+                    via: *via,
+                    deadline: deadline.unwrap_or(20_000),
+                    depth: depth.unwrap_or_default(),
+                    to: to.clone(),
+                };
+                self.send(name, request)
+            }
+            Command::Burst {
+                count,
+                method,
+                service,
+                via,
+            } => {
+                let request = Request {
+                    method: method.clone(),
+                    service: service.clone(),
+                    via: *via,
+                    deadline: 20_000,
+                    depth: 0,
+                    to: None,
+                };
+                self.burst(*count, &request)
+            }
+            Command::Await(names) => self.await_all(names),
+            Command::Leave(name) => {
+                self.requests[name].1.abort();
+                Ok(String::new())
+            }
+            Command::Begun(name) => self.begun(name),
+            Command::Began(at, count) => self.began(*at, *count),
+            Command::Runs(names) => Ok(names
+                .iter()
+                .map(|n| format!("{n}: {} runs\n", self.runs(n)))
+                .collect()),
+            Command::Cancelled(at, count) => self.cancelled(*at, *count),
+            Command::Server(at, fields) => self.change_server(*at, fields),
+            Command::Down(at) | Command::Up(at) => {
+                let up = matches!(command, Command::Up(_));
+                self.cluster().servers[*at].set_up(up);
+                Ok(String::new())
+            }
+            Command::Signal(at, signal) => self.signal(*at, signal),
+            Command::Kill(at) => self.kill(*at),
+            Command::Start(at) => self.start_node(*at),
+            Command::Ready(at) => self.ready(*at),
+            Command::Exit(at) => self.exit(*at),
+            Command::Link(at, what) => self.change_link(*at, what),
+            Command::Platform(what) => self.platform(what),
+            Command::Publish(words) => self.publish(words),
+            Command::Leaving(at) => {
+                let host = format!("host-{at}");
+                self.cluster().platform.set_host(&host, "leaving");
+                Ok(String::new())
+            }
+            Command::InForce(revision, nodes) => self.in_force(*revision, nodes),
+            Command::Revisions(nodes) => {
+                let mut output = String::new();
+                for at in nodes {
+                    let revision = self.revision(*at)?.unwrap_or_default();
+                    output += &format!("node {at}: revision {revision}\n");
+                }
+                Ok(output)
+            }
+            Command::Sleep(ms) => {
+                self.runtime
+                    .block_on(async { sleep(Duration::from_millis(*ms)).await });
+                Ok(String::new())
+            }
+        }
+    }
+}
