Give a backend server no more than it bears, cold or not

A cancelled or expired request now holds its slot for the time of a typical answer. - A backend server that turned cold was overrun (7 to 17 breaches) and fell over, for two reasons: the allowance rose on a line that no release note promises, and an idle server can be started anew unseen. It now stays at the cold limit for the whole warm time, and an idle server gets only what a cold one bears until its first answer. - A server that failed fast drew load, since 500s counted as good answers. Failures now lower the allowance, and ingresses avoid the server for longer with each failure in a row. - Choice by load alone sent work to slowed servers. Replies now carry the mean time of answers too, and the expected time decides. Hedges are refused rather than queued.

Ruled out: a time window after which an idle server is doubted (200 ms). The scenario bears/turns_cold restarts within it and failed; there is no window now.

--- a/crates/call/src/core.rs
+++ b/crates/call/src/core.rs
@@ -75,6 +75,8 @@
         server: ServerId,
         /// Whether it repeats another one.
         repeat: bool,
+        /// Whether it is sent in case another one is slow, and is worth nothing if it must wait.
+        hedge: bool,
     },
     /// Ask over a fresh connection what became of the attempt.
     Ask(Try),
@@ -235,7 +237,7 @@
         }
         if self.hedge <= now {
             self.hedge = Moment::MAX;
-            actions.extend(self.repeat(now, choose, budget).unwrap_or_default());
+            actions.extend(self.repeat(true, now, choose, budget).unwrap_or_default());
         }
         actions
     }
@@ -298,7 +300,7 @@
             return self.give_up(true);
         }
         match loaded {
-            true => match self.repeat(now, choose, budget) {
+            true => match self.repeat(false, now, choose, budget) {
                 Some(actions) => actions,
                 None => self.give_up(false),
             },
@@ -321,6 +323,7 @@
     /// Sends one more attempt if the budget allows it and somewhere is left to go.
     fn repeat(
         &mut self,
+        hedge: bool,
         now: Moment,
         choose: &mut dyn Choose,
         budget: &mut dyn Budget,
@@ -334,7 +337,7 @@
             return None;
         }
         self.loaded += 1;
-        Some(self.send(server, now))
+        Some(self.send(server, hedge, now))
     }
 
     fn send_or_finish(&mut self, now: Moment, choose: &mut dyn Choose) -> Vec<Action> {
@@ -343,12 +346,12 @@
             false => None,
         };
         match server {
-            Some(server) => self.send(server, now),
+            Some(server) => self.send(server, false, now),
             None => self.give_up(false),
         }
     }
 
-    fn send(&mut self, server: ServerId, now: Moment) -> Vec<Action> {
+    fn send(&mut self, server: ServerId, hedge: bool, now: Moment) -> Vec<Action> {
         let sole = self.attempts.iter().all(|a| a.barred);
         assert!(
             self.request.idempotent || sole,
@@ -368,6 +371,7 @@
             attempt,
             server,
             repeat: self.loaded > 0,
+            hedge,
         }]
     }
 
--- a/crates/call/tests/support/mod.rs
+++ b/crates/call/tests/support/mod.rs
@@ -352,6 +352,7 @@
             id: sent.id,
             floor: sent.floor,
             deadline: sent.deadline,
+            hedge: false,
         };
         let boot = process.gate.boot();
         self.flying.push(Message::Run {
--- a/crates/gate/src/allowance.rs
+++ b/crates/gate/src/allowance.rs
@@ -2,10 +2,11 @@
 //!
 //! Two bounds hold at once, and the smaller one counts:
 //!
-//! - the *ramp*, from the release note: a cold backend server bears `cold` requests, and after
-//!   `warm_ms` of answering it bears `slots`, linear in between;
-//! - the *level*, from evidence: it rises with good answers and falls when answers become slow or
-//!   fail, in the manner of additive increase and multiplicative decrease.
+//! - the *bound*, from the release note: a cold backend server bears `cold` requests, until it has
+//!   answered for `warm_ms`; then it bears `slots`;
+//! - the *level*, from evidence: it starts at `cold`, rises with good answers once the bound allows it
+//!   and falls when answers become slow or fail, in the manner of additive increase and
+//!   multiplicative decrease.
 //!
 //! The backend server's own answers are the evidence. Its load report isn't asked: it lags or lies.
 
@@ -46,6 +47,8 @@
     answering: Option<Moment>,
     fast: f64,
     slow: f64,
+    /// Whether an answer came since the backend server may have been started anew unseen.
+    known: bool,
     /// Until when further trouble is the same trouble.
     pardoned: Moment,
 }
@@ -60,6 +63,7 @@
             answering: None,
             fast: 0.0,
             slow: 0.0,
+            known: false,
             pardoned: Moment(0),
         }
     }
@@ -72,8 +76,14 @@
     }
 
     /// Requests that may run at `now`, at least one and at most the slots.
+    ///
+    /// After an idle time only as many as a cold backend server bears: the first answer tells
+    /// whether it is still the same.
     pub fn allowed(&self, now: Moment) -> usize {
-        let bound = self.level.min(self.ramp(now));
+        let bound = match self.known {
+            true => self.level.min(self.bound(now)),
+            false => f64::from(self.limits.cold.0),
+        };
         let most = self.limits.slots.0.max(1) as usize;
         (bound as usize).clamp(1, most)
     }
@@ -83,6 +93,12 @@
         Span(self.fast as u64)
     }
 
+    /// A request starts while no other one runs. The backend server may have turned cold unseen: a
+    /// running request would have been cut, and shown it.
+    pub fn begin_idle(&mut self) {
+        self.known = false;
+    }
+
     /// Learns from a request that finished at `now`.
     pub fn learn(&mut self, evidence: Evidence, now: Moment) {
         match evidence {
@@ -93,19 +109,20 @@
         }
     }
 
-    fn ramp(&self, now: Moment) -> f64 {
-        let cold = f64::from(self.limits.cold.0);
-        let slots = f64::from(self.limits.slots.0);
-        let warm = self.limits.warm().0.max(1) as f64;
-        let part = match self.answering {
-            Some(began) => (now.since(began).0 as f64 / warm).min(1.0),
-            None => 0.0,
-        };
-        cold + (slots - cold) * part
+    /// What the release note lets a backend server be given at `now`.
+    fn bound(&self, now: Moment) -> f64 {
+        let warm = self
+            .answering
+            .is_some_and(|began| now.since(began) >= self.limits.warm());
+        match warm {
+            true => f64::from(self.limits.slots.0),
+            false => f64::from(self.limits.cold.0),
+        }
     }
 
     fn learn_good(&mut self, took: Span, now: Moment) {
         self.answering.get_or_insert(now);
+        self.known = true;
         let took = took.0 as f64;
         let first = self.slow == 0.0;
         self.fast = if first {
@@ -115,17 +132,17 @@
         };
         match self.is_slow() {
             true if !first => self.decrease(now),
-            _ => self.increase(took, first),
+            _ => self.increase(took, first, now),
         }
     }
 
-    fn increase(&mut self, took: f64, first: bool) {
+    fn increase(&mut self, took: f64, first: bool, now: Moment) {
         self.slow = if first {
             took
         } else {
             self.slow + SLOW_WEIGHT * (took - self.slow)
         };
-        self.level = (self.level + 1.0 / self.level).min(f64::from(self.limits.slots.0));
+        self.level = (self.level + 1.0 / self.level).min(self.bound(now));
     }
 
     fn decrease(&mut self, now: Moment) {
@@ -145,5 +162,6 @@
     fn turn_cold(&mut self) {
         self.level = f64::from(self.limits.cold.0);
         self.answering = None;
+        self.known = false;
     }
 }
--- a/crates/gate/src/core.rs
+++ b/crates/gate/src/core.rs
@@ -42,6 +42,8 @@
     pub floor: Seq,
     /// Last moment at which the request is wanted.
     pub deadline: Moment,
+    /// Whether it is refused rather than made to wait.
+    pub hedge: bool,
 }
 
 /// How a started attempt ended.
@@ -81,8 +83,16 @@
     pub waiting: u32,
     /// Requests that may run.
     pub allowed: u32,
+    /// Mean time of late answers.
+    pub typical: Span,
 }
 
+/// Lowest HTTP status with which a backend server says that it failed.
+const FAILED_STATUS: u16 = 500;
+/// Bounds of the time that a backend server takes to notice that a request was cancelled.
+const LEAST_NOTICE: Span = Span::from_millis(10);
+const MOST_NOTICE: Span = Span::from_millis(200);
+
 #[derive(Debug)]
 struct Run {
     began: Moment,
@@ -97,6 +107,8 @@
     allowance: Allowance,
     queue: Queue,
     running: BTreeMap<AttemptId, Run>,
+    /// Moments until which a cancelled request may still hold its slot at the backend server.
+    leaving: Vec<Moment>,
     /// Whether operators let the backend server take new work.
     open: bool,
     stopping: bool,
@@ -117,6 +129,7 @@
             limits,
             queue: Queue::default(),
             running: BTreeMap::new(),
+            leaving: Vec::new(),
             open: false,
             stopping: false,
             fresh: Moment(0),
@@ -166,6 +179,7 @@
 
     /// An attempt comes.
     pub fn offer(&mut self, offer: Offer, now: Moment) -> Vec<Action> {
+        self.leaving.retain(|until| *until > now);
         let id = offer.id;
         self.sessions.raise(id, offer.floor, now);
         match self.sessions.fate(id) {
@@ -197,7 +211,14 @@
     pub fn done(&mut self, id: AttemptId, finish: Finish, now: Moment) -> Vec<Action> {
         let run = self.running.remove(&id).expect("an attempt ends once");
         let took = now.since(run.began);
+        if matches!(finish, Finish::Aborted | Finish::Expired) {
+            let notice = self.allowance.typical().clamp(LEAST_NOTICE, MOST_NOTICE);
+            self.leaving.push(now + notice);
+        }
         let (evidence, outcome) = match finish {
+            Finish::Answered(answer) if answer.status >= FAILED_STATUS => {
+                (Evidence::Overload, Outcome::Answer(answer))
+            }
             Finish::Answered(answer) => (Evidence::Good(took), Outcome::Answer(answer)),
             Finish::Expired => (Evidence::Overload, Outcome::Unknown),
             Finish::Shed => (Evidence::Overload, self.refusal(Refusal::Shed, now)),
@@ -227,15 +248,22 @@
 
     /// The moment at which [`tick`](Self::tick) has something to do, if any.
     pub fn next_tick(&self) -> Option<Moment> {
-        self.queue.earliest()
+        let freed = self
+            .leaving
+            .iter()
+            .min()
+            .copied()
+            .filter(|_| self.queue.len() > 0);
+        [self.queue.earliest(), freed].into_iter().flatten().min()
     }
 
     /// The load now.
     pub fn load(&self, now: Moment) -> Load {
         Load {
-            running: self.running.len() as u32,
+            running: self.taken() as u32,
             waiting: self.queue.len() as u32,
             allowed: self.allowance.allowed(now) as u32,
+            typical: self.allowance.typical(),
         }
     }
 
@@ -268,13 +296,18 @@
     }
 
     fn has_slot(&self, now: Moment) -> bool {
-        self.queue.len() == 0 && self.running.len() < self.allowance.allowed(now)
+        self.queue.len() == 0 && self.taken() < self.allowance.allowed(now)
+    }
+
+    /// Slots that are taken at the backend server, as far as can be told.
+    fn taken(&self) -> usize {
+        self.running.len() + self.leaving.len()
     }
 
     fn enqueue(&mut self, offer: Offer, now: Moment) -> Vec<Action> {
         let full = self.queue.len() >= self.limits.queue.0 as usize;
         let wait = self.wait(self.queue.ahead(offer.deadline), now);
-        if full || now + wait + self.allowance.typical() > offer.deadline {
+        if offer.hedge || full || now + wait + self.allowance.typical() > offer.deadline {
             return self.refuse(offer.id, Refusal::Busy, wait);
         }
         self.sessions.record(offer.id, Fate::Open);
@@ -290,11 +323,14 @@
 
     fn start(&mut self, id: AttemptId, deadline: Moment, now: Moment) -> Vec<Action> {
         self.sessions.record(id, Fate::Open);
+        if self.running.is_empty() {
+            self.allowance.begin_idle();
+        }
         let before = self.running.insert(id, Run { began: now });
         assert!(before.is_none(), "invariant: an attempt starts once, {id}");
         let most = self.allowance.allowed(now);
         assert!(
-            self.running.len() <= most,
+            self.taken() <= most,
             "invariant: no more runs than is borne, {id}"
         );
         assert!(
@@ -305,6 +341,7 @@
     }
 
     fn start_waiting(&mut self, now: Moment) -> Vec<Action> {
+        self.leaving.retain(|until| *until > now);
         let mut actions = Vec::new();
         while self
             .queue
@@ -314,7 +351,7 @@
             let late = self.queue.pop().map(|(_, id)| id);
             actions.extend(late.into_iter().flat_map(|id| self.refuse_late(id)));
         }
-        while self.running.len() < self.allowance.allowed(now) {
+        while self.taken() < self.allowance.allowed(now) {
             let Some((deadline, id)) = self.queue.pop() else {
                 break;
             };
--- a/crates/gate/tests/allowance.rs
+++ b/crates/gate/tests/allowance.rs
@@ -29,8 +29,7 @@
     let mut allowance = Allowance::new(limits());
     for ms in 0..1_000 {
         allowance.learn(GOOD, at(ms));
-        let bears = 2.0 + 8.0 * ms as f64 / 1_000.0;
-        assert!(allowance.allowed(at(ms)) as f64 <= bears, "at {ms} ms");
+        assert!(allowance.allowed(at(ms)) <= 2, "at {ms} ms");
     }
     warm_up(&mut allowance, 1_000, 1_100);
     assert_eq!(allowance.allowed(at(1_100)), 10);
@@ -49,6 +48,21 @@
     );
 }
 
+#[test]
+fn after_idleness_only_as_much_is_given_as_a_cold_backend_server_bears() {
+    let mut allowance = Allowance::new(limits());
+    warm_up(&mut allowance, 0, 2_000);
+    assert_eq!(allowance.allowed(at(2_100)), 10);
+    allowance.begin_idle();
+    assert_eq!(
+        allowance.allowed(at(2_100)),
+        2,
+        "it may have turned cold unseen"
+    );
+    allowance.learn(GOOD, at(5_010));
+    assert_eq!(allowance.allowed(at(5_010)), 10, "the same one as before");
+}
+
 #[test]
 fn slow_answers_lower_the_allowance_and_good_ones_raise_it_again() {
     let mut allowance = Allowance::new(limits());
--- a/crates/node/src/ingress/desk.rs
+++ b/crates/node/src/ingress/desk.rs
@@ -9,12 +9,15 @@
 use call::{Bucket, Budget, Choose, Pace, Timing};
 use note::State;
 use rand::{SeedableRng, rngs::SmallRng};
-use route::{Member, PolicyKind, Table};
+use route::{Member, PolicyKind, Report, Table};
 use serde::Serialize;
 use types::{Boot, Moment, Outcome, ServerId, ServiceId, Span};
 
 use crate::{gatekeeper::Reply, peers::Fault};
 
+/// Lowest HTTP status with which a backend server says that it failed.
+const FAILED_STATUS: u16 = 500;
+
 /// One service.
 struct Desk {
     table: Table,
@@ -112,13 +115,23 @@
     ) {
         let load = reply.load;
         self.with(service, |desk| {
-            desk.table
-                .reported(server, load.running + load.waiting, load.allowed, now);
+            let report = Report {
+                load: load.running + load.waiting,
+                allowed: load.allowed,
+                typical: load.typical,
+            };
+            desk.table.reported(server, report, now);
             match reply.outcome {
                 Outcome::NotRun { refusal, after } => {
                     desk.table.refused(server, refusal, after, now);
                 }
-                Outcome::Answer(_) => desk.pace.learn(took),
+                Outcome::Answer(ref answer) if answer.status >= FAILED_STATUS => {
+                    desk.table.failed(server, now);
+                }
+                Outcome::Answer(_) => {
+                    desk.table.answered(server);
+                    desk.pace.learn(took);
+                }
                 Outcome::Unknown => {}
             }
         });
@@ -138,8 +151,8 @@
             server: p.member.id.clone(),
             local: p.member.local,
             open: p.open,
-            reported: p.reported,
-            allowed: p.allowed,
+            reported: p.report.load,
+            allowed: p.report.allowed,
             avoided: p.avoid > now,
         };
         let list = self.list();
--- a/crates/node/src/ingress/drive.rs
+++ b/crates/node/src/ingress/drive.rs
@@ -233,8 +233,9 @@
                     attempt,
                     server,
                     repeat,
+                    hedge,
                 } => {
-                    queue.extend(self.send(attempt, server, repeat));
+                    queue.extend(self.send(attempt, server, repeat, hedge));
                 }
                 Action::Ask(attempt) => queue.extend(self.ask(attempt)),
                 Action::Cancel(attempt) => self.cancel(attempt),
@@ -245,7 +246,7 @@
         ending
     }
 
-    fn send(&mut self, attempt: Try, server: ServerId, repeat: bool) -> Vec<Action> {
+    fn send(&mut self, attempt: Try, server: ServerId, repeat: bool, hedge: bool) -> Vec<Action> {
         let Some(peer) = self.ingress.peer(&server) else {
             // The view changed since the choice.
             self.attempts.push(self.unsendable(server));
@@ -261,6 +262,7 @@
             peer: Arc::clone(&peer),
             server: server.clone(),
             idempotent: self.accepted.idempotent,
+            hedge,
             deadline: self.accepted.deadline,
             request,
             sent: Arc::clone(&sent),
@@ -362,6 +364,7 @@
     peer: Arc<Peer>,
     server: ServerId,
     idempotent: bool,
+    hedge: bool,
     deadline: Moment,
     request: crate::backend::ServerRequest,
     sent: Arc<OnceLock<Sent>>,
@@ -385,6 +388,7 @@
             sent,
             server: self.server,
             idempotent: self.idempotent,
+            hedge: self.hedge,
             request: self.request,
             revision: board.view.borrow().revision,
             node: board.identity.node,
--- a/crates/node/src/peers/convert.rs
+++ b/crates/node/src/peers/convert.rs
@@ -49,6 +49,7 @@
         sent,
         server,
         idempotent,
+        hedge,
         request,
         revision,
         node,
@@ -68,6 +69,7 @@
         depth: request.depth,
         repeat: request.repeat,
         node: node.to_string(),
+        hedge,
     }
 }
 
@@ -87,6 +89,7 @@
         },
         server: request.server.parse().map_err(ConvertError::Name)?,
         idempotent: request.idempotent,
+        hedge: request.hedge,
         request: ServerRequest {
             call: CallId(u128::from_be_bytes(call)),
             method: request.method.into(),
@@ -121,6 +124,7 @@
             running: reply.load.running,
             waiting: reply.load.waiting,
             allowed: reply.load.allowed,
+            typical: u32::try_from(reply.load.typical.0).unwrap_or(u32::MAX),
         }),
         revision: reply.revision.0,
         boot: reply.boot.0,
@@ -153,6 +157,7 @@
             running: load.running,
             waiting: load.waiting,
             allowed: load.allowed,
+            typical: Span(load.typical.into()),
         },
         revision: Revision(message.revision),
         boot: Boot(message.boot),
--- a/crates/node/src/peers/local.rs
+++ b/crates/node/src/peers/local.rs
@@ -28,6 +28,7 @@
                 id,
                 floor: attempt.sent.floor,
                 deadline: attempt.sent.deadline,
+                hedge: attempt.hedge,
             },
             server: attempt.server,
             idempotent: attempt.idempotent,
--- a/crates/node/src/peers/mod.rs
+++ b/crates/node/src/peers/mod.rs
@@ -56,6 +56,8 @@
     pub(crate) sent: Sent,
     pub(crate) server: ServerId,
     pub(crate) idempotent: bool,
+    /// Whether it is refused rather than made to wait.
+    pub(crate) hedge: bool,
     pub(crate) request: ServerRequest,
     pub(crate) revision: Revision,
     /// Address of the sending node.
--- a/crates/rig/src/lib.rs
+++ b/crates/rig/src/lib.rs
@@ -8,12 +8,15 @@
 //! - [`link`]: a connection between two hosts that can be delayed, cut or go silent;
 //! - [`load`]: callers, open loop;
 //! - [`fleet`]: starts nodes as processes and ends them;
-//! - [`cluster`]: all of these as one small deployment.
+//! - [`cluster`]: all of these as one small deployment;
+//! - [`experiment`]: the same load against several policies, in one run.
 
 pub mod cluster;
+pub mod experiment;
 pub mod fleet;
 pub mod link;
 pub mod load;
 pub mod platform;
+pub mod plot;
 pub mod report;
 pub mod server;
--- a/crates/rig/src/main.rs
+++ b/crates/rig/src/main.rs
@@ -1,9 +1,13 @@
 //! The rig's command line: stand-ins as processes, and the demonstration.
 
-use std::{net::SocketAddr, path::PathBuf, process::ExitCode};
+use std::{io, net::SocketAddr, path::PathBuf, process::ExitCode, time::Duration};
 
 use bpaf::Bpaf;
-use rig::{platform::Platform, server};
+use rig::{
+    experiment::{self, Scenario},
+    platform::Platform,
+    server,
+};
 
 mod demo;
 
@@ -28,6 +32,19 @@
         #[bpaf(long, argument("JSON"), fallback("{}".to_owned()))]
         conduct: String,
     },
+    /// Run the same load against several policies and limits, and print a table of each scenario
+    #[bpaf(command)]
+    Experiment {
+        /// Seconds of load
+        #[bpaf(long, argument("SECONDS"), fallback(6))]
+        seconds: u64,
+        /// Only this variant
+        #[bpaf(long, argument("NAME"), optional)]
+        variant: Option<String>,
+        /// steady, slow, cold, zone, event-1, event-2 or event-4; all of them without one
+        #[bpaf(positional("SCENARIO"), many)]
+        scenarios: Vec<String>,
+    },
     /// Start a whole deployment, send load for some seconds and print what was measured
     #[bpaf(command)]
     Demo {
@@ -54,6 +71,11 @@
             Ok(conduct) => server::Server::new(conduct).serve(listen).await,
             Err(error) => Err(error.into()),
         },
+        Command::Experiment {
+            seconds,
+            variant,
+            scenarios,
+        } => run_experiments(seconds, variant.as_deref(), &scenarios).await,
         Command::Demo {
             seconds,
             rate,
@@ -77,3 +99,25 @@
         }
     }
 }
+
+/// All scenarios by name.
+const SCENARIOS: [(&str, Scenario); 7] = [
+    ("steady", Scenario::Steady),
+    ("slow", Scenario::Slow),
+    ("event-1", Scenario::Event(1.0)),
+    ("event-2", Scenario::Event(2.0)),
+    ("event-4", Scenario::Event(4.0)),
+    ("cold", Scenario::Cold),
+    ("zone", Scenario::Zone),
+];
+
+async fn run_experiments(seconds: u64, variant: Option<&str>, names: &[String]) -> io::Result<()> {
+    let time = Duration::from_secs(seconds);
+    let mut variants = experiment::variants();
+    variants.retain(|v| variant.is_none_or(|name| v.name == name));
+    let wanted = |name: &str| names.is_empty() || names.iter().any(|n| n == name);
+    for (_, scenario) in SCENARIOS.iter().filter(|(name, _)| wanted(name)) {
+        experiment::run(*scenario, &variants, time).await?;
+    }
+    Ok(())
+}
--- a/crates/rig/src/server.rs
+++ b/crates/rig/src/server.rs
@@ -118,6 +118,7 @@
 pub struct Server {
     inner: Arc<Mutex<Inner>>,
     up: Arc<watch::Sender<bool>>,
+    restarts: Arc<watch::Sender<u64>>,
     client: reqwest::Client,
 }
 
@@ -140,6 +141,7 @@
         Self {
             inner: Arc::new(Mutex::new(inner)),
             up: Arc::new(watch::Sender::new(true)),
+            restarts: Arc::default(),
             client,
         }
     }
@@ -153,11 +155,14 @@
         change(&mut self.inner().conduct);
     }
 
-    /// Starts anew: another incarnation, cold.
+    /// Starts anew: another incarnation, cold. What runs is cut.
     pub fn restart(&self) {
         let mut inner = self.inner();
         inner.boot = rand::random::<u64>() >> 1;
         inner.started = Instant::now();
+        inner.running = 0;
+        drop(inner);
+        self.restarts.send_modify(|restarts| *restarts += 1);
     }
 
     /// Takes no connections while it is not up, and closes those that are idle.
@@ -237,10 +242,21 @@
         }
         Ok(Running {
             server: self.clone(),
+            boot: inner.boot,
             answered: false,
         })
     }
 
+    /// Works for a time, and tells whether a restart cut that short.
+    async fn is_cut(&self, work: Duration) -> bool {
+        let mut restarts = self.restarts.subscribe();
+        tokio::select! {
+            () = sleep(work), if !work.is_zero() => false,
+            _ = restarts.changed(), if !work.is_zero() => true,
+            else => false,
+        }
+    }
+
     fn service_time(&self) -> Duration {
         let inner = self.inner();
         let mean = inner.conduct.service_ms * inner.conduct.slow;
@@ -251,13 +267,16 @@
 /// A request that runs. If it is dropped before its answer, it was cancelled.
 struct Running {
     server: Server,
+    boot: u64,
     answered: bool,
 }
 
 impl Drop for Running {
     fn drop(&mut self) {
         let mut inner = self.server.inner();
-        inner.running -= 1;
+        if inner.boot == self.boot {
+            inner.running -= 1;
+        }
         if !self.answered {
             inner.counts.cancelled += 1;
         }
@@ -289,7 +308,9 @@
     let received = to_bytes(body, MOST_BODY_BYTES)
         .await
         .map_or(0, |body| body.len());
-    sleep(server.service_time()).await;
+    if server.is_cut(server.service_time()).await {
+        return answer(Answering::Cut, 0, None).await;
+    }
     let query = parts.uri.query().unwrap_or_default();
     let path = parts.uri.path();
     let to = value(query, "to").map_or(path.to_owned(), |service| format!("/{service}/item"));
@@ -308,7 +329,7 @@
         let inner = server.inner();
         (inner.conduct.answering, inner.boot)
     };
-    answer(answering, boot, &echo).await
+    answer(answering, boot, Some(&echo)).await
 }
 
 /// Calls the same path through the own node, one level less deep.
@@ -332,8 +353,8 @@
     }
 }
 
-async fn answer(answering: Answering, boot: u64, echo: &Echo) -> Response {
-    let text = serde_json::to_vec(echo).unwrap_or_default();
+async fn answer(answering: Answering, boot: u64, echo: Option<&Echo>) -> Response {
+    let text = serde_json::to_vec(&echo).unwrap_or_default();
     let builder = Response::builder().header("x-boot", boot);
     let half = Bytes::copy_from_slice(&text[..text.len() / 2]);
     let broken = || Err(io::Error::from(io::ErrorKind::ConnectionReset));
--- a/crates/rig/tests/scripts.rs
+++ b/crates/rig/tests/scripts.rs
@@ -23,5 +23,6 @@
     35 broken_answers_are_unknown_and_never_passed_off_as_whole "once/broken_answers";
     36 refusals_of_a_backend_server_are_tried_elsewhere "once/elsewhere";
     37 a_caller_that_goes_away_cancels_its_call "once/caller_gone";
+    39 a_backend_server_that_turns_cold_gets_only_what_it_bears "bears/turns_cold";
     38 a_killed_ingress_leaves_one_run "once/ingress_killed";
 }
--- a/crates/rig/tests/support/script.rs
+++ b/crates/rig/tests/support/script.rs
@@ -71,6 +71,18 @@
     Cancelled(usize, u64),
     /// Changes a backend server: `server 0 answering=silent slow=10`.
     Server(usize, #[arg(key, many)] Vec<(String, String)>),
+    /// A backend server is started anew: what runs is cut, and it is cold.
+    Restart(usize),
+    /// Sends so many requests at once and prints how many were answered or truly refused.
+    Rush {
+        count: usize,
+        method: String,
+        service: String,
+        #[arg(key)]
+        via: usize,
+    },
+    /// Prints whether a backend server was given more than it bore.
+    Breaches(Vec<usize>),
     /// A backend server takes no connections, or does again.
     Down(usize),
     Up(usize),
@@ -139,11 +151,17 @@
     fn start(&mut self, options: &[String], services: &[(String, usize)]) -> Outcome {
         let mut builder = cluster(self.name, self.net);
         for (service, servers) in services {
-            builder = builder.service(service, *servers);
+            builder = match options.iter().any(|o| o == "cold") {
+                true => builder.limited(service, *servers, json!({ "cold": 2, "warm_ms": 1_000 })),
+                false => builder.service(service, *servers),
+            };
         }
         if options.iter().any(|o| o == "linked") {
             builder = builder.linked();
         }
+        if options.iter().any(|o| o == "cold") {
+            builder = builder.conduct(|c| (c.cold, c.warm_ms) = (2, 1_000));
+        }
         if options.iter().any(|o| o == "slow") {
             builder = builder.conduct(|c| c.service_ms = 300.0);
         }
@@ -175,6 +193,20 @@
             .collect())
     }
 
+    /// Many at once. Only that each got an answer or a refusal that is true is the same every time.
+    fn rush(&mut self, count: usize, request: &Request) -> Outcome {
+        let target = self.cluster().target(request.via).to_string();
+        let shot = || {
+            let id = format!("{:032x}", rand::random::<u128>());
+            request.clone().send(target.clone(), id)
+        };
+        let shots: Vec<_> = (0..count).map(|_| shot()).collect();
+        let ended = self.wait(futures::future::join_all(shots))?;
+        let settled = |e: &&Ended| e.text.contains("whole answer") || e.text.contains("not-run");
+        let settled = ended.iter().filter(settled).count();
+        Ok(format!("{settled} answered or not run\n"))
+    }
+
     fn await_all(&mut self, names: &[String]) -> Outcome {
         let mut output = String::new();
         for name in names {
@@ -371,6 +403,17 @@
 }
 
 impl Request {
+    fn new(method: &str, service: &str, via: usize) -> Self {
+        Self {
+            method: method.to_owned(),
+            service: service.to_owned(),
+            via,
+            deadline: 20_000,
+            depth: 0,
+            to: None,
+        }
+    }
+
     async fn send(self, target: String, id: String) -> Ended {
         let to = self
             .to
@@ -443,17 +486,7 @@
                 method,
                 service,
                 via,
-            } => {
-                let request = Request {
-                    method: method.clone(),
-                    service: service.clone(),
-                    via: *via,
-                    deadline: 20_000,
-                    depth: 0,
-                    to: None,
-                };
-                self.burst(*count, &request)
-            }
+            } => self.burst(*count, &Request::new(method, service, *via)),
             Command::Await(names) => self.await_all(names),
             Command::Leave(name) => {
                 self.requests[name].1.abort();
@@ -467,6 +500,21 @@
                 .collect()),
             Command::Cancelled(at, count) => self.cancelled(*at, *count),
             Command::Server(at, fields) => self.change_server(*at, fields),
+            Command::Restart(at) => {
+                self.cluster().servers[*at].restart();
+                Ok(String::new())
+            }
+            Command::Rush {
+                count,
+                method,
+                service,
+                via,
+            } => self.rush(*count, &Request::new(method, service, *via)),
+            Command::Breaches(servers) => {
+                let list = &self.cluster().servers;
+                let breaches = servers.iter().map(|at| list[*at].counts().breaches);
+                Ok(format!("{} breaches\n", breaches.sum::<u64>()))
+            }
             Command::Down(at) | Command::Up(at) => {
                 let up = matches!(command, Command::Up(_));
                 self.cluster().servers[*at].set_up(up);
--- a/crates/route/src/lib.rs
+++ b/crates/route/src/lib.rs
@@ -12,4 +12,4 @@
 mod table;
 
 pub use policy::{LeastReported, Policy, PolicyKind, Random, RoundRobin, TwoChoices};
-pub use table::{Member, Peer, Table};
+pub use table::{Member, Peer, Report, Table};
--- a/crates/route/src/policy.rs
+++ b/crates/route/src/policy.rs
@@ -4,14 +4,12 @@
 
 use rand::{RngExt, rngs::SmallRng};
 use serde::{Deserialize, Serialize};
-use types::Moment;
+use types::{Moment, Span};
 
 use crate::table::Peer;
 
-/// Score of the best local backend server from which others are looked at.
-const SPILL_SCORE: f64 = 0.8;
-/// How much better a remote backend server must be to be worth the way.
-const REMOTE_MARGIN: f64 = 0.2;
+/// Time that the way to another availability zone and back adds.
+const REMOTE_COST: Span = Span::from_millis(3);
 
 /// Picks one of the candidates by its position, `None` if there are none.
 pub trait Policy: fmt::Debug + Send {
@@ -85,7 +83,8 @@
     }
 }
 
-/// The better of two random candidates, local ones first while they are not crowded.
+/// The better of two random candidates of the own availability zone, or of two of the others if
+/// that is worth the way.
 #[derive(Debug)]
 pub struct TwoChoices;
 
@@ -94,11 +93,8 @@
         let (local, remote): (Vec<_>, Vec<_>) =
             (0..peers.len()).partition(|at| peers[*at].member.local);
         let near = better_of_two(peers, &local, now, rng);
-        match near {
-            Some((_, score)) if score <= SPILL_SCORE => near,
-            _ => closer(near, better_of_two(peers, &remote, now, rng)),
-        }
-        .map(|(at, _)| at)
+        let far = better_of_two(peers, &remote, now, rng);
+        closer(near, far).map(|(at, _)| at)
     }
 }
 
@@ -106,7 +102,7 @@
 
 fn closer(near: Option<Scored>, far: Option<Scored>) -> Option<Scored> {
     match (near, far) {
-        (Some(n), Some(f)) if f.1 + REMOTE_MARGIN < n.1 => Some(f),
+        (Some(n), Some(f)) if f.1 + (REMOTE_COST.0 as f64) < n.1 => Some(f),
         (Some(n), _) => Some(n),
         (None, far) => far,
     }
@@ -121,7 +117,7 @@
     let first = rng.random_range(0..among.len().max(1));
     let step = rng.random_range(1..among.len().max(2));
     let second = (first + step) % among.len().max(1);
-    let scored = |at: &usize| (*at, peers[*at].score(now));
+    let scored = |at: &usize| (*at, peers[*at].cost(now));
     let pair = [among.get(first).map(scored), among.get(second).map(scored)];
     pair.into_iter()
         .flatten()
@@ -157,9 +153,9 @@
 
 impl Policy for LeastReported {
     fn pick(&mut self, peers: &[&Peer], _now: Moment, rng: &mut SmallRng) -> Option<usize> {
-        let least = peers.iter().map(|p| p.reported).min()?;
+        let least = peers.iter().map(|p| p.report.load).min()?;
         let lowest: Vec<usize> = (0..peers.len())
-            .filter(|at| peers[*at].reported == least)
+            .filter(|at| peers[*at].report.load == least)
             .collect();
         Some(lowest[rng.random_range(0..lowest.len())])
     }
--- a/crates/route/src/table.rs
+++ b/crates/route/src/table.rs
@@ -9,10 +9,17 @@
 
 /// Backend servers of one service that an ingress uses at most. The rest serves other ingresses.
 const MOST_PEERS: usize = 12;
-/// Age at which half of what a load report said still counts.
-const REPORT_HALF_LIFE: Span = Span::from_millis(20);
+/// Ages of a report at which half of the load, and of the time of answers, still counts.
+const LOAD_HALF_LIFE: Span = Span::from_millis(20);
+const TIME_HALF_LIFE: Span = Span::from_millis(200);
+/// Weight of one report in the usual time of answers.
+const USUAL_WEIGHT: f64 = 0.05;
 /// Time for which a backend server that can't be reached is avoided.
 const AVOID_DOWN: Span = Span::from_millis(1_000);
+/// Half of the time for which a backend server that failed once is avoided, and the number of
+/// doublings.
+const AVOID_FAILING: Span = Span::from_millis(10);
+const MOST_FAILURES: u32 = 6;
 /// Longest time for which a backend server that refused for load is avoided.
 const MOST_AVOID_BUSY: Span = Span::from_millis(50);
 
@@ -27,6 +34,17 @@
     pub slots: u32,
 }
 
+/// Load that a gate reports with a reply.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub struct Report {
+    /// Requests that run or wait there.
+    pub load: u32,
+    /// Requests that may run.
+    pub allowed: u32,
+    /// Mean time of late answers.
+    pub typical: Span,
+}
+
 /// A backend server and what was learned of it.
 #[derive(Debug, Clone)]
 pub struct Peer {
@@ -34,38 +52,50 @@
     pub member: Member,
     /// Own attempts that are open.
     pub open: u32,
-    /// Load that its gate reported last, own attempts included.
-    pub reported: u32,
-    /// Requests that its gate allowed at the time.
-    pub allowed: u32,
+    /// What its gate reported last.
+    pub report: Report,
     /// When the report came.
     pub heard: Moment,
     /// Used only for want of others until then.
     pub avoid: Moment,
+    /// Failures in a row.
+    pub failures: u32,
+    /// Usual time of the service's answers in microseconds.
+    usual: f64,
 }
 
 impl Peer {
     fn new(member: Member) -> Self {
-        let allowed = member.slots;
+        let report = Report {
+            load: 0,
+            allowed: member.slots,
+            typical: Span::default(),
+        };
         let (heard, avoid) = (Moment(0), Moment(0));
         Self {
             member,
             open: 0,
-            reported: 0,
-            allowed,
+            report,
             heard,
             avoid,
+            failures: 0,
+            usual: 1.0,
         }
     }
 
-    /// Expected load at `now` as a part of what it bears.
+    /// Expected time in microseconds until an attempt sent at `now` is answered.
     ///
-    /// The own open attempts are known exactly. Load of others is the reported one, halved for each
-    /// half-life of the report's age.
-    pub fn score(&self, now: Moment) -> f64 {
-        let age = now.since(self.heard).0 as f64 / REPORT_HALF_LIFE.0 as f64;
-        let others = f64::from(self.reported.saturating_sub(self.open)) * 0.5_f64.powf(age);
-        (f64::from(self.open) + others + 1.0) / f64::from(self.allowed.max(1))
+    /// The mean time of answers, once for the attempt itself and once for each round of those ahead
+    /// of it. The own open attempts are known exactly. Load of others and a time that differs from
+    /// the `usual` one are reported, and count half for each half-life of the report's age.
+    pub fn cost(&self, now: Moment) -> f64 {
+        let age = now.since(self.heard).0 as f64;
+        let fade = |half_life: Span| 0.5_f64.powf(age / half_life.0 as f64);
+        let others = self.report.load.saturating_sub(self.open);
+        let others = f64::from(others) * fade(LOAD_HALF_LIFE);
+        let rounds = (f64::from(self.open) + others + 1.0) / f64::from(self.report.allowed.max(1));
+        let excess = self.report.typical.0 as f64 - self.usual;
+        (self.usual + excess * fade(TIME_HALF_LIFE)) * (1.0 + rounds)
     }
 }
 
@@ -136,10 +166,11 @@
     }
 
     /// A reply carried the gate's load.
-    pub fn reported(&mut self, id: &ServerId, load: u32, allowed: u32, now: Moment) {
-        if let Some(peer) = self.find(id) {
-            (peer.reported, peer.allowed, peer.heard) = (load, allowed, now);
-        }
+    pub fn reported(&mut self, id: &ServerId, report: Report, now: Moment) {
+        let Some(peer) = self.find(id) else { return };
+        (peer.report, peer.heard) = (report, now);
+        let usual = peer.usual + USUAL_WEIGHT * (report.typical.0 as f64 - peer.usual);
+        self.peers.iter_mut().for_each(|peer| peer.usual = usual);
     }
 
     /// A gate refused, or couldn't be reached. `after` is when it said to come back.
@@ -153,6 +184,22 @@
         peer.avoid = peer.avoid.max(now + span);
     }
 
+    /// A backend server answered that it failed. Failing is fast and looks like idleness, so it is
+    /// avoided for longer with each failure in a row, until it answers well.
+    pub fn failed(&mut self, id: &ServerId, now: Moment) {
+        if let Some(peer) = self.find(id) {
+            peer.failures = (peer.failures + 1).min(MOST_FAILURES);
+            peer.avoid = peer.avoid.max(now + Span(AVOID_FAILING.0 << peer.failures));
+        }
+    }
+
+    /// A backend server answered well.
+    pub fn answered(&mut self, id: &ServerId) {
+        if let Some(peer) = self.find(id) {
+            peer.failures = 0;
+        }
+    }
+
     /// The backend servers in use.
     pub fn peers(&self) -> &[Peer] {
         &self.peers
