--- /dev/null
+++ b/crates/node/tests/settings.rs
@@ -0,0 +1,82 @@
+//! Settings: every field is checked, and errors name field, value and what is allowed.
+
+use std::{error::Error, io, path::Path, process::Command};
+
+use node::settings::parse;
+use serde_json::{Value, json};
+
+fn good() -> Value {
+    json!({
+        "host": "h", "zone": "z", "listen": "127.0.0.1:1", "node": "127.0.0.1:2",
+        "admin": "127.0.0.1:3", "platform": "http://127.0.0.1:4",
+    })
+}
+
+/// The chain of messages for settings with one field changed.
+fn refusal(field: &str, value: Value) -> String {
+    let mut settings = good();
+    settings[field] = value;
+    let error = parse(&settings.to_string()).expect_err("refused settings");
+    let cause = error.source().map(ToString::to_string).unwrap_or_default();
+    format!("{error}: {cause}")
+}
+
+#[test]
+fn settings_in_order_are_taken_with_defaults() {
+    let settings = parse(&good().to_string()).expect("settings in order");
+    assert_eq!(settings.stop_ms, 10_000);
+    assert_eq!(settings.policy.to_string(), "two-choices");
+}
+
+#[test]
+fn each_field_is_checked() {
+    let cases = [
+        ("host", json!("H!"), "host"),
+        ("listen", json!("nowhere"), "listen"),
+        ("listen", json!("127.0.0.1:0"), "a port other than 0"),
+        ("node", json!("0.0.0.0:5"), "other nodes can reach"),
+        ("admin", json!("127.0.0.1:1"), "three different addresses"),
+        ("platform", json!("ftp://x"), "starts with http://"),
+        ("reads", json!(0.0), "more than 0"),
+        ("reads", json!(-1.0), "reads"),
+        ("stop_ms", json!(1), "100 to 600000"),
+        ("policy", json!("best"), "policy"),
+        ("log", json!("loud"), "log"),
+        ("colour", json!("red"), "unknown field `colour`"),
+    ];
+    for (field, value, part) in cases {
+        let text = refusal(field, value.clone());
+        assert!(text.contains(part), "{field} = {value}: {text}");
+    }
+}
+
+#[test]
+fn a_missing_field_is_named() {
+    let mut settings = good();
+    settings.as_object_mut().expect("an object").remove("zone");
+    let error = parse(&settings.to_string()).expect_err("refused settings");
+    assert!(
+        error
+            .source()
+            .is_some_and(|c| c.to_string().contains("`zone`"))
+    );
+}
+
+#[test]
+fn the_daemon_checks_settings_and_exits_with_2_if_they_can_not_be_used() -> io::Result<()> {
+    let folder = Path::new(env!("CARGO_TARGET_TMPDIR"));
+    let daemon = |text: String| -> io::Result<Option<i32>> {
+        let file = folder.join("settings.json");
+        std::fs::write(&file, text)?;
+        let program = env!("CARGO_BIN_EXE_amaranthyoked");
+        Ok(Command::new(program)
+            .arg("--check")
+            .arg(&file)
+            .output()?
+            .status
+            .code())
+    };
+    assert_eq!(daemon(good().to_string())?, Some(0));
+    assert_eq!(daemon("{}".to_owned())?, Some(2));
+    Ok(())
+}
--- /dev/null
+++ b/crates/rig/tests/answers.rs
@@ -0,0 +1,98 @@
+//! Every caller gets the whole answer to its own request, or is told truly that it doesn't.
+
+use std::{io, net::SocketAddr};
+
+use futures::future::join_all;
+use reqwest::Client;
+use rig::{
+    cluster::{Cluster, cluster},
+    fleet::client,
+    server::Echo,
+};
+use serde_json::json;
+use tokio::{
+    io::{AsyncReadExt, AsyncWriteExt},
+    net::TcpStream,
+};
+
+const ID: &str = "00000000000000000000000000000abc";
+
+async fn limited(name: &str, net: u8) -> io::Result<Cluster> {
+    let limits = json!({ "cold": 10, "warm_ms": 0, "queue": 200, "body": 2000 });
+    cluster(name, net).limited("draws", 2, limits).start().await
+}
+
+async fn echo(client: &Client, target: SocketAddr, number: usize) -> Option<Echo> {
+    let url = format!("http://{target}/draws/item?size={}", number * 7);
+    let id = format!("{number:032x}");
+    let answer = client
+        .get(url)
+        .header("x-request-id", id)
+        .send()
+        .await
+        .ok()?;
+    answer.json().await.ok()
+}
+
+#[tokio::test]
+async fn answers_that_come_out_of_order_over_one_connection_reach_their_own_callers()
+-> io::Result<()> {
+    let cluster = limited("answers-order", 50).await?;
+    let client = Client::builder()
+        .no_proxy()
+        .http2_prior_knowledge()
+        .build()
+        .expect("a client");
+    let target = cluster.target(0);
+    let echoes = join_all((0..100).map(|number| echo(&client, target, number))).await;
+    for (number, echo) in echoes.into_iter().enumerate() {
+        let echo = echo.expect("an answer");
+        assert_eq!(echo.id, format!("{number:032x}"));
+        assert_eq!(echo.filler.len(), number * 7);
+    }
+    Ok(())
+}
+
+#[tokio::test]
+async fn an_answer_that_is_too_large_is_not_passed_on_in_part() -> io::Result<()> {
+    let cluster = limited("answers-large", 51).await?;
+    let url = format!("http://{}/draws/item?size=3000", cluster.target(0));
+    let answer = client().post(url).send().await.expect("an answer");
+    assert_eq!(answer.status(), 502);
+    assert_eq!(answer.headers()["x-outcome"], "ran");
+    Ok(())
+}
+
+#[tokio::test]
+async fn a_request_whose_body_breaks_off_is_not_run() -> io::Result<()> {
+    let cluster = limited("answers-cut", 52).await?;
+    let mut stream = TcpStream::connect(cluster.target(0)).await?;
+    let head = format!("POST /draws/x HTTP/1.1\r\nhost: h\r\nx-request-id: {ID}\r\n");
+    stream.write_all(head.as_bytes()).await?;
+    stream
+        .write_all(b"content-length: 100\r\n\r\nten bytes.")
+        .await?;
+    stream.shutdown().await?;
+    let mut rest = Vec::new();
+    let _ = stream.read_to_end(&mut rest).await;
+    let runs: u64 = cluster.servers.iter().map(|s| s.runs_of(ID)).sum();
+    assert_eq!(runs, 0);
+    Ok(())
+}
+
+#[tokio::test]
+async fn a_body_that_is_too_slow_is_refused_at_the_deadline() -> io::Result<()> {
+    let cluster = limited("answers-slow", 53).await?;
+    let mut stream = TcpStream::connect(cluster.target(0)).await?;
+    let head = format!("POST /draws/x HTTP/1.1\r\nhost: h\r\nx-request-id: {ID}\r\n");
+    stream.write_all(head.as_bytes()).await?;
+    stream
+        .write_all(b"x-deadline-ms: 200\r\ncontent-length: 100\r\n\r\nten bytes.")
+        .await?;
+    let mut start = [0; 12];
+    stream.read_exact(&mut start).await?;
+    assert_eq!(&start, b"HTTP/1.1 408");
+    let runs: u64 = cluster.servers.iter().map(|s| s.runs_of(ID)).sum();
+    assert_eq!(runs, 0);
+    Ok(())
+}
