Mend what a reading of the gate and its carrier found

Causes, each found by reading, with a test that failed first where it can: - An ingress went on with a session that the gate may have forgotten, so every later attempt there would have been unknown. "Unknown" now opens another session (peers/tests.rs; it failed with the old rule). - A request named for another backend server was refused beside the gate, so a copy of one that runs could have been called "not run". The gate decides it now (bears.rs). - A server that a note puts in another's place kept its allowance; it is cold now. - Each hedge's loser was cancelled over a fresh connection that replaced the shared one. Cancelling uses the connection there is; only questions need a fresh one. - Comparisons made a connection each. Connections with neighbours are kept, and dropped when one gives no answer.

--- a/crates/call/tests/support/mod.rs
+++ b/crates/call/tests/support/mod.rs
@@ -353,6 +353,7 @@
             floor: sent.floor,
             deadline: sent.deadline,
             hedge: false,
+            misplaced: false,
         };
         let boot = process.gate.boot();
         self.flying.push(Message::Run {
--- a/crates/gate/src/core.rs
+++ b/crates/gate/src/core.rs
@@ -45,6 +45,8 @@
     pub deadline: Moment,
     /// Whether it is refused rather than made to wait.
     pub hedge: bool,
+    /// Whether it is meant for a backend server that this gate doesn't guard.
+    pub misplaced: bool,
 }
 
 /// How a started attempt ended.
@@ -258,6 +260,12 @@
         }
     }
 
+    /// Another backend server takes the place of the one before. Nothing is known of it.
+    pub fn replace_server(&mut self, now: Moment) {
+        self.server = None;
+        self.allowance.learn(Evidence::Restarted, now);
+    }
+
     /// Time passes: what waited too long is refused, and the allowance may have grown.
     pub fn tick(&mut self, now: Moment) -> Vec<Action> {
         let mut actions = self.start_waiting(now);
@@ -317,6 +325,7 @@
 
     fn admit(&mut self, offer: Offer, now: Moment) -> Vec<Action> {
         match self.closed(offer.deadline, now) {
+            _ if offer.misplaced => self.refuse(offer.id, Refusal::Misplaced, Span::default()),
             Some(refusal) => self.refuse(offer.id, refusal, self.wait(self.queue.len(), now)),
             None if self.has_slot(now) => self.start(offer.id, offer.deadline, now),
             None => self.enqueue(offer, now),
--- a/crates/gate/tests/bears.rs
+++ b/crates/gate/tests/bears.rs
@@ -109,6 +109,7 @@
                         floor: Seq(0),
                         deadline,
                         hedge: false,
+                        misplaced: false,
                     },
                     self.now,
                 )
@@ -295,6 +296,7 @@
         floor: Seq(0),
         deadline: now + Span::from_millis(100),
         hedge: false,
+        misplaced: false,
     };
     let actions = (1..=6).flat_map(|seq| gate.offer(offer(seq), now));
     let started = actions.filter(|a| matches!(a, Action::Start(..))).count();
@@ -324,3 +326,38 @@
     }
     step(&Step::Offer { time_ms: 400 });
 }
+
+#[test]
+fn a_request_for_another_backend_server_is_barred_and_what_ran_is_never_called_not_run() {
+    let mut world = World::new();
+    let id = |seq| AttemptId {
+        boot: Boot(1),
+        session: world.session,
+        seq: Seq(seq),
+    };
+    let (first, second) = (id(1), id(2));
+    let deadline = world.now + Span::from_millis(100);
+    let offer = |id, misplaced| Offer {
+        id,
+        floor: Seq(0),
+        deadline,
+        hedge: false,
+        misplaced,
+    };
+
+    let refused = world.gate.offer(offer(first, true), world.now);
+    assert!(matches!(
+        refused[0],
+        Action::Reply(_, Outcome::NotRun { .. })
+    ));
+    let again = world.gate.offer(offer(first, false), world.now);
+    assert!(
+        matches!(again[0], Action::Reply(_, Outcome::NotRun { .. })),
+        "it stays barred"
+    );
+
+    let started = world.gate.offer(offer(second, false), world.now);
+    assert!(matches!(started[0], Action::Start(..)));
+    let repeated = world.gate.offer(offer(second, true), world.now);
+    assert_eq!(repeated, vec![], "it runs, and its reply follows");
+}
--- a/crates/node/src/gatekeeper/carry.rs
+++ b/crates/node/src/gatekeeper/carry.rs
@@ -4,11 +4,11 @@
 
 use board::Board;
 use futures::future::BoxFuture;
-use gate::{Action, Bounds, Finish, Gate};
+use gate::{Action, Bounds, Finish, Gate, Offer};
 use kameo::actor::WeakActorRef;
 use note::{Limits, Server, Service};
 use tokio::{sync::oneshot, task::JoinHandle, time::sleep_until};
-use types::{AttemptId, Boot, Moment, Outcome, Refusal, ServerId};
+use types::{AttemptId, Boot, Moment, Outcome, ServerId};
 
 use super::{Ask, Done, Dumped, Opened, Probed, Reply, Run, Tick, follow, outcome_name};
 use crate::{
@@ -69,11 +69,16 @@
             }
             _ => {}
         }
+        let place = |both: &(Server, Service)| (both.0.id.clone(), both.0.address);
+        if self.server.as_ref().map(place) != both.as_ref().map(place) {
+            self.gate.replace_server(self.board.clock.now());
+        }
         self.server = both;
         let id = self.server.as_ref().map(|(server, _)| server.id.clone());
         let actions = follow(&self.board, &mut self.gate, id.as_ref());
         self.carry_out(actions);
         let now = self.board.clock.now();
+        self.timer.take_if(|(at, _)| *at <= now);
         let actions = self.gate.tick(now);
         self.carry_out(actions);
     }
@@ -89,12 +94,12 @@
     }
 
     pub(super) fn run(&mut self, msg: Run) {
-        if self.server_id() != Some(&msg.server) {
-            let reply = self.reply(Outcome::refused(Refusal::Misplaced));
-            let _ = msg.reply.send(reply);
-            return;
-        }
         let id = msg.offer.id;
+        let misplaced = self.server_id() != Some(&msg.server);
+        let offer = Offer {
+            misplaced,
+            ..msg.offer
+        };
         let work = self.work.entry(id).or_insert_with(|| Work {
             request: Some(msg.request),
             idempotent: msg.idempotent,
@@ -103,7 +108,7 @@
         });
         work.listeners.push(msg.reply);
         let now = self.board.clock.now();
-        let actions = self.gate.offer(msg.offer, now);
+        let actions = self.gate.offer(offer, now);
         self.carry_out(actions);
     }
 
@@ -242,15 +247,18 @@
     }
 
     fn set_timer(&mut self) {
-        let wanted = self.gate.next_tick();
-        let set = self.timer.as_ref().map(|(at, _)| *at);
-        if wanted == set {
+        let Some(at) = self.gate.next_tick() else {
             return;
+        };
+        match self.timer.take() {
+            // It comes early at worst, and is set anew then.
+            Some((set, task)) if set <= at => {
+                self.timer = Some((set, task));
+                return;
+            }
+            Some((_, task)) => task.abort(),
+            None => {}
         }
-        if let Some((_, task)) = self.timer.take() {
-            task.abort();
-        }
-        let Some(at) = wanted else { return };
         let when = self.board.clock.instant(at);
         let actor = self.actor.clone();
         let task = tokio::spawn(async move {
--- a/crates/node/src/ingress/desk.rs
+++ b/crates/node/src/ingress/desk.rs
@@ -13,7 +13,7 @@
 use serde::Serialize;
 use types::{Boot, Moment, Outcome, ServerId, ServiceId, Span};
 
-use crate::{gatekeeper::Reply, peers::Fault};
+use crate::gatekeeper::Reply;
 
 /// Lowest HTTP status with which a backend server says that it failed.
 const FAILED_STATUS: u16 = 500;
@@ -138,7 +138,7 @@
     }
 
     /// A gate gave no word.
-    pub(crate) fn failed(&self, service: &ServiceId, server: &ServerId, _: Fault, now: Moment) {
+    pub(crate) fn failed(&self, service: &ServiceId, server: &ServerId, now: Moment) {
         let (refusal, after) = (types::Refusal::Down, Span::default());
         self.with(service, |desk| {
             desk.table.refused(server, refusal, after, now)
--- a/crates/node/src/ingress/drive.rs
+++ b/crates/node/src/ingress/drive.rs
@@ -202,7 +202,7 @@
         let server = &self.attempts[attempt].server;
         self.ingress
             .desks
-            .failed(&self.accepted.service, server, fault, now);
+            .failed(&self.accepted.service, server, now);
     }
 
     fn learn(&self, attempt: Try, reply: &Reply, asked: Moment, now: Moment) {
@@ -303,7 +303,7 @@
         let peer = Arc::clone(&open.peer);
         let asked = self.now();
         let asking = async move {
-            let result = peer.client.ask(sent.id, false).await;
+            let result = peer.client.ask(sent.id).await;
             Event::Asked {
                 attempt,
                 result,
@@ -329,7 +329,7 @@
         };
         let peer = Arc::clone(&open.peer);
         tokio::spawn(async move {
-            let _ = peer.client.ask(sent.id, true).await;
+            let _ = peer.client.cancel(sent.id).await;
             peer.settle(sent.id);
         });
     }
--- a/crates/node/src/peers/local.rs
+++ b/crates/node/src/peers/local.rs
@@ -29,6 +29,7 @@
                 floor: attempt.sent.floor,
                 deadline: attempt.sent.deadline,
                 hedge: attempt.hedge,
+                misplaced: false,
             },
             server: attempt.server,
             idempotent: attempt.idempotent,
@@ -70,8 +71,12 @@
         self.run_attempt(attempt).boxed()
     }
 
-    fn ask(&self, id: AttemptId, cancel: bool) -> BoxFuture<'_, Result<Reply, Fault>> {
-        self.ask_about(id, cancel).boxed()
+    fn ask(&self, id: AttemptId) -> BoxFuture<'_, Result<Reply, Fault>> {
+        self.ask_about(id, false).boxed()
+    }
+
+    fn cancel(&self, id: AttemptId) -> BoxFuture<'_, Result<Reply, Fault>> {
+        self.ask_about(id, true).boxed()
     }
 }
 
--- a/crates/node/src/peers/mod.rs
+++ b/crates/node/src/peers/mod.rs
@@ -3,6 +3,9 @@
 //! A [`Peer`] joins a client of one gate with the session that this process holds there. The own
 //! gate is a peer too, reached without a connection.
 
+#[cfg(test)]
+mod tests;
+
 mod convert;
 mod local;
 mod remote;
@@ -73,7 +76,10 @@
     fn run(&self, attempt: Attempt) -> BoxFuture<'_, Result<Reply, Fault>>;
 
     /// Asks over a fresh connection what became of an attempt, and waits for its outcome.
-    fn ask(&self, id: AttemptId, cancel: bool) -> BoxFuture<'_, Result<Reply, Fault>>;
+    fn ask(&self, id: AttemptId) -> BoxFuture<'_, Result<Reply, Fault>>;
+
+    /// Stops an attempt if it waits or runs, over the connection that there is.
+    fn cancel(&self, id: AttemptId) -> BoxFuture<'_, Result<Reply, Fault>>;
 }
 
 /// One gate and the session with it.
@@ -122,8 +128,10 @@
     }
 
     /// Learns from a reply to the attempt `id` that was sent at `asked`.
+    ///
+    /// A gate that can't tell may have forgotten the session, so the next attempt opens another.
     pub(crate) fn hear(&self, id: AttemptId, reply: &Reply, asked: Moment, heard: Moment) {
-        let refused = matches!(
+        let forgotten = matches!(
             reply.outcome,
             Outcome::NotRun {
                 refusal: Refusal::Session,
@@ -134,8 +142,8 @@
         let Some(link) = guard.as_mut() else { return };
         let same = link.boot() == id.boot && link.session() == id.session;
         match () {
-            () if same && reply.boot == link.boot() => link.hear(reply.clock, asked, heard),
-            () if same && refused => *guard = None,
+            () if same && forgotten => *guard = None,
+            () if reply.boot == link.boot() => link.hear(reply.clock, asked, heard),
             () => {}
         }
     }
--- a/crates/node/src/peers/remote.rs
+++ b/crates/node/src/peers/remote.rs
@@ -78,18 +78,22 @@
     }
 
     /// A fresh connection takes the place of the one before, which may have gone silent.
-    async fn ask_about(&self, id: AttemptId, cancel: bool) -> Result<Reply, Fault> {
+    async fn ask_afresh(&self, id: AttemptId) -> Result<Reply, Fault> {
         let fresh = connect(self.address)
             .connect()
             .await
             .map_err(|e| fault_of(&e))?;
-        *self.channel.lock().expect("no holder panics") = fresh.clone();
+        *self.channel.lock().expect("no holder panics") = fresh;
+        self.ask_about(id, false).await
+    }
+
+    async fn ask_about(&self, id: AttemptId, cancel: bool) -> Result<Reply, Fault> {
         let request = AskRequest {
             attempt: Some(id.into()),
             cancel,
-            revision: 0,
         };
-        let outcome = client(fresh)
+        let outcome = self
+            .client()
             .ask(request)
             .await
             .map_err(|status| fault_of(&status))?;
@@ -106,8 +110,12 @@
         self.run_attempt(attempt).boxed()
     }
 
-    fn ask(&self, id: AttemptId, cancel: bool) -> BoxFuture<'_, Result<Reply, Fault>> {
-        self.ask_about(id, cancel).boxed()
+    fn ask(&self, id: AttemptId) -> BoxFuture<'_, Result<Reply, Fault>> {
+        self.ask_afresh(id).boxed()
+    }
+
+    fn cancel(&self, id: AttemptId) -> BoxFuture<'_, Result<Reply, Fault>> {
+        self.ask_about(id, true).boxed()
     }
 }
 
--- a/crates/node/src/spreader.rs
+++ b/crates/node/src/spreader.rs
@@ -4,7 +4,7 @@
 //! step from joining to ready. Reads, comparisons and pulls run in tasks that report back with the
 //! moment at which they asked.
 
-use std::{net::SocketAddr, sync::Arc, time::Duration};
+use std::{collections::HashMap, net::SocketAddr, sync::Arc, time::Duration};
 
 use board::{Board, Phase};
 use fleet::{Action, Budget, Extension, History, HistoryError, Join, Lease, Spread};
@@ -19,7 +19,8 @@
 use rand::{SeedableRng, rngs::SmallRng};
 use serde::Serialize;
 use tokio::time::{sleep_until, timeout};
-use types::{Moment, Rate, Revision};
+use tonic::transport::Channel;
+use types::{Moment, Rate, Revision, Span};
 use wire::peer::{PullRequest, View, peer_client::PeerClient};
 
 use crate::{meter::Meter, peers};
@@ -57,7 +58,7 @@
 pub(crate) struct Dumped {
     neighbours: Vec<SocketAddr>,
     behind: bool,
-    read_period_ms: u64,
+    read_period: Span,
     reads: u64,
     failed_reads: u64,
     stale_reads: u64,
@@ -100,6 +101,8 @@
     history: History,
     join: Join,
     lease: Lease,
+    /// Connections with neighbours, kept since making one costs more than a comparison.
+    channels: HashMap<SocketAddr, Channel>,
     actor: Option<WeakActorRef<Self>>,
     reads: u64,
     failed_reads: u64,
@@ -125,6 +128,7 @@
         history: History::default(),
         join: Join::default(),
         lease: Lease::default(),
+        channels: HashMap::new(),
         actor: None,
         reads: 0,
         failed_reads: 0,
@@ -213,6 +217,8 @@
         match msg.view {
             Some(view) => self.take_comparison(msg.peer, msg.asked, &view),
             None => {
+                // It may have gone silent: the next comparison makes another.
+                self.channels.remove(&msg.peer);
                 self.join.failed(msg.peer);
                 self.spread.lost(msg.peer);
             }
@@ -247,7 +253,7 @@
         Dumped {
             neighbours: self.spread.neighbours().to_vec(),
             behind: self.spread.is_behind(),
-            read_period_ms: self.spread.read_period().as_millis(),
+            read_period: self.spread.read_period(),
             reads: self.reads,
             failed_reads: self.failed_reads,
             stale_reads: self.stale_reads,
@@ -309,8 +315,20 @@
         });
     }
 
-    fn compare(&self, peer: SocketAddr) {
+    /// The connection with a peer. It is kept if the peer is a neighbour.
+    fn channel(&mut self, peer: SocketAddr) -> Channel {
+        let neighbours = self.spread.neighbours();
+        self.channels.retain(|kept, _| neighbours.contains(kept));
+        let connect = || peers::connect(peer).connect_lazy();
+        match neighbours.contains(&peer) {
+            true => self.channels.entry(peer).or_insert_with(connect).clone(),
+            false => connect(),
+        }
+    }
+
+    fn compare(&mut self, peer: SocketAddr) {
         self.meter.control("compare");
+        let channel = self.channel(peer);
         let actor = self.actor.clone();
         let asked = self.board.clock.now();
         let own = self.history.view();
@@ -321,7 +339,7 @@
             ready: self.board.phase() != Phase::Joining,
         };
         tokio::spawn(async move {
-            let view = timeout(COMPARE_TIMEOUT, compare(peer, own))
+            let view = timeout(COMPARE_TIMEOUT, compare(channel, own))
                 .await
                 .ok()
                 .flatten();
@@ -329,13 +347,14 @@
         });
     }
 
-    fn pull(&self, peer: SocketAddr) {
+    fn pull(&mut self, peer: SocketAddr) {
         self.meter.control("pull");
+        let channel = self.channel(peer);
         let actor = self.actor.clone();
         let asked = self.board.clock.now();
         let after = self.history.view().revision;
         tokio::spawn(async move {
-            let extension = timeout(PULL_TIMEOUT, pull(peer, after))
+            let extension = timeout(PULL_TIMEOUT, pull(channel, after))
                 .await
                 .ok()
                 .flatten();
@@ -442,14 +461,12 @@
     }
 }
 
-async fn compare(peer: SocketAddr, own: View) -> Option<View> {
-    let channel = peers::connect(peer).connect().await.ok()?;
+async fn compare(channel: Channel, own: View) -> Option<View> {
     let reply = PeerClient::new(channel).compare(own).await.ok()?;
     Some(reply.into_inner())
 }
 
-async fn pull(peer: SocketAddr, after: Revision) -> Option<Extension> {
-    let channel = peers::connect(peer).connect().await.ok()?;
+async fn pull(channel: Channel, after: Revision) -> Option<Extension> {
     let mut client = PeerClient::new(channel).max_decoding_message_size(MOST_VIEW_BYTES);
     let reply = client
         .pull(PullRequest { revision: after.0 })
--- a/crates/rig/benches/decisions.rs
+++ b/crates/rig/benches/decisions.rs
@@ -166,6 +166,7 @@
                 floor: sent.floor,
                 deadline: sent.deadline,
                 hedge: false,
+                misplaced: false,
             };
             black_box(gate.offer(offer, now));
             black_box(gate.done(sent.id, Finish::Answered(Arc::clone(&answer)), now));
--- a/crates/rig/src/demo.rs
+++ b/crates/rig/src/demo.rs
@@ -13,13 +13,16 @@
     report,
     server::Counts,
 };
+use serde_json::json;
 use tokio::{
     process::{Child, Command},
     time::{Instant, sleep},
 };
 
 /// Requests per second of the comparison under light load.
-const LIGHT_RATE: f64 = 50.0;
+const LIGHT_RATE: f64 = 200.0;
+/// Mean service time of the stand-ins in milliseconds.
+const SERVICE_MS: f64 = 5.0;
 /// Time that backend servers get to become warm.
 const WARM_UP: Duration = Duration::from_millis(3_500);
 /// Where files of a run go.
@@ -70,8 +73,9 @@
     load::run(&plan(&nodes, &services, options.rate / 2.0, WARM_UP)).await;
 
     let time = Duration::from_secs(options.seconds);
+    set_work(&specs, 0.0).await;
     println!(
-        "light load, directly and through the nodes, {} s each",
+        "light load without work, directly and through the nodes, {} s each",
         options.seconds
     );
     let first = &services[..1];
@@ -82,6 +86,7 @@
         .collect();
     let straight = load::run(&plan(&direct, first, LIGHT_RATE, time)).await;
     let light = load::run(&plan(&nodes, first, LIGHT_RATE, time)).await;
+    set_work(&specs, SERVICE_MS).await;
     println!(
         "load of {} requests/s for {} s",
         options.rate, options.seconds
@@ -101,7 +106,7 @@
         .map_err(io::Error::other)?;
     let mut stand_ins = vec![stand_in(&["platform", "--listen", &platform.to_string()])?];
     for spec in specs {
-        let conduct = serde_json::json!({ "node": spec.listen(), "cold": 2, "warm_ms": 3000 });
+        let conduct = json!({ "node": spec.listen(), "cold": 2, "warm_ms": 3000 });
         let listen = spec.server.to_string();
         stand_ins.push(stand_in(&[
             "server",
@@ -130,6 +135,15 @@
     })
 }
 
+/// Mean time that backend servers work on a request, in milliseconds.
+async fn set_work(specs: &[NodeSpec], service_ms: f64) {
+    for spec in specs {
+        let conduct = json!({ "service_ms": service_ms, "node": spec.listen() });
+        let url = format!("http://{}/control/conduct", spec.server);
+        let _ = client().post(url).json(&conduct).send().await;
+    }
+}
+
 fn stand_in(arguments: &[&str]) -> io::Result<Child> {
     Command::new(program("amaranthyoke-rig"))
         .args(arguments)
