--- a/crates/call/tests/support/mod.rs
+++ b/crates/call/tests/support/mod.rs
@@ -2,12 +2,17 @@
 //!
 //! Each step is one event, picked by the test: nothing happens by itself and no clock runs.
 
+mod parts;
+
 use std::{collections::BTreeMap, sync::Arc};
 
-use call::{Action, Bucket, Call, Choose, Ending, Link, Request, Sent, Timing, Try};
+use call::{Action, Bucket, Call, Ending, Link, Request, Timing, Try};
 use gate::{Action as GateAction, Bounds, Finish, Gate, Offer};
 use note::Limits;
-use types::{Answer, AttemptId, Boot, Moment, Outcome, Refusal, ServerId, Slots, Span};
+use types::{Answer, AttemptId, Boot, Moment, Outcome, Refusal, Slots, Span};
+
+use parts::{Any, Caller, Ingress, Message, Process, Running, clock, place};
+pub(crate) use parts::{Step, Without};
 
 /// Number of gates.
 pub(crate) const GATES: usize = 3;
@@ -15,91 +20,6 @@
 pub(crate) const INGRESSES: usize = 2;
 /// Time that each call gets.
 const CALL_TIME: Span = Span::from_millis(400);
-/// Distance of the gates' clocks from the ingresses'.
-const CLOCK_STEP: Span = Span::from_millis(77_000);
-
-/// Which mechanism is left out, to see that the checks notice.
-#[derive(Debug, Clone, Copy, PartialEq, Eq)]
-pub(crate) enum Without {
-    /// None.
-    Nothing,
-    /// Requests count as idempotent, so silence sends them elsewhere.
-    Care,
-    /// A gate says "not run" of an attempt that never came, but doesn't bar it.
-    Bars,
-    /// A gate forgets everything now and then, as a fence with a timer would.
-    Memory,
-    /// Deadlines travel as spans, so they stretch while a message waits.
-    Moments,
-}
-
-/// One step. The numbers pick among what there is.
-#[derive(Debug, Clone, Copy)]
-pub(crate) enum Step {
-    Begin(u8),
-    Deliver(u16),
-    Repeat(u16),
-    Lose(u16),
-    End(u16, u8),
-    Wait(u8),
-    RestartGate(u8),
-    RestartIngress(u8),
-    Abandon(u16),
-}
-
-#[derive(Debug, Clone)]
-enum Message {
-    Run {
-        boot: Boot,
-        offer: Offer,
-        to: usize,
-        call: usize,
-        attempt: Try,
-    },
-    Ask {
-        boot: Boot,
-        id: AttemptId,
-        to: usize,
-        call: usize,
-        attempt: Try,
-        cancel: bool,
-    },
-    Reply {
-        call: usize,
-        attempt: Try,
-        outcome: Outcome,
-    },
-}
-
-struct Running {
-    call: usize,
-    /// Whether the backend server began, which a connection that failed rules out.
-    id: AttemptId,
-}
-
-struct Process {
-    gate: Gate,
-    /// Who waits for which attempt.
-    waiting: Vec<(AttemptId, usize, Try)>,
-    running: Vec<Running>,
-    /// Call that each attempt belongs to.
-    owners: BTreeMap<AttemptId, usize>,
-}
-
-struct Ingress {
-    boot: Boot,
-    links: Vec<Option<Link>>,
-}
-
-struct Caller {
-    call: Call,
-    ingress: Boot,
-    at: usize,
-    deadline: Moment,
-    sent: BTreeMap<Try, (usize, Sent)>,
-    told: Vec<Ending>,
-    alive: bool,
-}
 
 /// Everything.
 pub(crate) struct World {
@@ -118,32 +38,6 @@
     turn: usize,
 }
 
-struct Any {
-    turn: usize,
-}
-
-impl Choose for Any {
-    fn choose(&mut self, tried: &[ServerId]) -> Option<ServerId> {
-        let ids = (0..GATES).map(|at| server((self.turn + at) % GATES));
-        ids.into_iter().find(|id| !tried.contains(id))
-    }
-}
-
-fn server(at: usize) -> ServerId {
-    format!("server-{at}").parse().expect("a name")
-}
-
-fn place(id: &ServerId) -> usize {
-    id.as_str()
-        .trim_start_matches("server-")
-        .parse()
-        .expect("a number")
-}
-
-fn clock(gate: usize, now: Moment) -> Moment {
-    now + CLOCK_STEP.scale(gate as f64)
-}
-
 impl World {
     pub(crate) fn new(without: Without) -> Self {
         let mut world = Self {
--- a/crates/gate/src/core.rs
+++ b/crates/gate/src/core.rs
@@ -92,8 +92,6 @@
     pub typical: Span,
 }
 
-/// Lowest HTTP status with which a backend server says that it failed.
-const FAILED_STATUS: u16 = 500;
 /// Bounds of the time that a backend server takes to notice that a request was cancelled.
 const LEAST_NOTICE: Span = Span::from_millis(10);
 const MOST_NOTICE: Span = Span::from_millis(200);
@@ -229,7 +227,7 @@
             self.leaving.push(now + notice);
         }
         let (evidence, outcome) = match finish {
-            Finish::Answered(answer) if answer.status >= FAILED_STATUS => {
+            Finish::Answered(answer) if answer.is_failure() => {
                 (Evidence::Overload, Outcome::Answer(answer))
             }
             Finish::Answered(answer) => (Evidence::Good(took), Outcome::Answer(answer)),
--- a/crates/node/src/gatekeeper/carry.rs
+++ b/crates/node/src/gatekeeper/carry.rs
@@ -7,11 +7,12 @@
 use gate::{Action, Bounds, Finish, Gate, Offer};
 use kameo::actor::WeakActorRef;
 use note::{Limits, Server, Service};
-use tokio::{sync::oneshot, task::JoinHandle, time::sleep_until};
+use tokio::sync::oneshot;
 use types::{AttemptId, Boot, Moment, Outcome, ServerId};
 
 use super::{Ask, Done, Dumped, Opened, Probed, Reply, Run, Tick, follow, outcome_name};
 use crate::{
+    alarm::Alarm,
     backend::{Backend, Ended, ServerRequest, Target},
     meter::Meter,
 };
@@ -35,7 +36,7 @@
     server: Option<(Server, Service)>,
     work: HashMap<AttemptId, Work>,
     actor: Option<WeakActorRef<Self>>,
-    timer: Option<(Moment, JoinHandle<()>)>,
+    alarm: Alarm,
 }
 
 impl Gatekeeper {
@@ -49,7 +50,7 @@
             server: None,
             work: HashMap::new(),
             actor: None,
-            timer: None,
+            alarm: Alarm::default(),
         }
     }
 
@@ -78,7 +79,7 @@
         let actions = follow(&self.board, &mut self.gate, id.as_ref());
         self.carry_out(actions);
         let now = self.board.clock.now();
-        self.timer.take_if(|(at, _)| *at <= now);
+        self.alarm.clear(now);
         let actions = self.gate.tick(now);
         self.carry_out(actions);
     }
@@ -250,24 +251,12 @@
         let Some(at) = self.gate.next_tick() else {
             return;
         };
-        match self.timer.take() {
-            // It comes early at worst, and is set anew then.
-            Some((set, task)) if set <= at => {
-                self.timer = Some((set, task));
-                return;
-            }
-            Some((_, task)) => task.abort(),
-            None => {}
-        }
-        let when = self.board.clock.instant(at);
         let actor = self.actor.clone();
-        let task = tokio::spawn(async move {
-            sleep_until(when).await;
+        self.alarm.set(at, self.board.clock, async move {
             if let Some(actor) = actor.and_then(|a| a.upgrade()) {
                 let _ = actor.tell(Tick).await;
             }
         });
-        self.timer = Some((at, task));
     }
 }
 
--- a/crates/node/src/ingress/desk.rs
+++ b/crates/node/src/ingress/desk.rs
@@ -15,9 +15,6 @@
 
 use crate::gatekeeper::Reply;
 
-/// Lowest HTTP status with which a backend server says that it failed.
-const FAILED_STATUS: u16 = 500;
-
 /// One service.
 struct Desk {
     table: Table,
@@ -125,7 +122,7 @@
                 Outcome::NotRun { refusal, after } => {
                     desk.table.refused(server, refusal, after, now);
                 }
-                Outcome::Answer(ref answer) if answer.status >= FAILED_STATUS => {
+                Outcome::Answer(ref answer) if answer.is_failure() => {
                     desk.table.failed(server, now);
                 }
                 Outcome::Answer(_) => {
--- a/crates/node/src/lib.rs
+++ b/crates/node/src/lib.rs
@@ -20,6 +20,7 @@
 //! [`ops::run`] starts these and stops them in order; read it first.
 
 mod admin;
+mod alarm;
 mod backend;
 mod gatekeeper;
 mod ingress;
--- a/crates/node/src/spreader.rs
+++ b/crates/node/src/spreader.rs
@@ -18,15 +18,12 @@
 use platform::{HostList, Page, Platform, PlatformError};
 use rand::{SeedableRng, rngs::SmallRng};
 use serde::Serialize;
-use tokio::{
-    task::JoinHandle,
-    time::{sleep_until, timeout},
-};
+use tokio::time::timeout;
 use tonic::transport::Channel;
 use types::{Moment, Rate, Revision, Span};
 use wire::peer::{PullRequest, View, peer_client::PeerClient};
 
-use crate::{meter::Meter, peers};
+use crate::{alarm::Alarm, meter::Meter, peers};
 
 /// Messages that may wait for the actor.
 const MAILBOX_MESSAGES: usize = 4_096;
@@ -107,7 +104,7 @@
     /// Connections with neighbours, kept since making one costs more than a comparison.
     channels: HashMap<SocketAddr, Channel>,
     actor: Option<WeakActorRef<Self>>,
-    timer: Option<(Moment, JoinHandle<()>)>,
+    alarm: Alarm,
     reads: u64,
     failed_reads: u64,
     stale_reads: u64,
@@ -134,7 +131,7 @@
         lease: Lease::default(),
         channels: HashMap::new(),
         actor: None,
-        timer: None,
+        alarm: Alarm::default(),
         reads: 0,
         failed_reads: 0,
         stale_reads: 0,
@@ -271,7 +268,7 @@
 impl Spreader {
     fn tick(&mut self) {
         let now = self.board.clock.now();
-        self.timer.take_if(|(at, _)| *at <= now);
+        self.alarm.clear(now);
         let mut actions = self.spread.tick(now);
         if self.board.phase() == Phase::Joining {
             let new = self.join.ask(self.spread.neighbours());
@@ -286,22 +283,9 @@
 
     /// Wakes the actor when the spread has something to do.
     fn set_timer(&mut self) {
+        let wake = tell(self.actor.clone(), Tick);
         let at = self.spread.next_tick();
-        match self.timer.take() {
-            Some((set, task)) if set <= at => {
-                self.timer = Some((set, task));
-                return;
-            }
-            Some((_, task)) => task.abort(),
-            None => {}
-        }
-        let when = self.board.clock.instant(at);
-        let actor = self.actor.clone();
-        let task = tokio::spawn(async move {
-            sleep_until(when).await;
-            tell(actor, Tick).await;
-        });
-        self.timer = Some((at, task));
+        self.alarm.set(at, self.board.clock, wake);
     }
 
     fn carry_out(&mut self, actions: Vec<Action>) {
--- a/crates/note/src/state.rs
+++ b/crates/note/src/state.rs
@@ -47,7 +47,8 @@
 pub struct Limits {
     /// Requests that a warm backend server works on at once.
     pub slots: Slots,
-    /// Connections that a backend server takes.
+    /// Connections that a backend server takes. Its gate holds one for each running request, so the
+    /// slots, which must not be more, bound them.
     pub connections: Slots,
     /// Requests that a backend server bears while it is cold.
     pub cold: Slots,
--- a/crates/rig/tests/support/mod.rs
+++ b/crates/rig/tests/support/mod.rs
@@ -1,3 +1,5 @@
 //! Helpers of the tests over real processes.
 
+mod command;
+mod request;
 pub(crate) mod script;
--- a/crates/rig/tests/support/script.rs
+++ b/crates/rig/tests/support/script.rs
@@ -1,4 +1,4 @@
-//! The commands of scripted scenarios.
+//! What the commands of scripted scenarios do.
 
 use std::{
     collections::{BTreeMap, HashMap},
@@ -8,12 +8,10 @@
 };
 
 use goldenscript::{Context, Runner};
-use reqwest::Method;
 use rig::{
     cluster::{Cluster, cluster},
     fleet::client,
     platform::Conduct,
-    server::Echo,
 };
 use serde_json::{Value, json};
 use tokio::{
@@ -22,107 +20,16 @@
     time::{sleep, timeout},
 };
 
+use super::{
+    command::Command,
+    request::{Ended, Request},
+};
+
 /// Longest time that a scenario waits for anything.
 const PATIENCE: Duration = Duration::from_secs(40);
 /// Time between two looks.
 const POLL: Duration = Duration::from_millis(10);
 
-#[derive(Debug, goldenscript::Command)]
-pub(crate) enum Command {
-    /// Starts a cluster: `cluster linked draws=1 fees=2`.
-    Cluster(
-        #[arg(pos, many, optional)] Vec<String>,
-        #[arg(key, many)] Vec<(String, usize)>,
-    ),
-    /// Sends a request in the background: `send x POST fees via=0`.
-    Send {
-        name: String,
-        method: String,
-        service: String,
-        #[arg(key)]
-        via: usize,
-        #[arg(key)]
-        deadline: Option<u64>,
-        #[arg(key)]
-        depth: Option<u32>,
-        /// Service of the nested calls.
-        #[arg(key)]
-        to: Option<String>,
-    },
-    /// Sends so many requests one after the other and prints the statuses.
-    Burst {
-        count: usize,
-        method: String,
-        service: String,
-        #[arg(key)]
-        via: usize,
-    },
-    /// Waits for the answer to a request and prints it.
-    Await(Vec<String>),
-    /// The caller of a request goes away.
-    Leave(String),
-    /// Waits until a request has begun at a backend server.
-    Begun(String),
-    /// Waits until a backend server has begun so many requests.
-    Began(usize, u64),
-    /// Prints how often a request was begun.
-    Runs(Vec<String>),
-    /// Waits until so many requests were cancelled at a backend server.
-    Cancelled(usize, u64),
-    /// Changes a backend server: `server 0 answering=silent slow=10`.
-    Server(usize, #[arg(key, many)] Vec<(String, String)>),
-    /// A backend server is started anew: what runs is cut, and it is cold.
-    Restart(usize),
-    /// Sends so many requests at once and prints how many were answered or truly refused.
-    Rush {
-        count: usize,
-        method: String,
-        service: String,
-        #[arg(key)]
-        via: usize,
-    },
-    /// Prints whether a backend server was given more than it bore.
-    Breaches(Vec<usize>),
-    /// A backend server takes no connections, or does again.
-    Down(usize),
-    Up(usize),
-    /// Sends a signal to a node: `signal 1 STOP`.
-    Signal(usize, String),
-    Kill(usize),
-    Start(usize),
-    /// Waits until a node takes work, or until it is in another phase.
-    Ready(usize),
-    /// Waits until a node ends by itself and prints its exit code.
-    Exit(usize),
-    /// Changes the link to a node: `link 1 deaf`.
-    Link(usize, String),
-    /// Changes the platform: `platform down`, `platform stale=1`, `platform up`.
-    Platform(String),
-    /// Publishes a change: `publish zone a out`.
-    Publish(Vec<String>),
-    /// Shows a host as leaving on the platform's list.
-    Leaving(usize),
-    /// Waits until nodes have a revision in force: `in_force 2 0 1`.
-    InForce(u64, Vec<usize>),
-    /// Publishes the same change twice, as two operators who don't know of each other.
-    Race(Vec<String>),
-    /// Prints the faults of the last rejected note on each node.
-    Faults(Vec<usize>),
-    /// Waits until the gates of nodes take no new work, or do again.
-    Closed(Vec<usize>),
-    Open(Vec<usize>),
-    /// Prints whether a backend server began anything since the last look.
-    Idle(usize),
-    /// Prints the revisions that nodes have in force.
-    Revisions(Vec<usize>),
-    Sleep(u64),
-}
-
-#[derive(Debug, Clone)]
-struct Ended {
-    text: String,
-}
-
 /// A scenario that runs.
 pub(crate) struct Script {
     name: &'static str,
@@ -435,70 +342,6 @@
 
 type Outcome = Result<String, Box<dyn Error>>;
 
-#[derive(Debug, Clone)]
-struct Request {
-    method: String,
-    service: String,
-    via: usize,
-    deadline: u64,
-    depth: u32,
-    to: Option<String>,
-}
-
-impl Request {
-    fn new(method: &str, service: &str, via: usize) -> Self {
-        Self {
-            method: method.to_owned(),
-            service: service.to_owned(),
-            via,
-            deadline: 20_000,
-            depth: 0,
-            to: None,
-        }
-    }
-
-    async fn send(self, target: String, id: String) -> Ended {
-        let to = self
-            .to
-            .map(|service| format!("&to={service}"))
-            .unwrap_or_default();
-        let url = format!(
-            "http://{target}/{}/item?depth={}{to}",
-            self.service, self.depth
-        );
-        let method: Method = self.method.parse().expect("a method");
-        let request = client()
-            .request(method, url)
-            .header("x-request-id", &id)
-            .header("x-deadline-ms", self.deadline);
-        let Ok(answer) = request.send().await else {
-            return Ended {
-                text: "no answer".to_owned(),
-            };
-        };
-        let status = answer.status().as_u16();
-        let header = |name| {
-            answer
-                .headers()
-                .get(name)
-                .and_then(|v| v.to_str().ok())
-                .map(str::to_owned)
-        };
-        let outcome = header("x-outcome");
-        let back = header("retry-after").map(|_| ", says when to come back");
-        let body = answer.bytes().await.unwrap_or_default();
-        let own = serde_json::from_slice::<Echo>(&body).is_ok_and(|echo| echo.id == id);
-        let what = match (status, outcome) {
-            (200, _) if own => "whole answer".to_owned(),
-            (_, Some(outcome)) => outcome,
-            _ => "no echo".to_owned(),
-        };
-        Ended {
-            text: format!("{status} {what}{}", back.unwrap_or_default()),
-        }
-    }
-}
-
 impl Runner for Script {
     type Command = Command;
 
--- a/crates/types/src/outcome.rs
+++ b/crates/types/src/outcome.rs
@@ -86,6 +86,16 @@
     pub body: Bytes,
 }
 
+/// Lowest HTTP status with which a backend server says that it failed.
+const FAILED_STATUS: u16 = 500;
+
+impl Answer {
+    /// Whether the backend server says that it failed.
+    pub fn is_failure(&self) -> bool {
+        self.status >= FAILED_STATUS
+    }
+}
+
 /// What became of one attempt.
 #[derive(Debug, Clone, PartialEq, Eq)]
 pub enum Outcome {
