Start nothing that waited on a view which may no longer be acted on

A request that was let in while the lease ran could still start from the queue after it had run out, as in a process that wakes up late. Change: what waits is refused when the lease has run out; the gate asserts that nothing starts where operators want no work, and a graceful stop asserts that the gate is idle. Calls that end as unknown are logged as warnings, refusals other than for load as information; before, only debug logs carried their ids.

--- a/crates/gate/src/core.rs
+++ b/crates/gate/src/core.rs
@@ -379,6 +379,11 @@
             now < deadline,
             "invariant: nothing starts past its deadline, {id}"
         );
+        let may = self.open && now <= self.fresh;
+        assert!(
+            may,
+            "invariant: no new work where operators want none, {id}"
+        );
         vec![Action::Start(id, deadline)]
     }
 
@@ -393,6 +398,10 @@
             let late = self.queue.pop().map(|(_, id)| id);
             actions.extend(late.into_iter().flat_map(|id| self.refuse_late(id)));
         }
+        // What waits was let in by a view that may no longer be acted on.
+        if now > self.fresh {
+            actions.extend(self.refuse_waiting(Refusal::Stale));
+        }
         while self.taken() < self.allowance.allowed(now) {
             let Some((deadline, id)) = self.queue.pop() else {
                 break;
--- a/crates/gate/tests/bears.rs
+++ b/crates/gate/tests/bears.rs
@@ -15,6 +15,8 @@
 const COLD: usize = 2;
 const WARM_MS: u64 = 1_000;
 const QUEUE: usize = 4;
+/// Time that a view may be acted on, short enough to run out while requests wait.
+const LEASE: Span = Span::from_millis(100);
 
 #[derive(Debug, Clone)]
 enum Step {
@@ -68,7 +70,7 @@
         let mut gate = Gate::new(Boot(1), limits, Bounds::default());
         let session = gate.open_session(Boot(2), now);
         gate.set_open(true);
-        gate.set_fresh(now + Span::from_millis(3_000));
+        gate.set_fresh(now + LEASE);
         Self {
             gate,
             session,
@@ -80,7 +82,7 @@
             started: BTreeSet::new(),
             replies: BTreeMap::new(),
             open: true,
-            fresh: now + Span::from_millis(3_000),
+            fresh: now + LEASE,
         }
     }
 
@@ -141,7 +143,7 @@
                 self.gate.set_open(*open)
             }
             Step::Renew => {
-                self.fresh = self.now + Span::from_millis(3_000);
+                self.fresh = self.now + LEASE;
                 self.gate.set_fresh(self.fresh);
                 Vec::new()
             }
@@ -184,6 +186,8 @@
                         "{id} started after its reply"
                     );
                     prop_assert!(self.now < deadline);
+                    prop_assert!(self.open, "{id} started while the server takes no new work");
+                    prop_assert!(self.now <= self.fresh, "{id} started on a stale view");
                     self.running.insert(id);
                     let (running, bears) = (self.running.len(), self.bears());
                     prop_assert!(running <= bears, "{running} run, {bears} are borne");
--- a/crates/node/src/ingress/answer.rs
+++ b/crates/node/src/ingress/answer.rs
@@ -7,6 +7,7 @@
 };
 use board::{Board, Phase};
 use call::Ending;
+use log::Level;
 use rand::RngExt;
 use serde::Serialize;
 use types::{Answer, CallId, Refusal, Span};
@@ -36,6 +37,17 @@
     }
 }
 
+/// How much an ending matters: what nobody can tell is rare and wants looking at, refusals for load
+/// come in crowds.
+pub(crate) fn level(ending: &Result<Ending, Rejection>) -> Level {
+    match ending {
+        Ok(Ending::Unknown { .. }) => Level::Warn,
+        Ok(Ending::NotRun { refusal, .. }) if !refusal.is_load() => Level::Info,
+        Err(_) => Level::Info,
+        Ok(Ending::Answer(_) | Ending::NotRun { .. }) => Level::Debug,
+    }
+}
+
 /// Builds the response.
 pub(crate) fn respond(board: &Board, call: CallId, ending: Result<Ending, Rejection>) -> Response {
     let name = kind(&ending);
--- a/crates/node/src/ingress/mod.rs
+++ b/crates/node/src/ingress/mod.rs
@@ -84,6 +84,7 @@
     let took = ingress.board.clock.now().since(began);
     let kind = answer::kind(&ending);
     ingress.meter.call(kind, took);
-    log::debug!(call:% = id, ending = kind, took_us = took.0; "call_ended");
+    let level = answer::level(&ending);
+    log::log!(level, call:% = id, ending = kind, took_us = took.0; "call_ended");
     answer::respond(&ingress.board, id, ending)
 }
--- a/crates/node/src/ops.rs
+++ b/crates/node/src/ops.rs
@@ -173,6 +173,12 @@
             self.callers.close().await;
             finish(&self.gatekeeper).await;
             self.peers.close().await;
+            let idle = self
+                .gatekeeper
+                .ask(gatekeeper::Dump)
+                .await
+                .is_ok_and(|dump| dump.idle);
+            assert!(idle, "invariant: a graceful stop cuts no request");
             self.admin.close().await;
         };
         timeout_at(deadline, orderly)
