--- a/crates/node/src/main.rs
+++ b/crates/node/src/main.rs
@@ -37,8 +37,7 @@
     }
 }
 
-/// Runs the node. Two workers are enough for one host's share, and leave the rest to the backend server.
-#[tokio::main(worker_threads = 2)]
+#[tokio::main]
 async fn serve(settings: settings::Settings) -> Result<(), ops::RunError> {
     ops::run(settings).await
 }
