--- a/crates/gate/tests/allowance.rs
+++ b/crates/gate/tests/allowance.rs
@@ -1,8 +1,10 @@
 //! How many requests a backend server is given.
 
-use gate::{Allowance, Evidence};
+use std::sync::Arc;
+
+use gate::{Allowance, Bounds, Evidence, Finish, Gate, Offer};
 use note::Limits;
-use types::{Moment, Slots, Span};
+use types::{Answer, AttemptId, Boot, Moment, Seq, Slots, Span};
 
 fn limits() -> Limits {
     Limits {
@@ -93,3 +95,50 @@
     });
     assert!(allowance.allowed(at(0)) <= 4);
 }
+
+#[test]
+fn an_answer_that_says_failed_lowers_the_allowance_however_fast_it_comes() {
+    let limits = Limits {
+        slots: Slots(10),
+        cold: Slots(2),
+        warm_ms: 0,
+        ..Limits::default()
+    };
+    let mut gate = Gate::new(Boot(1), limits, Bounds::default());
+    gate.set_open(true);
+    gate.set_fresh(Moment::MAX);
+    let session = gate.open_session(Boot(2), at(0));
+    let mut run = |seq: u64, status: u16| {
+        let id = AttemptId {
+            boot: Boot(1),
+            session,
+            seq: Seq(seq),
+        };
+        let (now, deadline) = (at(seq * 10), at(seq * 10 + 1_000));
+        let offer = Offer {
+            id,
+            floor: Seq(seq),
+            deadline,
+            hedge: false,
+            misplaced: false,
+        };
+        gate.offer(offer, now);
+        let answer = Answer {
+            status,
+            ..Answer::default()
+        };
+        gate.done(
+            id,
+            Finish::Answered(Arc::new(answer)),
+            now + Span::from_millis(5),
+        );
+        gate.load(now).allowed
+    };
+    let warm = (1..=100).map(|seq| run(seq, 200)).max().unwrap_or_default();
+    let failing = (101..=110)
+        .map(|seq| run(seq, 500))
+        .min()
+        .unwrap_or_default();
+    assert_eq!(warm, 10);
+    assert_eq!(failing, 2);
+}
