--- a/crates/board/src/lib.rs
+++ b/crates/board/src/lib.rs
@@ -8,7 +8,7 @@
 //! | `view` | spreader | gatekeeper, ingress, admin |
 //! | `lease` | spreader | gatekeeper, admin |
 //! | `hosts` | spreader | gatekeeper, ingress, admin |
-//! | `phase` | spreader (ready), operations (stopping) | all |
+//! | `phase` | spreader (ready), operations (leaving, stopping) | all |
 
 mod clock;
 
@@ -31,6 +31,8 @@
     Joining,
     /// It takes work.
     Ready,
+    /// It is about to stop and says so, and takes work until callers have gone elsewhere.
+    Leaving,
     /// It takes no new work and finishes what it has.
     Stopping,
 }
--- a/crates/call/src/budget.rs
+++ b/crates/call/src/budget.rs
@@ -1,7 +1,10 @@
 //! Repeats are paid for by first attempts.
 
-/// Repeats that may be saved up.
+/// Repeats that may be saved up, unless the fleet shares a bound.
 const MOST_SAVED: f64 = 20.0;
+/// Part of the fleet's bound that is given out. The rest is for nodes that come and go, each of which
+/// may save anew.
+const SHARED: f64 = 0.5;
 
 /// Whether a repeat is allowed now.
 pub trait Budget {
@@ -16,20 +19,39 @@
 #[derive(Debug, Clone)]
 pub struct Bucket {
     saved: f64,
+    most: f64,
 }
 
 impl Default for Bucket {
     fn default() -> Self {
         Self {
             saved: MOST_SAVED / 2.0,
+            most: MOST_SAVED,
         }
     }
 }
 
 impl Bucket {
+    /// An empty budget. It saves up the node's share of `slack`, the repeats beyond the ratio that all
+    /// `nodes` together may send, and one at least.
+    pub fn shared(slack: f64, nodes: usize) -> Self {
+        let mut bucket = Self {
+            saved: 0.0,
+            most: 0.0,
+        };
+        bucket.share(slack, nodes);
+        bucket
+    }
+
+    /// The fleet has another size.
+    pub fn share(&mut self, slack: f64, nodes: usize) {
+        self.most = (slack * SHARED / nodes.max(1) as f64).max(1.0);
+        self.saved = self.saved.min(self.most);
+    }
+
     /// A first attempt was sent: adds `ratio` of a repeat.
     pub fn earn(&mut self, ratio: f64) {
-        self.saved = (self.saved + ratio).min(MOST_SAVED);
+        self.saved = (self.saved + ratio).min(self.most);
     }
 }
 
--- a/crates/call/src/core.rs
+++ b/crates/call/src/core.rs
@@ -29,6 +29,8 @@
     pub repeat: bool,
     /// Last moment at which the answer is wanted.
     pub deadline: Moment,
+    /// Backend servers that it may be sent to at most.
+    pub attempts: u32,
 }
 
 /// When a call becomes impatient.
@@ -108,6 +110,8 @@
     barred: bool,
     /// Whether the refusal leaves the backend server as good as before.
     revisit: bool,
+    /// Whether the backend server can't have seen it: the gate refused it.
+    withheld: bool,
 }
 
 /// One call. See the crate's documentation.
@@ -266,6 +270,11 @@
             .count()
     }
 
+    /// Attempts that a backend server saw or may see.
+    fn arrived(&self) -> u32 {
+        self.attempts.iter().filter(|a| !a.withheld).count() as u32
+    }
+
     fn settle(&mut self, attempt: Try) -> Vec<Action> {
         self.attempts[attempt].phase = Phase::Settled;
         vec![Action::Settle(attempt)]
@@ -279,6 +288,7 @@
     fn note_refusal(&mut self, attempt: Try, refusal: Refusal, after: Span) {
         self.last = (refusal, if after.0 == 0 { DEFAULT_AFTER } else { after });
         self.attempts[attempt].revisit = matches!(refusal, Refusal::Session | Refusal::Barred);
+        self.attempts[attempt].withheld = !refusal.is_servers();
     }
 
     /// Backend servers that the next attempt doesn't go to.
@@ -331,11 +341,13 @@
         budget: &mut dyn Budget,
     ) -> Option<Vec<Action>> {
         let allowed = !self.request.repeat && self.loaded + 1 < MOST_LOADED;
-        if !allowed || self.attempts.len() >= MOST_TRIES {
+        let arrived = self.arrived();
+        if !allowed || self.attempts.len() >= MOST_TRIES || arrived >= self.request.attempts {
             return None;
         }
         let server = choose.choose(&self.tried())?;
-        if !budget.spend() {
+        // What no backend server saw adds nothing to their load.
+        if arrived > 0 && !budget.spend() {
             return None;
         }
         self.loaded += 1;
@@ -343,7 +355,8 @@
     }
 
     fn send_or_finish(&mut self, now: Moment, choose: &mut dyn Choose) -> Vec<Action> {
-        let server = match self.attempts.len() < MOST_TRIES {
+        let more = self.attempts.len() < MOST_TRIES && self.arrived() < self.request.attempts;
+        let server = match more {
             true => choose.choose(&self.tried()),
             false => None,
         };
@@ -368,6 +381,7 @@
             phase,
             barred: false,
             revisit: false,
+            withheld: false,
         });
         vec![Action::Send {
             attempt,
--- a/crates/call/tests/support/mod.rs
+++ b/crates/call/tests/support/mod.rs
@@ -18,6 +18,8 @@
 pub(crate) const GATES: usize = 3;
 /// Number of ingresses.
 pub(crate) const INGRESSES: usize = 2;
+/// Backend servers that a call may be sent to at most.
+const MOST_ATTEMPTS: u32 = 3;
 /// Time that each call gets.
 const CALL_TIME: Span = Span::from_millis(400);
 
@@ -195,6 +197,7 @@
             idempotent: self.without == Without::Care,
             repeat: false,
             deadline: self.now + CALL_TIME,
+            attempts: MOST_ATTEMPTS,
         };
         let timing = Timing {
             patience: Span::from_millis(60),
--- a/crates/cli/src/notes.rs
+++ b/crates/cli/src/notes.rs
@@ -93,6 +93,8 @@
         zones,
         services,
         servers,
+        routes,
+        ..
     } = &view.state;
     let mut text = format!("revision {} digest {}\n", view.revision, view.digest);
     for zone in zones.values().map(|e| &e.item) {
@@ -121,6 +123,14 @@
             server.id, server.service, server.zone
         );
     }
+    for route in routes.values().map(|e| &e.item) {
+        let part = |p: &note::Part| format!(" {} {}", p.service, p.weight);
+        let parts: String = route.parts.iter().map(part).collect();
+        text += &format!(
+            "route {} {}{} to{parts}\n",
+            route.id, route.host, route.path
+        );
+    }
     for rejection in &view.rejected {
         text += &format!("rejected: revision {}\n", rejection.revision);
         rejection
--- a/crates/fleet/src/history.rs
+++ b/crates/fleet/src/history.rs
@@ -6,6 +6,8 @@
 use serde::{Deserialize, Serialize};
 use types::Revision;
 
+use crate::snapshot::Parts;
+
 /// Bytes of note texts kept for peers that are a little behind.
 const MOST_KEPT_BYTES: usize = 1 << 20;
 
@@ -24,6 +26,8 @@
     },
     /// The whole view, for a peer that is too far behind.
     View(Arc<View>),
+    /// The parts of a snapshot, where the platform keeps no history.
+    Parts(Box<Parts>),
 }
 
 /// Why an extension was not taken.
@@ -31,6 +35,8 @@
 pub enum HistoryError {
     /// It ends before the own view or at it.
     Older,
+    /// It comes from a node whose platform publishes in another form.
+    Foreign,
     /// It doesn't follow from the own view: two histories exist.
     Forked {
         /// The own revision.
@@ -41,6 +47,7 @@
 impl fmt::Display for HistoryError {
     fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
         match self {
+            Self::Foreign => f.write_str("is of another form"),
             Self::Older => f.write_str("is not newer than the view in force"),
             Self::Forked { revision } => {
                 write!(
@@ -95,6 +102,7 @@
                 digest,
             } => self.take_notes(after, &texts, digest),
             Extension::View(view) => self.take_view(view),
+            Extension::Parts(_) => Err(HistoryError::Foreign),
         }
     }
 
--- a/crates/fleet/src/lib.rs
+++ b/crates/fleet/src/lib.rs
@@ -8,15 +8,20 @@
 //! and the texts of the last notes, so that a peer a few notes behind gets these and only a newcomer
 //! gets the whole view. Nothing ever moves a view back: both take only what extends it.
 //!
+//! Where the platform keeps newest values instead of a history, [`Snapshot`] takes the place of
+//! [`History`].
+//!
 //! [`Lease`] says for how long a view may be acted on. A node that was paused or cut off finds it run
 //! out, and takes no new work until it has compared its view with somebody again.
 
 mod history;
 mod join;
 mod lease;
+mod snapshot;
 mod spread;
 
 pub use history::{Extension, History, HistoryError};
 pub use join::Join;
 pub use lease::Lease;
+pub use snapshot::{Parts, Snapshot};
 pub use spread::{Action, Budget, Spread};
--- /dev/null
+++ b/crates/fleet/src/snapshot.rs
@@ -0,0 +1,213 @@
+//! A view that is a whole state, read from a registry that keeps newest values only.
+//!
+//! A snapshot has two parts, the listing of backend servers and the orders of operators. Nodes read
+//! them at different moments and give them to each other, so each part carries the registry's
+//! revision and is taken only if it is newer. Neither ever goes back.
+//!
+//! # What isn't taken at its word
+//!
+//! - *An old entry.* A heartbeat that was delayed on its way may overwrite a newer one. Within one
+//!   incarnation an entry with a lower number is passed over, and a backend server that was leaving
+//!   stays so.
+//! - *An entry that vanished around an outage.* Entries expire while their owners can't reach the
+//!   registry. Whoever notices the outage keeps what was listed for [`HOLD`] after the return.
+
+use std::{collections::BTreeMap, sync::Arc};
+
+use note::{Digest, Listed, Listing, Orders, ServerStatus, State, View};
+use serde::{Deserialize, Serialize};
+use types::{Boot, Moment, Revision, ServerId, Span};
+
+/// Time after the registry's return within which live backend servers are listed again. The platform
+/// promises two seconds.
+const HOLD: Span = Span::from_millis(2_000);
+/// Backend servers that are gone and remembered, so that a late entry doesn't bring them back.
+const MOST_GONE: usize = 4_096;
+
+/// Both parts, as nodes give them to each other.
+#[derive(Debug, Clone, Default, PartialEq, Serialize, Deserialize)]
+pub struct Parts {
+    /// Revision of the giver's view.
+    pub revision: Revision,
+    /// The backend servers.
+    pub listing: Listing,
+    /// What operators want.
+    pub orders: Orders,
+}
+
+/// The view in force and the parts that it was made of.
+#[derive(Debug, Clone, Default)]
+pub struct Snapshot {
+    view: Arc<View>,
+    parts: Parts,
+    gone: BTreeMap<ServerId, (Boot, u64)>,
+    /// Whether the last read failed.
+    failing: bool,
+    /// Until when entries that vanish are kept.
+    hold: Moment,
+}
+
+impl Snapshot {
+    /// The view in force.
+    pub fn view(&self) -> &Arc<View> {
+        &self.view
+    }
+
+    /// Both parts, as a peer takes them.
+    pub fn parts(&self) -> Parts {
+        Parts {
+            revision: self.view.revision,
+            ..self.parts.clone()
+        }
+    }
+
+    /// Whether anything of both parts is known.
+    pub fn is_complete(&self) -> bool {
+        self.parts.orders.version > 0 && self.parts.listing.revision > Revision(0)
+    }
+
+    /// A read of the registry failed.
+    pub fn failed(&mut self) {
+        self.failing = true;
+    }
+
+    /// A read of the registry succeeded at `now`.
+    pub fn reached(&mut self, now: Moment) {
+        if std::mem::take(&mut self.failing) {
+            self.hold = now + HOLD;
+        }
+    }
+
+    /// Takes a listing if it is newer, and tells whether the view changed.
+    pub fn take_listing(&mut self, mut listing: Listing, now: Moment) -> bool {
+        if listing.revision <= self.parts.listing.revision {
+            return false;
+        }
+        let before = std::mem::take(&mut self.parts.listing.servers);
+        let known: BTreeMap<&ServerId, &Listed> =
+            before.iter().map(|l| (&l.server.id, l)).collect();
+        listing.servers.retain(|new| !is_ghost(&self.gone, new));
+        for new in &mut listing.servers {
+            if let Some(old) = known.get(&new.server.id) {
+                keep_newer(old, new);
+            }
+        }
+        listing
+            .servers
+            .sort_by(|a, b| a.server.id.cmp(&b.server.id));
+        let listed = |id: &ServerId| {
+            let servers = &listing.servers;
+            servers.binary_search_by(|l| l.server.id.cmp(id)).is_ok()
+        };
+        let vanished: Vec<Listed> = before
+            .iter()
+            .filter(|old| !listed(&old.server.id))
+            .cloned()
+            .collect();
+        match now < self.hold {
+            true => listing.servers.extend(vanished),
+            false => self.bury(&vanished),
+        }
+        listing
+            .servers
+            .sort_by(|a, b| a.server.id.cmp(&b.server.id));
+        let same = before.len() == listing.servers.len()
+            && before
+                .iter()
+                .zip(&listing.servers)
+                .all(|(a, b)| a.server == b.server);
+        self.parts.listing = listing;
+        !same && self.rebuild(self.parts.listing.revision)
+    }
+
+    /// Takes orders if they are newer, and tells whether the view changed.
+    pub fn take_orders(&mut self, orders: Orders) -> bool {
+        let own = &self.parts.orders;
+        if orders.revision <= own.revision || orders.version < own.version {
+            return false;
+        }
+        let same = Orders {
+            revision: orders.revision,
+            ..own.clone()
+        } == orders;
+        self.parts.orders = orders;
+        !same && self.rebuild(self.parts.orders.revision)
+    }
+
+    /// Takes what is newer of a peer's parts, and tells whether the view changed.
+    pub fn merge(&mut self, parts: Parts, now: Moment) -> bool {
+        let orders = self.take_orders(parts.orders);
+        self.take_listing(parts.listing, now) || orders
+    }
+
+    /// A peer has the same view under a newer revision. Tells whether the own revision changed.
+    pub fn raise(&mut self, revision: Revision) -> bool {
+        let newer = revision > self.view.revision;
+        if newer {
+            Arc::make_mut(&mut self.view).revision = revision;
+        }
+        newer
+    }
+
+    fn bury(&mut self, vanished: &[Listed]) {
+        for old in vanished {
+            let mark = (old.server.boot, old.beat);
+            self.gone.insert(old.server.id.clone(), mark);
+        }
+        while self.gone.len() > MOST_GONE {
+            self.gone.pop_first();
+        }
+    }
+
+    fn rebuild(&mut self, revision: Revision) -> bool {
+        let revision = revision.max(self.view.revision);
+        let state = State::assemble(&self.parts.listing, &self.parts.orders, revision);
+        let material = Material {
+            servers: self
+                .parts
+                .listing
+                .servers
+                .iter()
+                .map(|l| &l.server)
+                .collect(),
+            orders: Orders {
+                revision: Revision(0),
+                ..self.parts.orders.clone()
+            },
+        };
+        self.view = Arc::new(View {
+            revision,
+            digest: Digest::of(&material),
+            state,
+            ..View::default()
+        });
+        true
+    }
+}
+
+/// What two nodes must agree on.
+#[derive(Debug, Serialize)]
+struct Material<'a> {
+    servers: Vec<&'a note::Server>,
+    orders: Orders,
+}
+
+/// Whether an entry was written before its backend server went.
+fn is_ghost(gone: &BTreeMap<ServerId, (Boot, u64)>, new: &Listed) -> bool {
+    let mark = gone.get(&new.server.id);
+    mark.is_some_and(|(boot, beat)| {
+        new.server.boot < *boot || (new.server.boot == *boot && new.beat <= *beat)
+    })
+}
+
+/// Puts the older entry back in place of one that was delayed, and keeps a leaving server leaving.
+fn keep_newer(old: &Listed, new: &mut Listed) {
+    match old.server.boot.cmp(&new.server.boot) {
+        std::cmp::Ordering::Greater => *new = old.clone(),
+        std::cmp::Ordering::Equal if new.beat < old.beat => *new = old.clone(),
+        std::cmp::Ordering::Equal if old.server.status == ServerStatus::Leaving => {
+            new.server.status = ServerStatus::Leaving;
+        }
+        _ => {}
+    }
+}
--- a/crates/fleet/src/spread.rs
+++ b/crates/fleet/src/spread.rs
@@ -122,6 +122,15 @@
         }
     }
 
+    /// A peer turned out to have another view, newer or not: it is fetched, to take what is newer.
+    pub fn differs(&mut self, peer: SocketAddr) -> Vec<Action> {
+        if peer == self.own || self.pulling.contains_key(&peer) {
+            return Vec::new();
+        }
+        self.pulling.insert(peer, Revision(u64::MAX));
+        vec![Action::Pull(peer)]
+    }
+
     /// A pull from a peer ended, well or not.
     pub fn pulled(&mut self, peer: SocketAddr) {
         self.pulling.remove(&peer);
--- a/crates/gate/src/allowance.rs
+++ b/crates/gate/src/allowance.rs
@@ -89,8 +89,8 @@
     /// Requests that may run as soon as an idle backend server has shown that it is the same.
     pub fn expected(&self, now: Moment) -> usize {
         let bound = self.level.min(self.bound(now));
-        let most = self.limits.slots.0.max(1) as usize;
-        (bound as usize).clamp(1, most)
+        let most = f64::from(self.limits.slots.0) * self.limits.usable;
+        (bound as usize).clamp(1, (most as usize).max(1))
     }
 
     /// Mean time of late answers.
--- a/crates/gate/src/core.rs
+++ b/crates/gate/src/core.rs
@@ -8,6 +8,7 @@
 
 use crate::{
     allowance::{Allowance, Evidence},
+    cold::ColdLimit,
     probe::Probes,
     queue::Queue,
     session::{Fate, Gap, Sessions},
@@ -56,6 +57,8 @@
     Answered(Arc<Answer>),
     /// The backend server refused and promises that it didn't run the request.
     Shed,
+    /// Another backend server has the address, and ran nothing.
+    Misplaced,
     /// No connection could be made, so nothing was sent.
     Unsent,
     /// Something was sent and no whole answer came.
@@ -108,6 +111,7 @@
     limits: Limits,
     sessions: Sessions,
     allowance: Allowance,
+    cold: ColdLimit,
     queue: Queue,
     probes: Probes,
     running: BTreeMap<AttemptId, Run>,
@@ -130,6 +134,7 @@
             boot,
             sessions: Sessions::new(boot, bounds.sessions, bounds.fates, bounds.answers),
             allowance: Allowance::new(limits.clone()),
+            cold: ColdLimit::new(limits.cold_rate),
             probes: Probes::new(limits.probes),
             limits,
             queue: Queue::default(),
@@ -152,8 +157,14 @@
         self.sessions.open(ingress, now)
     }
 
-    /// Puts other limits in force.
-    pub fn set_limits(&mut self, limits: Limits) {
+    /// Puts other limits in force at `now`. What was sent before isn't known if there was no limit on
+    /// cold requests until now.
+    pub fn set_limits(&mut self, limits: Limits, now: Moment) {
+        let counted = self.cold.is_set();
+        self.cold.set_rate(limits.cold_rate);
+        if !counted {
+            self.cold.fill(now);
+        }
         self.allowance.set_limits(limits.clone());
         self.probes.set_rate(limits.probes);
         self.limits = limits;
@@ -233,13 +244,17 @@
             Finish::Answered(answer) => (Evidence::Good(took), Outcome::Answer(answer)),
             Finish::Expired => (Evidence::Overload, Outcome::Expired),
             Finish::Shed => (Evidence::Overload, self.refusal(Refusal::Shed, now)),
+            Finish::Misplaced => (Evidence::Restarted, self.refusal(Refusal::Misplaced, now)),
             Finish::Unsent => (Evidence::Restarted, self.refusal(Refusal::Down, now)),
             Finish::Broken => (Evidence::Restarted, Outcome::Unknown),
             Finish::Aborted => (Evidence::None, Outcome::Unknown),
         };
-        if matches!(evidence, Evidence::Good(_)) {
+        if matches!(evidence, Evidence::Good(_)) && !self.cold.is_set() {
             self.probes.heard(now);
         }
+        if evidence == Evidence::Restarted {
+            self.cold.forget();
+        }
         self.allowance.learn(evidence, now);
         if self.running.is_empty() {
             self.allowance.set_idle();
@@ -254,20 +269,33 @@
     pub fn heard_server(&mut self, server: Boot, now: Moment) {
         let before = self.server.replace(server);
         if before.is_some_and(|b| b != server) {
+            self.cold.forget();
             self.allowance.learn(Evidence::Restarted, now);
         }
     }
 
+    /// Asked at `asked`, the backend server said that it stays cold for `left`.
+    pub fn heard_cold(&mut self, left: Span, asked: Moment, now: Moment) -> Vec<Action> {
+        self.cold.heard(left, asked, now);
+        self.start_waiting(now)
+    }
+
+    /// Whether the backend server counts as cold by its own word, or for want of it.
+    pub fn is_cold(&self, now: Moment) -> bool {
+        self.cold.is_set() && self.cold.is_cold(now)
+    }
+
     /// Another backend server takes the place of the one before. Nothing is known of it.
     pub fn replace_server(&mut self, now: Moment) {
         self.server = None;
+        self.cold.forget();
         self.allowance.learn(Evidence::Restarted, now);
     }
 
     /// Time passes: what waited too long is refused, and the allowance may have grown.
     pub fn tick(&mut self, now: Moment) -> Vec<Action> {
         let mut actions = self.start_waiting(now);
-        if self.open && self.running.is_empty() && self.probes.take(now) {
+        if self.is_probing() && self.probes.take(now) {
             actions.push(Action::Probe);
         }
         actions
@@ -286,16 +314,17 @@
     }
 
     /// The moment at which [`tick`](Self::tick) has something to do, if any.
-    pub fn next_tick(&self) -> Option<Moment> {
+    pub fn next_tick(&self, now: Moment) -> Option<Moment> {
         let freed = self
             .leaving
             .iter()
             .min()
             .copied()
             .filter(|_| self.queue.len() > 0);
-        let idle = self.open && self.running.is_empty();
-        let probe = self.probes.next().filter(|_| idle);
-        [self.queue.earliest(), freed, probe]
+        let probe = self.probes.next().filter(|_| self.is_probing());
+        let cold = self.cold.next(now);
+        let cold = (self.queue.len() > 0 && cold > now).then_some(cold);
+        [self.queue.earliest(), freed, probe, cold]
             .into_iter()
             .flatten()
             .min()
@@ -341,7 +370,17 @@
     }
 
     fn has_slot(&self, now: Moment) -> bool {
-        self.queue.len() == 0 && self.taken() < self.allowance.allowed(now)
+        self.queue.len() == 0 && self.may_start(now)
+    }
+
+    /// Whether the backend server bears one more request now.
+    fn may_start(&self, now: Moment) -> bool {
+        self.taken() < self.allowance.allowed(now) && self.cold.next(now) <= now
+    }
+
+    /// A backend server that tells how cold it is, is asked all the time, another only while idle.
+    fn is_probing(&self) -> bool {
+        self.open && (self.cold.is_set() || self.running.is_empty())
     }
 
     /// Slots that are taken at the backend server, as far as can be told.
@@ -363,7 +402,8 @@
     /// Expected wait behind `ahead` requests: Little's law over the running ones.
     fn wait(&self, ahead: usize, now: Moment) -> Span {
         let rounds = (ahead + 1) as f64 / self.allowance.allowed(now) as f64;
-        self.allowance.typical().scale(rounds)
+        let slots = self.allowance.typical().scale(rounds);
+        slots.max(self.cold.wait(ahead, now))
     }
 
     fn start(&mut self, id: AttemptId, deadline: Moment, now: Moment) -> Vec<Action> {
@@ -384,6 +424,11 @@
             may,
             "invariant: no new work where operators want none, {id}"
         );
+        assert!(
+            self.cold.next(now) <= now,
+            "invariant: a cold backend server gets no more than its rate, {id}"
+        );
+        self.cold.send(now);
         vec![Action::Start(id, deadline)]
     }
 
@@ -402,7 +447,7 @@
         if now > self.fresh {
             actions.extend(self.refuse_waiting(Refusal::Stale));
         }
-        while self.taken() < self.allowance.allowed(now) {
+        while self.may_start(now) {
             let Some((deadline, id)) = self.queue.pop() else {
                 break;
             };
--- a/crates/gate/src/lib.rs
+++ b/crates/gate/src/lib.rs
@@ -42,6 +42,7 @@
 //! `Unknown` and never a second run.
 
 mod allowance;
+mod cold;
 mod core;
 mod probe;
 mod queue;
--- a/crates/gate/tests/probes.rs
+++ b/crates/gate/tests/probes.rs
@@ -28,7 +28,7 @@
         for (wait, changes) in waits {
             now = now + Span::from_millis(wait);
             if changes {
-                gate.set_limits(limits(2.0));
+                gate.set_limits(limits(2.0), now);
             }
             let actions = gate.tick(now);
             probes += actions.iter().filter(|a| **a == Action::Probe).count();
@@ -46,5 +46,5 @@
     gate.set_open(true);
     let now = Moment(3_600_000_000);
     assert_eq!(gate.tick(now), vec![]);
-    assert_eq!(gate.next_tick(), None);
+    assert_eq!(gate.next_tick(now), None);
 }
--- a/crates/node/src/admin.rs
+++ b/crates/node/src/admin.rs
@@ -57,7 +57,7 @@
     let phase = admin.ingress.board.phase();
     let status = match phase {
         Phase::Ready => StatusCode::OK,
-        Phase::Joining | Phase::Stopping => StatusCode::SERVICE_UNAVAILABLE,
+        Phase::Joining | Phase::Leaving | Phase::Stopping => StatusCode::SERVICE_UNAVAILABLE,
     };
     (status, Json(phase))
 }
@@ -84,7 +84,7 @@
         lease_ms: board.lease.borrow().until().since(now).as_millis(),
         gate,
         spread,
-        services: admin.ingress.desks.dump(now),
+        services: admin.ingress.services.dump(now),
         peers: dump_peers(&admin.ingress),
     })
 }
--- a/crates/node/src/gatekeeper/carry.rs
+++ b/crates/node/src/gatekeeper/carry.rs
@@ -3,12 +3,13 @@
 use std::{collections::HashMap, sync::Arc};
 
 use board::Board;
+use dialect::Facts;
 use futures::future::BoxFuture;
 use gate::{Action, Bounds, Finish, Gate, Offer};
 use kameo::actor::WeakActorRef;
 use note::{Limits, Server, Service};
 use tokio::sync::oneshot;
-use types::{AttemptId, Boot, Moment, Outcome, ServerId};
+use types::{AttemptId, Boot, Moment, Outcome, ServerId, Span};
 
 use super::{Ask, Done, Dumped, Opened, Probed, Reply, Run, Tick, follow, outcome_name};
 use crate::{
@@ -62,15 +63,20 @@
     pub(super) fn refresh(&mut self) {
         let view = self.board.view();
         let server = view.state.server_on(&self.board.identity.host).cloned();
-        let both = server.and_then(|s| Some((s.clone(), view.state.service(&s.service)?.clone())));
+        let both = server.and_then(|server| {
+            let mut service = view.state.service(&server.service)?.clone();
+            service.limits = view.state.limits_of(&server)?;
+            Some((server, service))
+        });
         let before = self.server.as_ref().map(|(_, service)| &service.limits);
         match &both {
             Some((_, service)) if before != Some(&service.limits) => {
-                self.gate.set_limits(service.limits.clone());
+                let now = self.board.clock.now();
+                self.gate.set_limits(service.limits.clone(), now);
             }
             _ => {}
         }
-        let place = |both: &(Server, Service)| (both.0.id.clone(), both.0.address);
+        let place = |both: &(Server, Service)| (both.0.id.clone(), both.0.boot, both.0.address);
         if self.server.as_ref().map(place) != both.as_ref().map(place) {
             self.gate.replace_server(self.board.clock.now());
         }
@@ -140,9 +146,9 @@
         }
     }
 
-    pub(super) fn done(&mut self, id: AttemptId, finish: Finish, server: Option<Boot>) {
+    pub(super) fn done(&mut self, id: AttemptId, finish: Finish, facts: &Facts) {
         let now = self.board.clock.now();
-        if let Some(server) = server {
+        if let Some(server) = facts.boot {
             self.gate.heard_server(server, now);
         }
         let actions = self.gate.done(id, finish, now);
@@ -192,14 +198,9 @@
     }
 
     fn start(&mut self, id: AttemptId, deadline: Moment) {
+        let target = self.target().expect("an open gate has a server");
         let work = self.work.get_mut(&id).expect("a started attempt has come");
         let request = work.request.take().expect("an attempt starts once");
-        let (server, service) = self.server.as_ref().expect("an open gate has a server");
-        let target = Target {
-            address: server.address,
-            sheds: service.sheds.clone(),
-            most: service.limits.body.0,
-        };
         let running = self
             .backend
             .run(request, target, self.board.clock.instant(deadline));
@@ -226,29 +227,52 @@
         }
     }
 
+    fn target(&self) -> Option<Target> {
+        let (server, service) = self.server.as_ref()?;
+        Some(Target {
+            server: server.id.clone(),
+            address: server.address,
+            health: service.limits.health.clone(),
+            sheds: service.sheds.clone(),
+            most: service.limits.body.0,
+        })
+    }
+
     fn probe(&self) {
-        let Some((server, _)) = &self.server else {
+        let Some(target) = self.target() else {
             return;
         };
         self.meter.control("probe");
-        let probing = self.backend.probe(server.address);
+        let probing = self.backend.probe(target);
         let actor = self.actor.clone();
+        let asked = self.board.clock.now();
         tokio::spawn(async move {
-            let server = probing.await;
+            let facts = probing.await;
             if let Some(actor) = actor.and_then(|a| a.upgrade()) {
-                let _ = actor.tell(Probed { server }).await;
+                let _ = actor.tell(Probed { asked, facts }).await;
             }
         });
     }
 
-    pub(super) fn probed(&mut self, server: Option<Boot>) {
+    pub(super) fn probed(&mut self, asked: Moment, facts: Option<Facts>) {
         let now = self.board.clock.now();
-        self.gate.probed(server, now);
-        self.set_timer();
+        let cold = self.gate.is_cold(now);
+        self.gate.probed(facts.as_ref().and_then(|f| f.boot), now);
+        let left = facts.as_ref().map(|f| f.cold.unwrap_or_default());
+        let actions = match left {
+            Some(left) => self.gate.heard_cold(left, asked, now),
+            None => Vec::new(),
+        };
+        if self.gate.is_cold(now) != cold {
+            let server = self.server_id().map(ToString::to_string);
+            let left_ms = left.map(Span::as_millis);
+            log::info!(server, cold = !cold, left_ms, asked_us = now.since(asked).0; "warmth_changed");
+        }
+        self.carry_out(actions);
     }
 
     fn set_timer(&mut self) {
-        let Some(at) = self.gate.next_tick() else {
+        let Some(at) = self.gate.next_tick(self.board.clock.now()) else {
             return;
         };
         let actor = self.actor.clone();
@@ -267,17 +291,11 @@
     running: BoxFuture<'static, Ended>,
     cancelled: oneshot::Receiver<()>,
 ) {
-    let Ended { finish, boot } = tokio::select! {
+    let Ended { finish, facts } = tokio::select! {
         ended = running => ended,
         _ = cancelled => Finish::Aborted.into(),
     };
     if let Some(actor) = actor.and_then(|a| a.upgrade()) {
-        let _ = actor
-            .tell(Done {
-                id,
-                finish,
-                server: boot,
-            })
-            .await;
+        let _ = actor.tell(Done { id, finish, facts }).await;
     }
 }
--- a/crates/node/src/gatekeeper/mod.rs
+++ b/crates/node/src/gatekeeper/mod.rs
@@ -12,6 +12,7 @@
 use std::sync::Arc;
 
 use board::{Board, Phase};
+use dialect::Facts;
 use gate::{Finish, Gate, Load, Offer};
 use kameo::{
     actor::{ActorRef, Spawn, WeakActorRef},
@@ -86,13 +87,15 @@
 struct Done {
     id: AttemptId,
     finish: Finish,
-    server: Option<Boot>,
+    facts: Facts,
 }
 
 /// A probe ended.
 #[derive(Debug)]
 struct Probed {
-    server: Option<Boot>,
+    asked: Moment,
+    /// What the health endpoint said, if it answered.
+    facts: Option<Facts>,
 }
 
 /// Time passed, or the board changed.
@@ -196,7 +199,7 @@
     type Reply = ();
 
     async fn handle(&mut self, msg: Done, _ctx: &mut Context<Self, ()>) {
-        self.done(msg.id, msg.finish, msg.server);
+        self.done(msg.id, msg.finish, &msg.facts);
     }
 }
 
@@ -204,7 +207,7 @@
     type Reply = ();
 
     async fn handle(&mut self, msg: Probed, _ctx: &mut Context<Self, ()>) {
-        self.probed(msg.server);
+        self.probed(msg.asked, msg.facts);
     }
 }
 
--- a/crates/node/src/ingress/accept.rs
+++ b/crates/node/src/ingress/accept.rs
@@ -1,146 +1,180 @@
-//! Reads a caller's request whole and checks it.
+//! Checks a caller's request and finds out where it goes.
 
-use std::error::Error;
-
-use axum::{
-    body::to_bytes,
-    extract::Request,
-    http::{HeaderMap, request::Parts},
-};
+use axum::http::HeaderMap;
 use board::{Board, Phase};
-use http_body_util::LengthLimitError;
-use note::{Limits, Service};
+use bytes::Bytes;
+use dialect::{Asked, Dialect, Rejection};
+use note::{HostRoute, Limits, Service};
 use smol_str::SmolStr;
-use types::{CallId, Moment, ServiceId, Span};
+use types::{CallId, Header, Moment, ServiceId, Span};
 
+use super::Ingress;
 use crate::backend::{ServerRequest, end_to_end};
 
 /// Longest time that a caller may ask for.
 const MOST_TIME: Span = Span::from_millis(3_600_000);
 /// Levels of nested calls at most.
 const MOST_DEPTH: u32 = 64;
+/// Backend servers that a call is sent to at most if no route says so.
+const DEFAULT_ATTEMPTS: u32 = 3;
 
-/// Why a request is no call.
-#[derive(Debug, Clone, Copy, PartialEq, Eq)]
-pub(crate) enum Rejection {
-    /// No service has the name in the path's first segment.
-    UnknownService,
-    /// The body is larger than the service allows.
-    TooLarge,
-    /// The body broke off, or came too slowly.
-    Incomplete,
-    /// A header of the callers' protocol has a value that it can't have.
-    BadHeader(&'static str),
-    /// Too many levels of nested calls.
-    TooDeep,
-    /// The node has no view of the release notes yet.
-    Joining,
+/// The head of a caller's request.
+#[derive(Debug, Clone)]
+pub(super) struct Head {
+    pub(super) method: SmolStr,
+    /// Path and query, byte for byte.
+    pub(super) target: SmolStr,
+    pub(super) headers: HeaderMap,
 }
 
-/// A call that may be carried out.
+impl Head {
+    fn path(&self) -> &str {
+        self.target.split('?').next().unwrap_or_default()
+    }
+
+    fn host(&self) -> &str {
+        let host = self.headers.get("host").and_then(|v| v.to_str().ok());
+        host.unwrap_or_default()
+    }
+}
+
+/// A call that may be carried out once its body is in.
 #[derive(Debug)]
-pub(crate) struct Accepted {
-    pub(crate) service: ServiceId,
-    pub(crate) limits: Limits,
-    pub(crate) idempotent: bool,
-    pub(crate) deadline: Moment,
-    pub(crate) request: ServerRequest,
+pub(super) struct Accepted {
+    pub(super) service: ServiceId,
+    pub(super) limits: Limits,
+    pub(super) idempotent: bool,
+    pub(super) attempts: u32,
+    pub(super) deadline: Moment,
+    /// Last moment at which the answer is worth most.
+    pub(super) objective: Moment,
+    /// Rank, 0 for the most urgent.
+    pub(super) priority: u32,
+    pub(super) request: ServerRequest,
+}
+
+impl Accepted {
+    /// Puts the body in.
+    pub(super) fn set_body(&mut self, body: Bytes) {
+        self.request.body = body;
+    }
 }
 
 /// The caller's name for its request, or a new one.
-pub(crate) fn call_id(headers: &HeaderMap) -> CallId {
-    let named = headers.get("x-request-id").and_then(|v| v.to_str().ok());
-    let given = named
-        .filter(|text| text.len() == 32)
-        .and_then(|text| text.parse().ok());
-    given.unwrap_or_else(|| CallId(rand::random()))
+pub(super) fn call_id(dialect: &dyn Dialect, headers: &HeaderMap) -> CallId {
+    dialect
+        .call(headers)
+        .unwrap_or_else(|| CallId::from(rand::random::<u128>()))
+}
+
+/// Largest body that any service takes.
+pub(super) fn most_body(board: &Board) -> u64 {
+    board.view.borrow().state.callers.body.0
 }
 
-/// Reads and checks a request.
-pub(crate) async fn accept(
-    board: &Board,
-    call: CallId,
-    request: Request,
+/// Checks a request whose head was complete at `now`.
+pub(super) fn accept(
+    ingress: &Ingress,
+    call: &CallId,
+    head: &Head,
+    now: Moment,
 ) -> Result<Accepted, Rejection> {
+    let board = &ingress.board;
     if board.phase() == Phase::Joining {
         return Err(Rejection::Joining);
     }
-    let now = board.clock.now();
-    let (parts, body) = request.into_parts();
-    let service = service_of(board, &parts).ok_or(Rejection::UnknownService)?;
-    let deadline = now + time_of(&parts.headers, &service.limits)?;
-    let depth = number(&parts.headers, "x-depth", 0)?;
-    if depth > MOST_DEPTH {
+    let asked = ingress
+        .dialect
+        .asked(&head.headers)
+        .map_err(|bad| Rejection::BadHeader(bad.0))?;
+    if asked.depth > MOST_DEPTH {
         return Err(Rejection::TooDeep);
     }
-    let repeat = number(&parts.headers, "x-repeat", 0)? > 0;
-    let most = service.limits.body.0;
-    if number::<u64>(&parts.headers, "content-length", 0)? > most {
-        return Err(Rejection::TooLarge);
+    if ingress.directory().is_empty() {
+        return by_path(ingress, call, head, &asked, now);
     }
-    let reading = to_bytes(body, most as usize);
-    let body = match tokio::time::timeout_at(board.clock.instant(deadline), reading).await {
-        Ok(Ok(body)) => body,
-        Ok(Err(error)) if is_too_large(&error) => return Err(Rejection::TooLarge),
-        Ok(Err(_)) | Err(_) => return Err(Rejection::Incomplete),
-    };
-    let path = parts.uri.path_and_query().map_or("/", |p| p.as_str());
+    let found = ingress.directory().find(head.host(), head.path());
+    let route = found.ok_or(Rejection::NoRoute)?;
+    by_route(ingress, call, head, &asked, &route, now)
+}
+
+/// The route says where the request goes.
+fn by_route(
+    ingress: &Ingress,
+    call: &CallId,
+    head: &Head,
+    asked: &Asked,
+    route: &HostRoute,
+    now: Moment,
+) -> Result<Accepted, Rejection> {
+    let id = ingress.directory().pick(route).ok_or(Rejection::NoRoute)?;
+    let service = service(&ingress.board, &id).ok_or(Rejection::NoRoute)?;
+    let timeout = Span::from_millis(route.timeout_ms);
+    let left = asked.left.unwrap_or(timeout).min(timeout);
     Ok(Accepted {
-        idempotent: service.is_idempotent(parts.method.as_str(), parts.uri.path()),
-        deadline,
-        request: ServerRequest {
-            call,
-            method: SmolStr::new(parts.method.as_str()),
-            path: SmolStr::new(path),
-            headers: forwarded(&parts.headers),
-            body,
-            depth,
-            repeat,
-        },
+        idempotent: route.idempotent,
+        attempts: route.attempts,
+        deadline: now + left,
+        objective: now + Span::from_millis(route.objective_ms),
+        priority: route.priority,
+        request: server_request(ingress, call, head, asked),
         limits: service.limits,
-        service: service.id,
+        service: id,
     })
 }
 
-fn is_too_large(error: &axum::Error) -> bool {
-    error
-        .source()
-        .is_some_and(|cause| cause.is::<LengthLimitError>())
-}
-
-fn service_of(board: &Board, parts: &Parts) -> Option<Service> {
-    let segment = parts.uri.path().split('/').nth(1)?;
-    let id: ServiceId = segment.parse().ok()?;
-    board.view.borrow().state.service(&id).cloned()
+/// The first segment of the path names the service.
+fn by_path(
+    ingress: &Ingress,
+    call: &CallId,
+    head: &Head,
+    asked: &Asked,
+    now: Moment,
+) -> Result<Accepted, Rejection> {
+    let segment = head.path().split('/').nth(1);
+    let id: Option<ServiceId> = segment.and_then(|name| name.parse().ok());
+    let service = id.and_then(|id| service(&ingress.board, &id));
+    let service = service.ok_or(Rejection::NoRoute)?;
+    let deadline = now
+        + asked
+            .left
+            .unwrap_or(service.limits.timeout())
+            .min(MOST_TIME);
+    Ok(Accepted {
+        idempotent: service.is_idempotent(&head.method, head.path()),
+        attempts: DEFAULT_ATTEMPTS,
+        deadline,
+        objective: deadline,
+        priority: 0,
+        request: server_request(ingress, call, head, asked),
+        limits: service.limits,
+        service: service.id,
+    })
 }
 
-fn time_of(headers: &HeaderMap, limits: &Limits) -> Result<Span, Rejection> {
-    let ms = number(headers, "x-deadline-ms", limits.timeout().as_millis())?;
-    Ok(Span::from_millis(ms).min(MOST_TIME))
+fn service(board: &Board, id: &ServiceId) -> Option<Service> {
+    board.view.borrow().state.service(id).cloned()
 }
 
-fn number<T: std::str::FromStr>(
-    headers: &HeaderMap,
-    name: &'static str,
-    default: T,
-) -> Result<T, Rejection> {
-    let Some(value) = headers.get(name) else {
-        return Ok(default);
-    };
-    let text = value.to_str().map_err(|_| Rejection::BadHeader(name))?;
-    text.parse().map_err(|_| Rejection::BadHeader(name))
+fn server_request(ingress: &Ingress, call: &CallId, head: &Head, asked: &Asked) -> ServerRequest {
+    ServerRequest {
+        call: call.clone(),
+        method: head.method.clone(),
+        path: head.target.clone(),
+        headers: forwarded(ingress.dialect.as_ref(), &head.headers),
+        body: Bytes::new(),
+        depth: asked.depth,
+        repeat: asked.repeat,
+        origin: ingress.origin.clone(),
+    }
 }
 
-/// Headers that go to the backend server. Those that the gate writes itself are left out.
-fn forwarded(headers: &HeaderMap) -> Vec<types::Header> {
-    const WRITTEN: [&str; 5] = [
-        "x-deadline-ms",
-        "x-request-id",
-        "x-depth",
-        "x-repeat",
-        "content-length",
-    ];
+/// Headers that go to the backend server. Those that a node writes itself are left out.
+fn forwarded(dialect: &dyn Dialect, headers: &HeaderMap) -> Vec<Header> {
     let mut kept = end_to_end(headers);
-    kept.retain(|header| !WRITTEN.contains(&header.name.as_str()));
+    kept.retain(|header| {
+        let name = header.name.as_str().parse();
+        header.name != "expect" && name.is_ok_and(|name| !dialect.writes(&name))
+    });
     kept
 }
--- a/crates/node/src/ingress/drive.rs
+++ b/crates/node/src/ingress/drive.rs
@@ -20,8 +20,8 @@
 
 use super::{
     Ingress,
-    accept::{Accepted, Rejection},
-    desk::{Clerk, Purse},
+    accept::Accepted,
+    services::{RetryBudget, Selector},
 };
 use crate::{
     gatekeeper::{Reply, outcome_name},
@@ -30,14 +30,15 @@
 };
 
 /// Carries a call to its end.
-pub(super) async fn drive(ingress: &Arc<Ingress>, accepted: Accepted) -> Result<Ending, Rejection> {
+pub(super) async fn drive(ingress: &Arc<Ingress>, accepted: Accepted) -> Ending {
     let timing = ingress
-        .desks
+        .services
         .begin(&accepted.service, accepted.limits.retries);
     let request = Request {
         idempotent: accepted.idempotent,
         repeat: accepted.request.repeat,
         deadline: accepted.deadline,
+        attempts: accepted.attempts,
     };
     let mut drive = Drive {
         ingress: Arc::clone(ingress),
@@ -46,7 +47,7 @@
         attempts: Vec::new(),
         pending: FuturesUnordered::new(),
     };
-    Ok(drive.run().await)
+    drive.run().await
 }
 
 /// An attempt under way.
@@ -85,7 +86,7 @@
 impl Drive {
     async fn run(&mut self) -> Ending {
         let now = self.now();
-        let actions = self.decide(|call, clerk, _| call.begin(now, clerk));
+        let actions = self.decide(|call, selector, _| call.begin(now, selector));
         if let Some(ending) = self.carry_out(actions) {
             return ending;
         }
@@ -114,22 +115,22 @@
     /// Lets the call decide with the service's table and budget at hand.
     fn decide(
         &mut self,
-        step: impl FnOnce(&mut Call, &mut Clerk<'_>, &mut Purse<'_>) -> Vec<Action>,
+        step: impl FnOnce(&mut Call, &mut Selector<'_>, &mut RetryBudget<'_>) -> Vec<Action>,
     ) -> Vec<Action> {
-        let desks = &self.ingress.desks;
+        let services = &self.ingress.services;
         let service = &self.accepted.service;
-        let mut clerk = Clerk {
-            desks,
+        let mut selector = Selector {
+            services,
             service,
             now: self.ingress.board.clock.now(),
         };
-        let mut purse = Purse { desks, service };
-        step(&mut self.call, &mut clerk, &mut purse)
+        let mut budget = RetryBudget { services, service };
+        step(&mut self.call, &mut selector, &mut budget)
     }
 
     fn tick(&mut self) -> Vec<Action> {
         let now = self.now();
-        self.decide(|call, clerk, purse| call.tick(now, clerk, purse))
+        self.decide(|call, selector, budget| call.tick(now, selector, budget))
     }
 
     fn take(&mut self, event: Event) -> Vec<Action> {
@@ -149,13 +150,15 @@
                 self.learn(attempt, &reply, asked, now);
                 self.log(attempt, outcome_name(&reply.outcome));
                 let outcome = reply.outcome;
-                self.decide(|call, clerk, purse| call.heard(attempt, outcome, now, clerk, purse))
+                self.decide(|call, selector, budget| {
+                    call.heard(attempt, outcome, now, selector, budget)
+                })
             }
             Event::Ran {
                 attempt,
                 result: Err(Fault::Broken),
                 ..
-            } => self.decide(|call, clerk, purse| call.broken(attempt, now, clerk, purse)),
+            } => self.decide(|call, selector, budget| call.broken(attempt, now, selector, budget)),
             // Nothing was sent.
             Event::Ran {
                 attempt,
@@ -173,7 +176,9 @@
             } => {
                 self.fail(attempt, Fault::Refused, now);
                 let outcome = Outcome::Unknown;
-                self.decide(|call, clerk, purse| call.heard(attempt, outcome, now, clerk, purse))
+                self.decide(|call, selector, budget| {
+                    call.heard(attempt, outcome, now, selector, budget)
+                })
             }
             Event::Asked {
                 attempt,
@@ -188,11 +193,11 @@
 
     fn hear_refusal(&mut self, attempt: Try, refusal: Refusal, now: Moment) -> Vec<Action> {
         let outcome = Outcome::refused(refusal);
-        self.decide(|call, clerk, purse| call.heard(attempt, outcome, now, clerk, purse))
+        self.decide(|call, selector, budget| call.heard(attempt, outcome, now, selector, budget))
     }
 
     fn log(&self, attempt: Try, outcome: &str) {
-        let call = self.accepted.request.call;
+        let call = &self.accepted.request.call;
         let server = &self.attempts[attempt].server;
         log::debug!(call:% = call, attempt, server:% = server, outcome; "attempt_heard");
     }
@@ -201,7 +206,7 @@
         self.log(attempt, fault.name());
         let server = &self.attempts[attempt].server;
         self.ingress
-            .desks
+            .services
             .failed(&self.accepted.service, server, now);
     }
 
@@ -212,12 +217,13 @@
         }
         let took = now.since(asked);
         self.ingress
-            .desks
+            .services
             .heard(&self.accepted.service, &open.server, reply, took, now);
         if reply.revision > self.ingress.board.view.borrow().revision {
             let heard = Heard {
                 peer: open.peer.address,
                 revision: reply.revision,
+                digest: None,
             };
             let _ = self.ingress.spreader.tell(heard).try_send();
         }
@@ -253,7 +259,7 @@
             let now = self.now();
             return self.hear_refusal(attempt, Refusal::Misplaced, now);
         };
-        self.ingress.desks.sent(&self.accepted.service, &server);
+        self.ingress.services.sent(&self.accepted.service, &server);
         let sent = Arc::new(OnceLock::new());
         let mut request = self.accepted.request.clone();
         request.repeat |= repeat;
@@ -264,6 +270,8 @@
             idempotent: self.accepted.idempotent,
             hedge,
             deadline: self.accepted.deadline,
+            objective: self.accepted.objective,
+            priority: self.accepted.priority,
             request,
             sent: Arc::clone(&sent),
         };
@@ -322,7 +330,7 @@
             return;
         }
         self.ingress
-            .desks
+            .services
             .closed(&self.accepted.service, &open.server);
         let Some(sent) = open.sent.get().copied() else {
             return;
@@ -340,7 +348,7 @@
             return;
         }
         self.ingress
-            .desks
+            .services
             .closed(&self.accepted.service, &open.server);
         if let Some(sent) = open.sent.get() {
             open.peer.settle(sent.id);
@@ -366,6 +374,8 @@
     idempotent: bool,
     hedge: bool,
     deadline: Moment,
+    objective: Moment,
+    priority: u32,
     request: crate::backend::ServerRequest,
     sent: Arc<OnceLock<Sent>>,
 }
@@ -389,6 +399,8 @@
             server: self.server,
             idempotent: self.idempotent,
             hedge: self.hedge,
+            objective: sent.deadline - self.deadline.since(self.objective),
+            priority: self.priority,
             request: self.request,
             revision: board.view.borrow().revision,
             node: board.identity.node,
--- a/crates/node/src/ingress/mod.rs
+++ b/crates/node/src/ingress/mod.rs
@@ -1,37 +1,61 @@
 //! The callers' side: takes requests over HTTP/1.1 and HTTP/2 and answers each exactly once.
 //!
-//! A request is read whole ([`accept`]), carried through its attempts ([`drive`]) with what is known
-//! of its service ([`desk`]), and answered ([`answer`]). If the caller goes away the handler's future
-//! is dropped, which cancels whatever is open.
+//! A connection ([`http1`], [`http2`]) reads a request, [`accept`] checks it and finds its service, it
+//! is carried through its attempts ([`drive`]) with what is known of the service ([`services`]), and
+//! answered ([`answer`]). If the caller goes away the future of its request is dropped, which cancels
+//! whatever is open.
 
 mod accept;
 mod answer;
-mod desk;
 mod drive;
+mod frame;
+mod http1;
+mod http2;
+mod services;
 
-use std::sync::Arc;
+use std::{
+    collections::HashSet,
+    net::SocketAddr,
+    sync::{Arc, Mutex, MutexGuard},
+};
 
-use axum::{
-    Router,
-    extract::{Request, State},
-    response::Response,
+use axum::http::Response;
+use board::{Board, Phase};
+use bytes::Bytes;
+use dialect::{Dialect, Rejection};
+use kameo::actor::ActorRef;
+use route::Directory;
+use tokio::{
+    net::{TcpListener, TcpStream},
+    sync::watch,
+    task::JoinSet,
 };
-use board::Board;
+use types::{CallId, Moment, ServerId, ServiceId};
 
 use crate::{
     meter::Meter,
     peers::{Peer, Peers},
+    socket,
+    spreader::Spreader,
 };
 
-pub(crate) use desk::{Desks, DumpedPeer};
+use accept::Accepted;
+pub(crate) use services::{DumpedPeer, RetryPolicy, Services};
+
+/// First bytes of an HTTP/2 connection that no HTTP/1.1 request begins with.
+const HTTP2_PREFACE: &[u8] = b"PRI ";
 
 /// What the callers' side shares.
 pub(crate) struct Ingress {
     pub(crate) board: Arc<Board>,
+    pub(crate) dialect: Arc<dyn Dialect>,
+    /// Service of the backend server beside the node, as settings name it.
+    pub(crate) origin: Option<ServiceId>,
     pub(crate) peers: Peers,
-    pub(crate) desks: Desks,
+    pub(crate) services: Services,
+    pub(crate) directory: Mutex<Directory>,
     pub(crate) meter: Arc<Meter>,
-    pub(crate) spreader: kameo::actor::ActorRef<crate::spreader::Spreader>,
+    pub(crate) spreader: ActorRef<Spreader>,
 }
 
 impl Ingress {
@@ -40,9 +64,9 @@
         let mut view = self.board.view.subscribe();
         let mut hosts = self.board.hosts.subscribe();
         loop {
-            self.desks.refresh(&self.board);
-            let members = self.members();
-            self.peers.retain(&members);
+            self.directory().set_routes(&self.board.view().state);
+            self.services.refresh(&self.board);
+            self.peers.retain(&self.members());
             let changed = tokio::select! {
                 changed = view.changed() => changed,
                 changed = hosts.changed() => changed,
@@ -53,38 +77,98 @@
         }
     }
 
-    fn members(&self) -> Vec<std::net::SocketAddr> {
-        self.board
-            .view()
-            .state
-            .servers
-            .values()
-            .map(|e| e.item.node)
-            .collect()
+    fn directory(&self) -> MutexGuard<'_, Directory> {
+        self.directory.lock().expect("no holder panics")
     }
 
-    fn peer(&self, server: &types::ServerId) -> Option<Arc<Peer>> {
+    fn is_stopping(&self) -> bool {
+        self.board.phase() == Phase::Stopping
+    }
+
+    fn members(&self) -> HashSet<SocketAddr> {
+        let view = self.board.view();
+        view.state.servers.values().map(|e| e.item.node).collect()
+    }
+
+    fn peer(&self, server: &ServerId) -> Option<Arc<Peer>> {
         let view = self.board.view();
         view.state.server(server).map(|s| self.peers.get(s.node))
     }
+
+    /// Carries a request to its end and answers it.
+    async fn carry(
+        self: &Arc<Self>,
+        call: &CallId,
+        accepted: Result<Accepted, Rejection>,
+        began: Moment,
+    ) -> Response<Bytes> {
+        let ended = match accepted {
+            Ok(accepted) => Ok(drive::drive(self, accepted).await),
+            Err(rejection) => Err(rejection),
+        };
+        let took = self.board.clock.now().since(began);
+        let kind = answer::kind(&ended);
+        self.meter.call(kind, took);
+        let revision = self.board.view.borrow().revision;
+        log::log!(
+            answer::level(&ended),
+            call:% = call, ending = kind, took_us = took.0, view:% = revision;
+            "call_ended"
+        );
+        answer::respond(self.dialect.as_ref(), call, ended)
+    }
 }
 
-/// The routes for callers: everything is a call.
-pub(crate) fn router(ingress: Arc<Ingress>) -> Router {
-    Router::new().fallback(handle).with_state(ingress)
+/// Takes callers' connections until `closing`, and returns when the last of them has ended.
+pub(crate) async fn listen(
+    ingress: Arc<Ingress>,
+    listener: TcpListener,
+    mut closing: watch::Receiver<bool>,
+) {
+    let mut connections = JoinSet::new();
+    let shared = closing.clone();
+    loop {
+        tokio::select! {
+            accepted = listener.accept() => match accepted {
+                Ok((stream, _)) => {
+                    let serving = connection(Arc::clone(&ingress), stream, shared.clone());
+                    connections.spawn(serving);
+                }
+                Err(error) => {
+                    log::warn!(error:% = error; "accept_failed");
+                    tokio::time::sleep(ACCEPT_PAUSE).await;
+                }
+            },
+            Some(_) = connections.join_next(), if !connections.is_empty() => {}
+            () = closed(&mut closing) => break,
+        }
+    }
+    drop(listener);
+    while connections.join_next().await.is_some() {}
 }
 
-async fn handle(State(ingress): State<Arc<Ingress>>, request: Request) -> Response {
-    let id = accept::call_id(request.headers());
-    let began = ingress.board.clock.now();
-    let ending = match accept::accept(&ingress.board, id, request).await {
-        Ok(accepted) => drive::drive(&ingress, accepted).await,
-        Err(rejection) => Err(rejection),
+/// Time before the next connection is taken after one could not be, as for want of descriptors.
+const ACCEPT_PAUSE: std::time::Duration = std::time::Duration::from_millis(20);
+
+/// Serves one connection in the protocol that its first bytes show.
+async fn connection(ingress: Arc<Ingress>, stream: TcpStream, mut closing: watch::Receiver<bool>) {
+    if let Err(error) = socket::tune(&stream) {
+        log::debug!(error:% = error; "caller_connection_untuned");
+    }
+    let mut first = [0; HTTP2_PREFACE.len()];
+    let peeked = tokio::select! {
+        peeked = stream.peek(&mut first) => peeked.unwrap_or_default(),
+        () = closed(&mut closing) => return,
     };
-    let took = ingress.board.clock.now().since(began);
-    let kind = answer::kind(&ending);
-    ingress.meter.call(kind, took);
-    let level = answer::level(&ending);
-    log::log!(level, call:% = id, ending = kind, took_us = took.0; "call_ended");
-    answer::respond(&ingress.board, id, ending)
+    if &first[..peeked] == HTTP2_PREFACE {
+        if let Err(error) = http2::serve(ingress, stream, closing).await {
+            log::debug!(error:% = error; "caller_connection_ended");
+        }
+    } else if let Err(error) = http1::serve(ingress, stream, closing).await {
+        log::debug!(error:% = error; "caller_connection_ended");
+    }
+}
+
+async fn closed(closing: &mut watch::Receiver<bool>) {
+    let _ = closing.wait_for(|closing| *closing).await;
 }
--- a/crates/node/src/ingress/desk.rs
+++ b/crates/node/src/ingress/services.rs
@@ -16,7 +16,7 @@
 use crate::gatekeeper::Reply;
 
 /// One service.
-struct Desk {
+struct ServiceState {
     table: Table,
     bucket: Bucket,
     pace: Pace,
@@ -33,27 +33,45 @@
     avoided: bool,
 }
 
+/// How many repeats a node may send.
+#[derive(Debug, Clone, Copy, Default)]
+pub(crate) struct RetryPolicy {
+    /// Repeats of one service beyond the ratio that the whole fleet may send, if that is bounded.
+    pub(crate) slack: Option<f64>,
+}
+
+impl RetryPolicy {
+    fn bucket(self, nodes: usize) -> Bucket {
+        match self.slack {
+            Some(slack) => Bucket::shared(slack, nodes),
+            None => Bucket::default(),
+        }
+    }
+}
+
 /// All services.
-pub(crate) struct Desks {
+pub(crate) struct Services {
     boot: Boot,
     policy: PolicyKind,
-    list: Mutex<HashMap<ServiceId, Desk>>,
+    retries: RetryPolicy,
+    list: Mutex<HashMap<ServiceId, ServiceState>>,
 }
 
-impl Desks {
-    pub(crate) fn new(boot: Boot, policy: PolicyKind) -> Self {
+impl Services {
+    pub(crate) fn new(boot: Boot, policy: PolicyKind, retries: RetryPolicy) -> Self {
         Self {
             boot,
             policy,
+            retries,
             list: Mutex::default(),
         }
     }
 
-    fn list(&self) -> MutexGuard<'_, HashMap<ServiceId, Desk>> {
+    fn list(&self) -> MutexGuard<'_, HashMap<ServiceId, ServiceState>> {
         self.list.lock().expect("no holder panics")
     }
 
-    fn with<T: Default>(&self, service: &ServiceId, act: impl FnOnce(&mut Desk) -> T) -> T {
+    fn with<T: Default>(&self, service: &ServiceId, act: impl FnOnce(&mut ServiceState) -> T) -> T {
         self.list().get_mut(service).map(act).unwrap_or_default()
     }
 
@@ -62,19 +80,24 @@
         let view = board.view();
         let mut list = self.list();
         list.retain(|id, _| view.state.services.contains_key(id));
+        let nodes = view.state.servers.len();
         for id in view.state.services.keys() {
-            let desk = list.entry(id.clone()).or_insert_with(|| self.desk());
-            desk.table
+            let state = list.entry(id.clone()).or_insert_with(|| self.state(nodes));
+            if let Some(slack) = self.retries.slack {
+                state.bucket.share(slack, nodes);
+            }
+            state
+                .table
                 .set_members(members(&view.state, board, id), self.boot);
         }
     }
 
-    fn desk(&self) -> Desk {
+    fn state(&self, nodes: usize) -> ServiceState {
         let rng = SmallRng::seed_from_u64(self.boot.0);
         let table = Table::new(self.policy.build(), rng);
-        Desk {
+        ServiceState {
             table,
-            bucket: Bucket::default(),
+            bucket: self.retries.bucket(nodes),
             pace: Pace::default(),
         }
     }
@@ -83,9 +106,9 @@
     pub(crate) fn begin(&self, service: &ServiceId, ratio: f64) -> Timing {
         let mut list = self.list();
         match list.get_mut(service) {
-            Some(desk) => {
-                desk.bucket.earn(ratio);
-                desk.pace.timing()
+            Some(state) => {
+                state.bucket.earn(ratio);
+                state.pace.timing()
             }
             None => Pace::default().timing(),
         }
@@ -93,12 +116,12 @@
 
     /// An attempt is sent.
     pub(crate) fn sent(&self, service: &ServiceId, server: &ServerId) {
-        self.with(service, |desk| desk.table.sent(server));
+        self.with(service, |state| state.table.sent(server));
     }
 
     /// An attempt is settled.
     pub(crate) fn closed(&self, service: &ServiceId, server: &ServerId) {
-        self.with(service, |desk| desk.table.closed(server));
+        self.with(service, |state| state.table.closed(server));
     }
 
     /// A gate replied to an attempt that was sent `took` ago.
@@ -111,23 +134,23 @@
         now: Moment,
     ) {
         let load = reply.load;
-        self.with(service, |desk| {
+        self.with(service, |state| {
             let report = Report {
                 load: load.running + load.waiting,
                 allowed: load.allowed,
                 typical: load.typical,
             };
-            desk.table.reported(server, report, now);
+            state.table.reported(server, report, now);
             match reply.outcome {
                 Outcome::NotRun { refusal, after } => {
-                    desk.table.refused(server, refusal, after, now);
+                    state.table.refused(server, refusal, after, now);
                 }
                 Outcome::Answer(ref answer) if answer.is_failure() => {
-                    desk.table.failed(server, now);
+                    state.table.failed(server, now);
                 }
                 Outcome::Answer(_) => {
-                    desk.table.answered(server);
-                    desk.pace.learn(took);
+                    state.table.answered(server);
+                    state.pace.learn(took);
                 }
                 Outcome::Unknown | Outcome::Expired => {}
             }
@@ -137,8 +160,8 @@
     /// A gate gave no word.
     pub(crate) fn failed(&self, service: &ServiceId, server: &ServerId, now: Moment) {
         let (refusal, after) = (types::Refusal::Down, Span::default());
-        self.with(service, |desk| {
-            desk.table.refused(server, refusal, after, now)
+        self.with(service, |state| {
+            state.table.refused(server, refusal, after, now)
         });
     }
 
@@ -167,37 +190,37 @@
         .map(|e| &e.item)
         .filter(|s| s.service == *service);
     let open = servers.filter(|s| state.takes_work(s) && !board.is_leaving(&s.host));
-    let slots = state.service(service).map_or(1, |s| s.limits.slots.0);
     let member = |s: &note::Server| Member {
         id: s.id.clone(),
         local: s.zone == board.identity.zone,
-        slots,
+        slots: state.limits_of(s).map_or(1, |limits| limits.slots.0),
     };
     open.map(member).collect()
 }
 
 /// Chooses within one service, at one moment.
-pub(crate) struct Clerk<'a> {
-    pub(crate) desks: &'a Desks,
+pub(crate) struct Selector<'a> {
+    pub(crate) services: &'a Services,
     pub(crate) service: &'a ServiceId,
     pub(crate) now: Moment,
 }
 
-impl Choose for Clerk<'_> {
+impl Choose for Selector<'_> {
     fn choose(&mut self, tried: &[ServerId]) -> Option<ServerId> {
-        self.desks
-            .with(self.service, |desk| desk.table.choose(tried, self.now))
+        self.services
+            .with(self.service, |state| state.table.choose(tried, self.now))
     }
 }
 
 /// The budget of repeats of one service.
-pub(crate) struct Purse<'a> {
-    pub(crate) desks: &'a Desks,
+pub(crate) struct RetryBudget<'a> {
+    pub(crate) services: &'a Services,
     pub(crate) service: &'a ServiceId,
 }
 
-impl Budget for Purse<'_> {
+impl Budget for RetryBudget<'_> {
     fn spend(&mut self) -> bool {
-        self.desks.with(self.service, |desk| desk.bucket.spend())
+        self.services
+            .with(self.service, |state| state.bucket.spend())
     }
 }
--- a/crates/node/src/lib.rs
+++ b/crates/node/src/lib.rs
@@ -29,4 +29,5 @@
 pub mod ops;
 mod peers;
 pub mod settings;
+mod socket;
 mod spreader;
--- a/crates/node/src/main.rs
+++ b/crates/node/src/main.rs
@@ -4,6 +4,7 @@
 
 use bpaf::Bpaf;
 use node::{logs, ops, settings};
+use tokio::runtime::Builder;
 
 /// Exit code for settings that can't be used.
 const EXIT_SETTINGS: u8 = 2;
@@ -37,9 +38,19 @@
     }
 }
 
-#[tokio::main]
-async fn serve(settings: settings::Settings) -> Result<(), ops::RunError> {
-    ops::run(settings).await
+fn serve(settings: settings::Settings) -> Result<(), ops::RunError> {
+    let mut builder = match settings.threads {
+        Some(1) => Builder::new_current_thread(),
+        _ => Builder::new_multi_thread(),
+    };
+    if let Some(threads) = settings.threads.filter(|threads| *threads > 1) {
+        builder.worker_threads(threads);
+    }
+    let runtime = builder
+        .enable_all()
+        .build()
+        .map_err(ops::RunError::Runtime)?;
+    runtime.block_on(ops::run(settings))
 }
 
 /// Prints an error and its causes, outermost first.
--- a/crates/node/src/ops.rs
+++ b/crates/node/src/ops.rs
@@ -1,11 +1,19 @@
 //! The life of a node, from settings to a graceful shutdown.
 
-use std::{error::Error, fmt, io, net::SocketAddr, sync::Arc, time::Duration};
+use std::{
+    error::Error,
+    fmt, io,
+    net::SocketAddr,
+    sync::{Arc, Mutex},
+    time::Duration,
+};
 
-use axum::Router;
+use adapter::{SiteDialect, SiteRegistry};
+use axum::{Router, http::StatusCode, routing::get};
 use board::{Board, Identity, Phase};
+use dialect::{Dialect, Native};
 use kameo::actor::ActorRef;
-use platform::{HttpPlatform, PlatformError};
+use platform::{HttpClient, HttpPlatform, PlatformError};
 use tokio::{
     net::TcpListener,
     signal::unix::{SignalKind, signal},
@@ -14,18 +22,18 @@
     time::{Instant, sleep, timeout_at},
 };
 use tonic::transport::server::TcpIncoming;
-use types::Boot;
+use types::{Boot, Span};
 use wire::peer::peer_server::PeerServer;
 
 use crate::{
     admin::{self, Admin},
     backend::HttpBackend,
     gatekeeper::{self, Gatekeeper},
-    ingress::{self, Desks, Ingress},
+    ingress::{self, Ingress, RetryPolicy, Services},
     meter::Meter,
     peers::{Peers, server::PeerService},
-    settings::Settings,
-    spreader,
+    settings::{Conventions, Readiness, Settings},
+    spreader::{self, Plan, Source},
 };
 
 /// Time for which a stopping node goes on answering, so that peers and callers learn of it.
@@ -47,8 +55,8 @@
     },
     /// The client of the configuration service can't be set up.
     Platform(PlatformError),
-    /// The client of the backend server can't be set up.
-    Backend(reqwest::Error),
+    /// The threads can't be started.
+    Runtime(io::Error),
     /// Signals can't be handled.
     Signals(io::Error),
     /// Requests in progress were cut, by the deadline or by a second signal.
@@ -60,7 +68,7 @@
         match self {
             Self::Listen { address, .. } => write!(f, "can't listen on {address}"),
             Self::Platform(_) => f.write_str("can't set up the configuration service's client"),
-            Self::Backend(_) => f.write_str("can't set up the backend server's client"),
+            Self::Runtime(_) => f.write_str("can't start threads"),
             Self::Signals(_) => f.write_str("can't handle signals"),
             Self::Cut => f.write_str("stopped before all requests were finished"),
         }
@@ -70,9 +78,8 @@
 impl Error for RunError {
     fn source(&self) -> Option<&(dyn Error + 'static)> {
         match self {
-            Self::Listen { cause, .. } | Self::Signals(cause) => Some(cause),
+            Self::Listen { cause, .. } | Self::Signals(cause) | Self::Runtime(cause) => Some(cause),
             Self::Platform(cause) => Some(cause),
-            Self::Backend(cause) => Some(cause),
             Self::Cut => None,
         }
     }
@@ -88,8 +95,9 @@
     let node = start(&settings).await?;
     log::info!(host:% = settings.host, boot:% = node.board.identity.boot; "started");
     signals.stop().await;
-    log::info!(within_ms = settings.stop_ms; "stopping");
+    log::info!(within_ms = settings.stop_ms, linger_ms = settings.linger_ms; "stopping");
     let deadline = Instant::now() + settings.stop().duration();
+    node.linger(settings.linger()).await;
     tokio::select! {
         stopped = node.stop(deadline) => stopped,
         () = signals.stop() => Err(RunError::Cut),
@@ -107,6 +115,8 @@
     peers: Server,
     /// Closes the admin API, as the last.
     admin: Server,
+    /// Answers until the process ends, if settings ask for it.
+    _readiness: Option<Server>,
 }
 
 /// A server and the switch that closes it.
@@ -123,27 +133,44 @@
         boot: Boot(rand::random::<u64>() >> 1),
     });
     let meter = Arc::new(Meter::new());
-    let platform = HttpPlatform::new(&settings.platform).map_err(RunError::Platform)?;
-    let backend = HttpBackend::new().map_err(RunError::Backend)?;
+    let (source, dialect) = conventions(settings)?;
+    let backend = HttpBackend::new(Arc::clone(&dialect));
     let callers = listen(settings.listen).await?;
     let peers = listen(settings.node).await?;
     let admin = listen(settings.admin).await?;
 
     let gatekeeper = gatekeeper::spawn(&board, Arc::new(backend), &meter);
-    let seeds = settings.seeds.clone();
-    let spreader = spreader::spawn(&board, Arc::new(platform), &meter, seeds, settings.reads);
+    let plan = Plan {
+        seeds: settings.seeds.clone(),
+        reads: settings.reads,
+        lease: settings.lease(),
+    };
+    let spreader = spreader::spawn(&board, source, &meter, plan);
+    let retries = RetryPolicy {
+        slack: settings.repeats,
+    };
     let ingress = Arc::new(Ingress {
         board: Arc::clone(&board),
+        dialect,
+        origin: settings.service.clone(),
         peers: Peers::new(Arc::clone(&board), gatekeeper.clone()),
-        desks: Desks::new(board.identity.boot, settings.policy),
+        services: Services::new(board.identity.boot, settings.policy, retries),
+        directory: Mutex::default(),
         meter,
         spreader: spreader.clone(),
     });
     tokio::spawn(Arc::clone(&ingress).follow());
+    let readiness = match &settings.readiness {
+        Some(readiness) => {
+            let listener = listen(readiness.listen).await?;
+            Some(serve_http(listener, readiness_router(readiness, &board)))
+        }
+        None => None,
+    };
 
     let service = PeerService::new(Arc::clone(&board), gatekeeper.clone(), spreader.clone());
     let peers = serve_peers(peers, service);
-    let callers = serve_http(callers, ingress::router(Arc::clone(&ingress)));
+    let callers = serve_callers(callers, Arc::clone(&ingress));
     let admin_state = Admin {
         ingress,
         gatekeeper: gatekeeper.clone(),
@@ -156,10 +183,46 @@
         callers,
         peers,
         admin,
+        _readiness: readiness,
     })
 }
 
+/// What the platform and its callers speak, as settings say.
+fn conventions(settings: &Settings) -> Result<(Source, Arc<dyn Dialect>), RunError> {
+    let client = HttpClient::new(&settings.platform).map_err(RunError::Platform)?;
+    Ok(match settings.conventions {
+        Conventions::Native => {
+            let platform = HttpPlatform::new(client);
+            (Source::notes(Arc::new(platform)), Arc::new(Native))
+        }
+        Conventions::Site => {
+            let registry = SiteRegistry::new(client, settings.node.port());
+            (Source::registry(Arc::new(registry)), Arc::new(SiteDialect))
+        }
+    })
+}
+
+/// Answers whether the node takes callers.
+fn readiness_router(readiness: &Readiness, board: &Arc<Board>) -> Router {
+    let board = Arc::clone(board);
+    let answer = move || async move {
+        match board.phase() {
+            Phase::Ready => StatusCode::OK,
+            Phase::Joining | Phase::Leaving | Phase::Stopping => StatusCode::SERVICE_UNAVAILABLE,
+        }
+    };
+    Router::new().route(&readiness.path, get(answer))
+}
+
 impl Node {
+    /// Says that the node is about to stop, and takes work until callers have gone elsewhere.
+    async fn linger(&self, time: Span) {
+        if time > Span::default() {
+            self.board.phase.send_replace(Phase::Leaving);
+            sleep(time.duration()).await;
+        }
+    }
+
     /// Stops in an order that cuts nothing, by `deadline` at the latest.
     ///
     /// The gate takes nothing new and finishes what it has. Until it has, the callers' side stays
@@ -230,6 +293,12 @@
     Server { close, task }
 }
 
+fn serve_callers(listener: TcpListener, ingress: Arc<Ingress>) -> Server {
+    let (close, closing) = watch::channel(false);
+    let task = tokio::spawn(ingress::listen(ingress, listener, closing));
+    Server { close, task }
+}
+
 fn serve_peers(listener: TcpListener, service: PeerService) -> Server {
     let (close, closing) = watch::channel(false);
     let service = PeerServer::new(service)
--- a/crates/node/src/peers/convert.rs
+++ b/crates/node/src/peers/convert.rs
@@ -2,10 +2,9 @@
 
 use std::{fmt, net::SocketAddr, sync::Arc};
 
-use bytes::Bytes;
 use call::Sent;
 use gate::Load;
-use types::{Answer, Boot, CallId, Header, IdError, Moment, Outcome, Refusal, Revision, Seq};
+use types::{Answer, Boot, Header, IdError, Moment, Outcome, Refusal, Revision, Seq};
 use types::{SessionId, Span};
 use wire::peer;
 
@@ -50,6 +49,8 @@
         server,
         idempotent,
         hedge,
+        objective,
+        priority,
         request,
         revision,
         node,
@@ -59,7 +60,7 @@
         floor: sent.floor.0,
         deadline: sent.deadline.0,
         revision: revision.0,
-        call: Bytes::copy_from_slice(&request.call.0.to_be_bytes()),
+        call: request.call.to_string(),
         server: server.to_string(),
         method: request.method.to_string(),
         path: request.path.to_string(),
@@ -70,16 +71,18 @@
         repeat: request.repeat,
         node: node.to_string(),
         hedge,
+        origin: request.origin.map_or(String::new(), |o| o.to_string()),
+        objective: objective.0,
+        priority,
     }
 }
 
 pub(crate) fn attempt(request: peer::RunRequest) -> Result<Attempt, ConvertError> {
     let id = request.attempt.ok_or(ConvertError::Missing)?.into();
-    let call = request
-        .call
-        .as_ref()
-        .try_into()
-        .map_err(|_| ConvertError::Missing)?;
+    let origin = match request.origin.as_str() {
+        "" => None,
+        name => Some(name.parse().map_err(ConvertError::Name)?),
+    };
     let node: SocketAddr = request.node.parse().map_err(|_| ConvertError::Address)?;
     Ok(Attempt {
         sent: Sent {
@@ -90,14 +93,17 @@
         server: request.server.parse().map_err(ConvertError::Name)?,
         idempotent: request.idempotent,
         hedge: request.hedge,
+        objective: Moment(request.objective),
+        priority: request.priority,
         request: ServerRequest {
-            call: CallId(u128::from_be_bytes(call)),
+            call: request.call.parse().map_err(ConvertError::Name)?,
             method: request.method.into(),
             path: request.path.into(),
             headers: headers(request.headers),
             body: request.body,
             depth: request.depth,
             repeat: request.repeat,
+            origin,
         },
         revision: Revision(request.revision),
         node,
--- a/crates/node/src/peers/mod.rs
+++ b/crates/node/src/peers/mod.rs
@@ -12,7 +12,7 @@
 pub(crate) mod server;
 
 use std::{
-    collections::HashMap,
+    collections::{HashMap, HashSet},
     net::SocketAddr,
     sync::{Arc, Mutex, MutexGuard},
 };
@@ -61,6 +61,10 @@
     pub(crate) idempotent: bool,
     /// Whether it is refused rather than made to wait.
     pub(crate) hedge: bool,
+    /// Last moment, on the gate's clock, at which the answer is worth most.
+    pub(crate) objective: Moment,
+    /// Rank, 0 for the most urgent.
+    pub(crate) priority: u32,
     pub(crate) request: ServerRequest,
     pub(crate) revision: Revision,
     /// Address of the sending node.
@@ -191,7 +195,7 @@
     }
 
     /// Drops peers that are no longer among `members`.
-    pub(crate) fn retain(&self, members: &[SocketAddr]) {
+    pub(crate) fn retain(&self, members: &HashSet<SocketAddr>) {
         let mut list = self.list.lock().expect("no holder panics");
         list.retain(|address, _| members.contains(address));
     }
--- a/crates/node/src/peers/server.rs
+++ b/crates/node/src/peers/server.rs
@@ -4,6 +4,7 @@
 
 use board::{Board, Phase};
 use kameo::actor::ActorRef;
+use note::Digest;
 use tonic::{Request, Response, Status};
 use types::{Boot, Revision};
 use wire::peer::{
@@ -75,6 +76,7 @@
             let heard = Heard {
                 peer: attempt.node,
                 revision: attempt.revision,
+                digest: None,
             };
             let _ = self.spreader.tell(heard).await;
         }
@@ -96,6 +98,7 @@
                 let heard = Heard {
                     peer,
                     revision: Revision(theirs.revision),
+                    digest: theirs.digest.as_ref().try_into().ok().map(Digest),
                 };
                 let _ = self.spreader.tell(heard).await;
             }
--- a/crates/node/src/settings.rs
+++ b/crates/node/src/settings.rs
@@ -5,13 +5,37 @@
 use log::LevelFilter;
 use route::PolicyKind;
 use serde::{Deserialize, Serialize};
-use types::{HostId, Rate, Span, ZoneId};
+use types::{HostId, Rate, ServiceId, Span, ZoneId};
 
 /// Shortest and longest time that a graceful shutdown may be given, in milliseconds.
 const STOP_MS_RANGE: (u64, u64) = (100, 600_000);
 /// Largest read budget that makes sense, in reads per second.
 const MOST_READS: f64 = 2_000.0;
 
+/// Longest time for which a view may be acted on without a comparison, in milliseconds.
+const MOST_LEASE_MS: u64 = 600_000;
+
+/// What the platform and its callers speak.
+#[derive(Debug, Clone, Copy, Default, PartialEq, Eq, Serialize, Deserialize)]
+#[serde(rename_all = "lowercase")]
+pub enum Conventions {
+    /// Release notes, and the product's own headers.
+    #[default]
+    Native,
+    /// A registry, and the headers of the users' platform.
+    Site,
+}
+
+/// Where a node says whether it takes callers.
+#[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
+#[serde(deny_unknown_fields)]
+pub struct Readiness {
+    /// Address.
+    pub listen: SocketAddr,
+    /// Path that is answered with 200 while it does.
+    pub path: String,
+}
+
 /// Settings of a node.
 #[derive(Debug, Clone, Serialize, Deserialize)]
 #[serde(deny_unknown_fields)]
@@ -28,12 +52,35 @@
     pub admin: SocketAddr,
     /// Base URL of the configuration service.
     pub platform: String,
+    /// What the platform and its callers speak.
+    #[serde(default)]
+    pub conventions: Conventions,
+    /// Service of the backend server beside the node, where nodes tell it.
+    #[serde(default)]
+    pub service: Option<ServiceId>,
+    /// Where the node says whether it takes callers, besides the admin API.
+    #[serde(default)]
+    pub readiness: Option<Readiness>,
     /// Nodes to ask while no release note is known.
     #[serde(default)]
     pub seeds: Vec<SocketAddr>,
     /// Reads of the configuration service per second that all nodes together may make.
     #[serde(default = "default_reads")]
     pub reads: Rate,
+    /// Repeats of one service, beyond the ratio to first attempts, that all nodes together may send.
+    /// Without it each node saves up a fixed number.
+    #[serde(default)]
+    pub repeats: Option<f64>,
+    /// Time in milliseconds after a comparison for which a view may be acted on.
+    #[serde(default = "default_lease")]
+    pub lease_ms: u64,
+    /// Time in milliseconds for which a node that is to stop still takes work, so that callers can go
+    /// elsewhere first.
+    #[serde(default)]
+    pub linger_ms: u64,
+    /// Worker threads, one for each core if it isn't given.
+    #[serde(default)]
+    pub threads: Option<usize>,
     /// Time in milliseconds that a graceful shutdown may take.
     #[serde(default = "default_stop")]
     pub stop_ms: u64,
@@ -49,6 +96,11 @@
     Rate::new(100.0).expect("a constant in range")
 }
 
+/// The time for which the cluster's promise on zones leaves room.
+fn default_lease() -> u64 {
+    3_000
+}
+
 fn default_stop() -> u64 {
     10_000
 }
@@ -58,6 +110,16 @@
 }
 
 impl Settings {
+    /// Time after a comparison for which a view may be acted on.
+    pub fn lease(&self) -> Span {
+        Span::from_millis(self.lease_ms)
+    }
+
+    /// Time for which a node that is to stop still takes work.
+    pub fn linger(&self) -> Span {
+        Span::from_millis(self.linger_ms)
+    }
+
     /// Time that a graceful shutdown may take.
     pub fn stop(&self) -> Span {
         Span::from_millis(self.stop_ms)
@@ -170,6 +232,22 @@
         () if s.stop_ms < STOP_MS_RANGE.0 || s.stop_ms > STOP_MS_RANGE.1 => {
             refuse("stop_ms", &s.stop_ms, "100 to 600000")
         }
-        () => Ok(()),
+        () if s.lease_ms == 0 || s.lease_ms > MOST_LEASE_MS => {
+            refuse("lease_ms", &s.lease_ms, "1 to 600000")
+        }
+        () if s.linger_ms >= s.stop_ms => refuse("linger_ms", &s.linger_ms, "less than stop_ms"),
+        () if s.threads == Some(0) => refuse("threads", &0, "1 or more"),
+        () if s.repeats.is_some_and(|r| !r.is_finite() || r < 0.0) => {
+            refuse("repeats", &s.repeats.unwrap_or_default(), "0 or more")
+        }
+        () => match &s.readiness {
+            Some(r) if !r.path.starts_with('/') => {
+                refuse("readiness.path", &r.path, "a path that starts with /")
+            }
+            Some(r) if [s.listen, s.node, s.admin].contains(&r.listen) => {
+                refuse("readiness.listen", &r.listen, "an address of its own")
+            }
+            _ => Ok(()),
+        },
     }
 }
--- a/crates/node/src/spreader.rs
+++ b/crates/node/src/spreader/mod.rs
@@ -1,16 +1,22 @@
-//! Carries the spread of release notes.
+//! Carries the spread of the view.
 //!
-//! The actor owns the [`History`] and writes the board's `view`, `lease`, `hosts` and, once, the
-//! step from joining to ready. Reads, comparisons and pulls run in tasks that report back with the
-//! moment at which they asked.
+//! The actor owns what the view is made of, a [`Source`], and writes the board's `view`, `lease`,
+//! `hosts` and, once, the step from joining to ready. Reads, comparisons and pulls run in tasks that
+//! report back with the moment at which they asked.
+//!
+//! [`notes`] reads a platform that publishes a history of release notes, [`registry`] one that keeps
+//! newest values only. Whom to tell and to compare with is the same for both.
 
 #[cfg(test)]
 mod tests;
 
+mod notes;
+mod registry;
+
 use std::{collections::HashMap, net::SocketAddr, sync::Arc, time::Duration};
 
 use board::{Board, Phase};
-use fleet::{Action, Budget, Extension, History, HistoryError, Join, Lease, Spread};
+use fleet::{Action, Budget, Extension, History, HistoryError, Join, Lease, Snapshot, Spread};
 use kameo::{
     actor::{ActorRef, Spawn, WeakActorRef},
     error::Infallible,
@@ -18,7 +24,7 @@
     message::{Context, Message},
 };
 use note::Digest;
-use platform::{HostList, Page, Platform, PlatformError};
+use platform::{Platform, Registry};
 use rand::{SeedableRng, rngs::SmallRng};
 use serde::Serialize;
 use tokio::time::timeout;
@@ -36,14 +42,59 @@
 const PULL_TIMEOUT: Duration = Duration::from_millis(2_000);
 /// Largest view that a peer may send.
 const MOST_VIEW_BYTES: usize = 64 << 20;
-/// Of so many reads one asks for the list of hosts.
-const READS_PER_HOSTS: u64 = 4;
 
-/// A peer named its revision.
+/// Where the view comes from, and what it is made of.
+pub(crate) enum Source {
+    /// A history of release notes.
+    Notes {
+        /// Who publishes them.
+        platform: Arc<dyn Platform>,
+        /// The notes so far.
+        history: History,
+    },
+    /// Newest values only.
+    Registry {
+        /// Who keeps them.
+        registry: Arc<dyn Registry>,
+        /// The newest values so far.
+        snapshot: Snapshot,
+        /// How far reading has come.
+        reading: registry::Reading,
+    },
+}
+
+impl Source {
+    /// A platform that publishes release notes.
+    pub(crate) fn notes(platform: Arc<dyn Platform>) -> Self {
+        Self::Notes {
+            platform,
+            history: History::default(),
+        }
+    }
+
+    /// A platform that keeps newest values.
+    pub(crate) fn registry(registry: Arc<dyn Registry>) -> Self {
+        Self::Registry {
+            registry,
+            snapshot: Snapshot::default(),
+            reading: registry::Reading::default(),
+        }
+    }
+
+    fn view(&self) -> &Arc<note::View> {
+        match self {
+            Self::Notes { history, .. } => history.view(),
+            Self::Registry { snapshot, .. } => snapshot.view(),
+        }
+    }
+}
+
+/// A peer named its revision, and the digest of its view unless it spoke of other things.
 #[derive(Debug)]
 pub(crate) struct Heard {
     pub(crate) peer: SocketAddr,
     pub(crate) revision: Revision,
+    pub(crate) digest: Option<Digest>,
 }
 
 /// A peer lacks what follows this revision.
@@ -71,16 +122,6 @@
 #[derive(Debug)]
 struct Tick;
 
-#[derive(Debug)]
-struct ReadNotes {
-    after: Revision,
-    asked: Moment,
-    page: Result<Page, PlatformError>,
-}
-
-#[derive(Debug)]
-struct ReadHosts(Result<HostList, PlatformError>);
-
 #[derive(Debug)]
 struct Compared {
     peer: SocketAddr,
@@ -98,10 +139,10 @@
 /// The actor.
 pub(crate) struct Spreader {
     board: Arc<Board>,
-    platform: Arc<dyn Platform>,
+    source: Source,
     meter: Arc<Meter>,
+    seeds: Vec<SocketAddr>,
     spread: Spread,
-    history: History,
     join: Join,
     lease: Lease,
     /// Connections with neighbours, kept since making one costs more than a comparison.
@@ -114,24 +155,39 @@
     forks: u64,
 }
 
+/// What settings say about spreading.
+#[derive(Debug, Clone)]
+pub(crate) struct Plan {
+    /// Nodes to ask while no other is known.
+    pub(crate) seeds: Vec<SocketAddr>,
+    /// Reads of the platform that all nodes together may make.
+    pub(crate) reads: Rate,
+    /// Time after a comparison for which a view may be acted on.
+    pub(crate) lease: Span,
+}
+
 /// Starts the actor and its clock.
 pub(crate) fn spawn(
     board: &Arc<Board>,
-    platform: Arc<dyn Platform>,
+    source: Source,
     meter: &Arc<Meter>,
-    seeds: Vec<SocketAddr>,
-    reads: Rate,
+    plan: Plan,
 ) -> ActorRef<Spreader> {
+    let Plan {
+        seeds,
+        reads,
+        lease,
+    } = plan;
     let own = board.identity.node;
     let rng = SmallRng::seed_from_u64(board.identity.boot.0);
     let spreader = Spreader {
         board: Arc::clone(board),
-        platform,
+        source,
         meter: Arc::clone(meter),
-        spread: Spread::new(own, seeds, Budget { reads }, rng),
-        history: History::default(),
+        spread: Spread::new(own, seeds.clone(), Budget { reads }, rng),
+        seeds,
         join: Join::default(),
-        lease: Lease::default(),
+        lease: Lease::new(lease),
         channels: HashMap::new(),
         actor: None,
         alarm: Alarm::default(),
@@ -150,6 +206,7 @@
     async fn on_start(mut spreader: Self, actor: ActorRef<Self>) -> Result<Self, Infallible> {
         spreader.actor = Some(actor.downgrade());
         spreader.tick();
+        spreader.follow_orders();
         Ok(spreader)
     }
 }
@@ -166,7 +223,7 @@
     type Reply = ();
 
     async fn handle(&mut self, msg: Heard, _ctx: &mut Context<Self, ()>) {
-        let actions = self.spread.heard(msg.peer, msg.revision);
+        let actions = self.hear(msg);
         self.carry_out(actions);
     }
 }
@@ -179,38 +236,9 @@
         msg: Lacks,
         _ctx: &mut Context<Self, Option<Extension>>,
     ) -> Option<Extension> {
-        self.history.since(msg.after)
-    }
-}
-
-impl Message<ReadNotes> for Spreader {
-    type Reply = ();
-
-    async fn handle(&mut self, msg: ReadNotes, _ctx: &mut Context<Self, ()>) {
-        self.reads += 1;
-        match msg.page {
-            Ok(page) => self.take_page(msg.after, msg.asked, &page),
-            Err(error) => {
-                self.failed_reads += 1;
-                log::debug!(error:% = error; "read_failed");
-            }
-        }
-        self.try_ready();
-    }
-}
-
-impl Message<ReadHosts> for Spreader {
-    type Reply = ();
-
-    async fn handle(&mut self, msg: ReadHosts, _ctx: &mut Context<Self, ()>) {
-        self.reads += 1;
-        match msg.0 {
-            Ok(hosts) if hosts != **self.board.hosts.borrow() => {
-                log::info!(hosts = hosts.len(); "hosts_changed");
-                self.board.hosts.send_replace(Arc::new(hosts));
-            }
-            Ok(_) => {}
-            Err(_) => self.failed_reads += 1,
+        match &self.source {
+            Source::Notes { history, .. } => history.since(msg.after),
+            Source::Registry { snapshot, .. } => Some(Extension::Parts(Box::new(snapshot.parts()))),
         }
     }
 }
@@ -239,14 +267,7 @@
     async fn handle(&mut self, msg: Pulled, _ctx: &mut Context<Self, ()>) {
         self.spread.pulled(msg.peer);
         if let Some(extension) = msg.extension {
-            match self.history.take(extension) {
-                Ok(()) => {
-                    self.renew(msg.asked);
-                    self.publish();
-                }
-                Err(HistoryError::Older) => {}
-                Err(error) => self.report_fork(msg.peer, &error),
-            }
+            self.take_extension(msg.peer, msg.asked, extension);
         }
         self.try_ready();
     }
@@ -294,34 +315,18 @@
     fn carry_out(&mut self, actions: Vec<Action>) {
         for action in actions {
             match action {
-                Action::Read if self.reads % READS_PER_HOSTS == READS_PER_HOSTS - 1 => {
-                    self.read_hosts();
-                }
-                Action::Read => self.read_notes(),
+                Action::Read => self.read(),
                 Action::Compare(peer) => self.compare(peer),
                 Action::Pull(peer) => self.pull(peer),
             }
         }
     }
 
-    fn read_notes(&self) {
-        self.meter.control("read");
-        let (platform, actor) = (Arc::clone(&self.platform), self.actor.clone());
-        let after = self.history.view().revision;
-        let asked = self.board.clock.now();
-        tokio::spawn(async move {
-            let page = platform.notes(after).await;
-            tell(actor, ReadNotes { after, asked, page }).await;
-        });
-    }
-
-    fn read_hosts(&self) {
-        self.meter.control("read");
-        let (platform, actor) = (Arc::clone(&self.platform), self.actor.clone());
-        tokio::spawn(async move {
-            let hosts = platform.hosts().await;
-            tell(actor, ReadHosts(hosts)).await;
-        });
+    fn read(&mut self) {
+        match &self.source {
+            Source::Notes { .. } => self.read_history(),
+            Source::Registry { .. } => self.read_listing(),
+        }
     }
 
     /// The connection with a peer. It is kept if the peer is a neighbour.
@@ -340,7 +345,7 @@
         let channel = self.channel(peer);
         let actor = self.actor.clone();
         let asked = self.board.clock.now();
-        let own = self.history.view();
+        let own = self.source.view();
         let own = View {
             revision: own.revision.0,
             digest: own.digest.0.to_vec().into(),
@@ -361,7 +366,7 @@
         let channel = self.channel(peer);
         let actor = self.actor.clone();
         let asked = self.board.clock.now();
-        let after = self.history.view().revision;
+        let after = self.source.view().revision;
         tokio::spawn(async move {
             let extension = timeout(PULL_TIMEOUT, pull(channel, after))
                 .await
@@ -379,38 +384,72 @@
         });
     }
 
-    fn take_page(&mut self, after: Revision, asked: Moment, page: &Page) {
-        if page.head < self.history.view().revision {
-            self.stale_reads += 1;
-            return;
-        }
-        let folded = self.history.extend(after, &page.notes);
-        self.publish();
-        if page.head == self.history.view().revision {
-            self.join.read();
-            self.renew(asked);
-        } else if folded > 0 {
-            // The page was full: the next one follows at once.
-            self.read_notes();
+    /// A peer named its revision.
+    fn hear(&mut self, heard: Heard) -> Vec<Action> {
+        let own = self.source.view();
+        match self.source {
+            Source::Notes { .. } => self.spread.heard(heard.peer, heard.revision),
+            Source::Registry { .. } => match heard.digest {
+                Some(digest) if digest != own.digest => self.spread.differs(heard.peer),
+                Some(_) => {
+                    self.raise(heard.revision);
+                    Vec::new()
+                }
+                None => self.spread.heard(heard.peer, heard.revision),
+            },
         }
     }
 
     fn take_comparison(&mut self, peer: SocketAddr, asked: Moment, theirs: &View) {
-        let own = self.history.view();
+        let own = self.source.view();
         let revision = Revision(theirs.revision);
-        let differs = own.digest != digest(theirs);
+        let digest = digest(theirs);
+        let differs = own.digest != digest;
+        let is_history = matches!(self.source, Source::Notes { .. });
+        let newer = revision > own.revision;
         self.join.answered(peer, theirs.ready);
-        match revision {
-            r if r > own.revision => {
-                let actions = self.spread.heard(peer, revision);
-                self.carry_out(actions);
-            }
-            r if r == own.revision && differs => {
+        let heard = Heard {
+            peer,
+            revision,
+            digest: Some(digest),
+        };
+        match () {
+            () if is_history && revision == own.revision && differs => {
                 let error = HistoryError::Forked { revision };
                 self.report_fork(peer, &error);
+                return;
             }
-            _ if theirs.ready => self.renew(asked),
-            _ => {}
+            () if newer || differs => {
+                let actions = self.hear(heard);
+                self.carry_out(actions);
+            }
+            () => {}
+        }
+        // A history that is behind is not as new as the peer's; newest values are merged either way.
+        if theirs.ready && !(is_history && newer) && !(differs && !is_history) {
+            self.renew(asked);
+        }
+    }
+
+    fn take_extension(&mut self, peer: SocketAddr, asked: Moment, extension: Extension) {
+        let now = self.board.clock.now();
+        match (&mut self.source, extension) {
+            (Source::Registry { snapshot, .. }, Extension::Parts(parts)) => {
+                let revision = parts.revision;
+                snapshot.merge(*parts, now);
+                self.renew(asked);
+                self.publish();
+                self.raise(revision);
+            }
+            (Source::Registry { .. }, _) => self.report_fork(peer, &HistoryError::Foreign),
+            (Source::Notes { history, .. }, extension) => match history.take(extension) {
+                Ok(()) => {
+                    self.renew(asked);
+                    self.publish();
+                }
+                Err(HistoryError::Older) => {}
+                Err(error) => self.report_fork(peer, &error),
+            },
         }
     }
 
@@ -424,18 +463,20 @@
         self.board.lease.send_replace(self.lease);
     }
 
-    /// Puts the view in force, if it advanced, and tells some neighbours.
+    /// Puts the view in force, if it changed, and tells some neighbours.
     fn publish(&mut self) {
-        let view = self.history.view();
-        let before = self.board.view.borrow().revision;
-        if view.revision == before {
+        let view = self.source.view();
+        let before = self.board.view();
+        if Arc::ptr_eq(view, &before) || view.revision == before.revision {
             return;
         }
-        assert!(view.revision > before, "invariant: a view never reverts");
-        let faults = view.rejected.back().filter(|r| r.revision == view.revision);
-        let faults = faults.map_or(0, |r| r.faults.len());
-        log::info!(revision:% = view.revision, digest:% = view.digest, faults; "notes_in_force");
-        let members = view.state.servers.values().map(|e| e.item.node).collect();
+        assert!(
+            view.revision > before.revision,
+            "invariant: a view never reverts"
+        );
+        self.log_view();
+        let servers = view.state.servers.values().map(|e| e.item.node);
+        let members = servers.chain(self.seeds.iter().copied()).collect();
         let revision = view.revision;
         self.board.view.send_replace(Arc::clone(view));
         self.spread.set_members(members);
@@ -443,14 +484,35 @@
         self.carry_out(actions);
     }
 
+    fn log_view(&self) {
+        let view = self.source.view();
+        let state = &view.state;
+        let faults = view.rejected.back().filter(|r| r.revision == view.revision);
+        let faults = faults.map_or(0, |r| r.faults.len());
+        let leaving = state
+            .servers
+            .values()
+            .filter(|e| !state.takes_work(&e.item))
+            .count();
+        log::info!(
+            revision:% = view.revision, digest:% = view.digest, faults,
+            servers = state.servers.len(), closed = leaving, routes = state.routes.len();
+            "view_in_force"
+        );
+    }
+
     fn try_ready(&mut self) {
         if self.board.phase() != Phase::Joining {
             return;
         }
         let new = self.join.ask(self.spread.neighbours());
         new.into_iter().for_each(|peer| self.compare(peer));
-        if self.join.is_ready(self.spread.is_behind()) {
-            log::info!(revision:% = self.history.view().revision; "ready");
+        let known = match &self.source {
+            Source::Notes { .. } => self.join.is_ready(self.spread.is_behind()),
+            Source::Registry { .. } => self.is_known(),
+        };
+        if known {
+            log::info!(revision:% = self.source.view().revision; "ready");
             self.board.phase.send_if_modified(|phase| {
                 let joining = *phase == Phase::Joining;
                 if joining {
--- /dev/null
+++ b/crates/node/src/spreader/registry.rs
@@ -0,0 +1,217 @@
+//! Reads a registry: the listing at the node's share of the budget, the orders when they change.
+
+use std::{sync::Arc, time::Duration};
+
+use kameo::message::{Context, Message};
+use note::{Listing, Orders};
+use platform::{PlatformError, Registry};
+use rand::RngExt;
+use tokio::time::sleep;
+use types::{Moment, Revision, Span};
+
+use super::{Source, Spreader, tell};
+use crate::meter::Meter;
+
+/// Time that a read waits for orders to change. A connection that went silent is noticed sooner.
+const WAIT: Span = Span::from_millis(15_000);
+/// Pause after a failed read of the orders, and its upper limit as it doubles.
+const LEAST_PAUSE: Duration = Duration::from_millis(250);
+const MOST_PAUSE: Duration = Duration::from_millis(2_000);
+
+/// How far reading has come since the start.
+#[derive(Debug, Default)]
+pub(crate) struct Reading {
+    listing: bool,
+    orders: bool,
+    /// Whether the last read failed.
+    failing: bool,
+    /// Number of entries that couldn't be used in the last listing.
+    unusable: usize,
+}
+
+#[derive(Debug)]
+struct ReadListing {
+    asked: Moment,
+    listing: Result<Listing, PlatformError>,
+}
+
+#[derive(Debug)]
+struct ReadOrders(Result<Orders, PlatformError>);
+
+/// A read that waited for orders to change ended without a change.
+#[derive(Debug)]
+struct Waited(Result<(), PlatformError>);
+
+impl Message<ReadListing> for Spreader {
+    type Reply = ();
+
+    async fn handle(&mut self, msg: ReadListing, _ctx: &mut Context<Self, ()>) {
+        self.note_read(msg.listing.as_ref().err());
+        if let (
+            Source::Registry {
+                snapshot, reading, ..
+            },
+            Ok(listing),
+        ) = (&mut self.source, msg.listing)
+        {
+            let now = self.board.clock.now();
+            reading.listing = true;
+            if listing.unusable.len() != reading.unusable {
+                reading.unusable = listing.unusable.len();
+                log::warn!(keys:? = listing.unusable, revision:% = listing.revision; "entries_unusable");
+            }
+            snapshot.take_listing(listing, now);
+            self.renew(msg.asked);
+            self.publish();
+        }
+        self.try_ready();
+    }
+}
+
+impl Message<ReadOrders> for Spreader {
+    type Reply = ();
+
+    async fn handle(&mut self, msg: ReadOrders, _ctx: &mut Context<Self, ()>) {
+        self.note_read(msg.0.as_ref().err());
+        if let (
+            Source::Registry {
+                snapshot, reading, ..
+            },
+            Ok(orders),
+        ) = (&mut self.source, msg.0)
+        {
+            reading.orders = true;
+            let (version, out) = (orders.version, orders.out.clone());
+            if snapshot.take_orders(orders) {
+                log::info!(version, zones_out:? = out; "orders_read");
+            }
+            self.publish();
+        }
+        self.try_ready();
+    }
+}
+
+impl Message<Waited> for Spreader {
+    type Reply = ();
+
+    async fn handle(&mut self, msg: Waited, _ctx: &mut Context<Self, ()>) {
+        self.note_read(msg.0.as_ref().err());
+    }
+}
+
+impl Spreader {
+    /// Counts a read, and notes when the registry is lost and regained.
+    fn note_read(&mut self, error: Option<&PlatformError>) {
+        self.reads += 1;
+        let now = self.board.clock.now();
+        let Source::Registry {
+            snapshot, reading, ..
+        } = &mut self.source
+        else {
+            return;
+        };
+        match error {
+            Some(error) => {
+                self.failed_reads += 1;
+                snapshot.failed();
+                if !std::mem::replace(&mut reading.failing, true) {
+                    let cause = std::error::Error::source(error).map(ToString::to_string);
+                    log::warn!(error:% = error, cause; "registry_lost");
+                }
+            }
+            None => {
+                snapshot.reached(now);
+                if std::mem::take(&mut reading.failing) {
+                    log::info!(reads = self.reads; "registry_regained");
+                }
+            }
+        }
+    }
+
+    /// Whether the view is as new as the registry's: read from there, or from peers that are ready.
+    pub(super) fn is_known(&self) -> bool {
+        let Source::Registry {
+            snapshot, reading, ..
+        } = &self.source
+        else {
+            return false;
+        };
+        let read = reading.listing && reading.orders;
+        let compared = self.join.is_ready(self.spread.is_behind());
+        snapshot.is_complete() && (read || compared)
+    }
+
+    /// A peer has the same view under a newer revision.
+    pub(super) fn raise(&mut self, revision: Revision) {
+        let Source::Registry { snapshot, .. } = &mut self.source else {
+            return;
+        };
+        if snapshot.view().digest == self.board.view.borrow().digest && snapshot.raise(revision) {
+            self.board.view.send_replace(Arc::clone(snapshot.view()));
+        }
+    }
+
+    pub(super) fn read_listing(&self) {
+        let Source::Registry { registry, .. } = &self.source else {
+            return;
+        };
+        self.meter.control("read");
+        let (registry, actor) = (Arc::clone(registry), self.actor.clone());
+        let asked = self.board.clock.now();
+        tokio::spawn(async move {
+            let listing = registry.listing().await;
+            tell(actor, ReadListing { asked, listing }).await;
+        });
+    }
+
+    /// Reads the orders, and again whenever they change.
+    pub(super) fn follow_orders(&self) {
+        let Source::Registry { registry, .. } = &self.source else {
+            return;
+        };
+        let (registry, actor) = (Arc::clone(registry), self.actor.clone());
+        let meter = Arc::clone(&self.meter);
+        tokio::spawn(async move {
+            let mut pause = LEAST_PAUSE;
+            while actor.as_ref().is_some_and(|a| a.upgrade().is_some()) {
+                meter.control("read");
+                let orders = registry.orders().await;
+                let revision = orders.as_ref().ok().map(|o| o.revision);
+                tell(actor.clone(), ReadOrders(orders)).await;
+                let ended = match revision {
+                    Some(after) => wait_for_change(registry.as_ref(), after, &meter).await,
+                    None => Ended::Failed(None),
+                };
+                match ended {
+                    Ended::Changed => pause = LEAST_PAUSE,
+                    Ended::Failed(error) => {
+                        if let Some(error) = error {
+                            tell(actor.clone(), Waited(Err(error))).await;
+                        }
+                        let jitter = rand::rng().random_range(0.75..1.25);
+                        sleep(pause.mul_f64(jitter)).await;
+                        pause = (pause * 2).min(MOST_PAUSE);
+                    }
+                }
+            }
+        });
+    }
+}
+
+/// How waiting for a change ended.
+enum Ended {
+    Changed,
+    Failed(Option<PlatformError>),
+}
+
+/// Waits, for as long as it takes, until orders have changed after a revision.
+async fn wait_for_change(registry: &dyn Registry, mut after: Revision, meter: &Meter) -> Ended {
+    loop {
+        meter.control("read");
+        match registry.changed(after, WAIT).await {
+            Ok(change) if change.happened => return Ended::Changed,
+            Ok(change) => after = after.max(change.revision),
+            Err(error) => return Ended::Failed(Some(error)),
+        }
+    }
+}
--- a/crates/node/src/spreader/tests.rs
+++ b/crates/node/src/spreader/tests.rs
@@ -11,9 +11,9 @@
 use board::{Board, Identity};
 use futures::{FutureExt, future::BoxFuture};
 use platform::{HostList, Page, Platform, PlatformError};
-use types::{Boot, Rate, Revision};
+use types::{Boot, Rate, Revision, Span};
 
-use super::spawn;
+use super::{Plan, Source, spawn};
 use crate::meter::Meter;
 
 /// Reads after which the fake gives no answer, so that a loop of reads ends.
@@ -48,7 +48,7 @@
     }
 }
 
-#[tokio::test(start_paused = true)]
+#[tokio::test]
 async fn a_platform_that_withholds_its_newest_note_is_read_within_the_budget() {
     let board = Board::new(Identity {
         host: "host".parse().expect("a name"),
@@ -61,10 +61,13 @@
     let meter = Arc::new(Meter::new());
     let _spreader = spawn(
         &board,
-        Arc::clone(&platform) as _,
+        Source::notes(Arc::clone(&platform) as _),
         &meter,
-        Vec::new(),
-        budget,
+        Plan {
+            seeds: Vec::new(),
+            reads: budget,
+            lease: Span::from_millis(3_000),
+        },
     );
     let seconds = 3;
     tokio::time::sleep(Duration::from_secs(seconds)).await;
--- a/crates/note/src/check.rs
+++ b/crates/note/src/check.rs
@@ -7,17 +7,15 @@
 
 use serde::{Deserialize, Serialize};
 use smol_str::{SmolStr, format_smolstr};
-use types::{Revision, Slots};
+use types::{Revision, ServiceId, Slots};
 
 use crate::{
     parse::Note,
-    state::{Entry, Server, Service, State},
+    state::{Entry, MAX_BODY_BYTES, Part, Server, Service, State},
 };
 
 /// Most slots or connections that a note may give to one backend server.
 const MAX_SLOTS: Slots = Slots(100_000);
-/// Largest body that a note may allow, in bytes.
-const MAX_BODY_BYTES: u64 = 16 << 20;
 
 /// What is wrong at one place of a note.
 #[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
@@ -46,6 +44,8 @@
     InUse,
     /// Another backend server has the same host, node or address.
     Shared,
+    /// A path doesn't begin and end with a slash.
+    NoPrefix,
     /// A number lies outside what is allowed.
     Range {
         /// The smallest number allowed.
@@ -73,6 +73,7 @@
             Self::NoZone => f.write_str("names an availability zone that does not exist"),
             Self::InUse => f.write_str("is still used by backend servers"),
             Self::Shared => f.write_str("has the host, node or address of another backend server"),
+            Self::NoPrefix => f.write_str("must begin and end with a slash"),
             Self::Range { least, most } => write!(f, "must be from {least} to {most}"),
         }
     }
@@ -104,6 +105,7 @@
     check_names(note, view, &mut faults);
     check_services(note, &mut faults);
     check_references(note, next, &mut faults);
+    check_routes(note, next, &mut faults);
     check_shared(note, next, &mut faults);
     faults.list
 }
@@ -168,6 +170,12 @@
         gone.servers.iter().collect(),
     ];
     check_kind("servers", note.after, &view.servers, servers, faults);
+    let routes = [
+        add.routes.iter().map(|r| &r.id).collect(),
+        change.routes.iter().map(|r| &r.id).collect(),
+        gone.routes.iter().collect(),
+    ];
+    check_kind("routes", note.after, &view.routes, routes, faults);
 }
 
 fn check_services(note: &Note, faults: &mut Faults) {
@@ -185,6 +193,45 @@
     }
 }
 
+fn check_routes(note: &Note, next: &State, faults: &mut Faults) {
+    for (verb, list) in [("add", &note.add.routes), ("change", &note.change.routes)] {
+        for (at, route) in list.iter().enumerate() {
+            let place = |field| format_smolstr!("{verb}.routes[{at}].{field}");
+            let known = |part: &Part| next.services.contains_key(&part.service);
+            if !route.parts.iter().all(known) {
+                faults.add(place("parts"), Problem::NoService);
+            }
+            if !route.path.starts_with('/') || !route.path.ends_with('/') {
+                faults.add(place("path"), Problem::NoPrefix);
+            }
+            let weight: u64 = route.parts.iter().map(|p| u64::from(p.weight)).sum();
+            let ranges = [
+                ("parts", weight, 1, u64::from(u32::MAX)),
+                ("attempts", u64::from(route.attempts), 1, 100),
+                ("timeout_ms", route.timeout_ms, 1, 3_600_000),
+                (
+                    "objective_ms",
+                    route.objective_ms,
+                    1,
+                    route.timeout_ms.max(1),
+                ),
+            ];
+            check_ranges(&format_smolstr!("{verb}.routes[{at}]"), &ranges, faults);
+        }
+    }
+}
+
+fn check_ranges(place: &str, ranges: &[(&str, u64, u64, u64)], faults: &mut Faults) {
+    for (field, value, least, most) in ranges.iter().copied() {
+        if !(least..=most).contains(&value) {
+            faults.add(
+                format_smolstr!("{place}.{field}"),
+                Problem::Range { least, most },
+            );
+        }
+    }
+}
+
 fn check_limits(place: &str, service: &Service, faults: &mut Faults) {
     let l = &service.limits;
     let slots = u64::from(l.slots.0);
@@ -197,22 +244,23 @@
         ("timeout_ms", l.timeout_ms, 1, 3_600_000),
         ("warm_ms", l.warm_ms, 0, 3_600_000),
         ("body", l.body.0, 0, MAX_BODY_BYTES),
+        (
+            "cold_rate",
+            l.cold_rate.per_second().ceil() as u64,
+            0,
+            1_000_000,
+        ),
         ("probes", l.probes.per_second().ceil() as u64, 0, 1_000),
     ];
-    for (field, value, least, most) in ranges {
-        if !(least..=most).contains(&value) {
+    check_ranges(place, &ranges, faults);
+    for (field, share) in [("retries", l.retries), ("usable", l.usable)] {
+        if !(0.0..=1.0).contains(&share) {
             faults.add(
                 format_smolstr!("{place}.{field}"),
-                Problem::Range { least, most },
+                Problem::Range { least: 0, most: 1 },
             );
         }
     }
-    if !(0.0..=1.0).contains(&l.retries) {
-        faults.add(
-            format_smolstr!("{place}.retries"),
-            Problem::Range { least: 0, most: 1 },
-        );
-    }
 }
 
 fn check_references(note: &Note, next: &State, faults: &mut Faults) {
@@ -239,7 +287,11 @@
         }
     }
     for (at, id) in note.withdraw.services.iter().enumerate() {
-        if servers().any(|s| s.service == *id) {
+        let routed = |id: &ServiceId| {
+            let mut routes = next.routes.values().map(|e| &e.item);
+            routes.any(|r| r.parts.iter().any(|p| p.service == *id))
+        };
+        if servers().any(|s| s.service == *id) || routed(id) {
             faults.add(format_smolstr!("withdraw.services[{at}]"), Problem::InUse);
         }
     }
--- a/crates/note/src/fold.rs
+++ b/crates/note/src/fold.rs
@@ -4,11 +4,11 @@
 
 use serde::{Deserialize, Serialize};
 use sha2::{Digest as _, Sha256};
-use types::{Revision, ServerId, ServiceId, ZoneId};
+use types::Revision;
 
 use crate::{
     check::{Fault, Problem, check},
-    parse::{Batch, Note, parse},
+    parse::{Batch, Note, Withdrawal, parse},
     state::{Entry, State},
 };
 
@@ -20,6 +20,16 @@
 pub struct Digest(pub [u8; 32]);
 
 impl Digest {
+    /// Digest of a value's JSON form.
+    ///
+    /// # Panics
+    ///
+    /// If the value has no JSON form.
+    pub fn of(value: &impl Serialize) -> Self {
+        let text = serde_json::to_vec(value).expect("a state has a JSON form");
+        Self(Sha256::digest(text).into())
+    }
+
     fn chain(self, text: &str) -> Self {
         let hash = Sha256::new().chain_update(self.0).chain_update(text);
         Self(hash.finalize().into())
@@ -97,12 +107,7 @@
 fn apply(state: &mut State, note: &Note, changed: Revision) {
     put(state, &note.add, changed);
     put(state, &note.change, changed);
-    drop_all(
-        state,
-        &note.withdraw.zones,
-        &note.withdraw.services,
-        &note.withdraw.servers,
-    );
+    drop_all(state, &note.withdraw);
 }
 
 fn put(state: &mut State, batch: &Batch, changed: Revision) {
@@ -119,10 +124,16 @@
             .servers
             .insert(item.id.clone(), Entry { item, changed });
     }
+    for item in batch.routes.iter().cloned() {
+        state
+            .routes
+            .insert(item.id.clone(), Entry { item, changed });
+    }
 }
 
-fn drop_all(state: &mut State, zones: &[ZoneId], services: &[ServiceId], servers: &[ServerId]) {
-    state.zones.retain(|id, _| !zones.contains(id));
-    state.services.retain(|id, _| !services.contains(id));
-    state.servers.retain(|id, _| !servers.contains(id));
+fn drop_all(state: &mut State, gone: &Withdrawal) {
+    state.zones.retain(|id, _| !gone.zones.contains(id));
+    state.services.retain(|id, _| !gone.services.contains(id));
+    state.servers.retain(|id, _| !gone.servers.contains(id));
+    state.routes.retain(|id, _| !gone.routes.contains(id));
 }
--- a/crates/note/src/lib.rs
+++ b/crates/note/src/lib.rs
@@ -9,13 +9,19 @@
 //! digest chained over all notes so far, so that two nodes that were served different histories
 //! notice. A newcomer takes a peer's [`View`] instead of the history, which bounds what it reads by
 //! the size of the state.
+//!
+//! Where the platform keeps newest values instead of a history, the state is assembled from a
+//! [`Listing`] and [`Orders`].
 
 mod check;
 mod fold;
 mod parse;
+mod registry;
 mod state;
 
 pub use check::{Fault, Problem, check};
 pub use fold::{Digest, Rejection, View};
 pub use parse::{Batch, Note, NoteError, Withdrawal, parse};
-pub use state::{Entry, Limits, Route, Server, ServerStatus, Service, State, Zone, ZoneStatus};
+pub use registry::{Listed, Listing, Orders};
+pub use state::{CallerLimits, Entry, HostRoute, Limits, Part, Route, Server, ServerStatus};
+pub use state::{Service, State, Zone, ZoneStatus};
--- a/crates/note/src/parse.rs
+++ b/crates/note/src/parse.rs
@@ -4,9 +4,9 @@
 
 use serde::{Deserialize, Serialize};
 use smol_str::SmolStr;
-use types::{Revision, ServerId, ServiceId, ZoneId};
+use types::{Revision, RouteId, ServerId, ServiceId, ZoneId};
 
-use crate::state::{Server, Service, Zone};
+use crate::state::{HostRoute, Server, Service, Zone};
 
 /// Objects that a note adds, or their new form.
 #[derive(Debug, Clone, Default, PartialEq, Serialize, Deserialize)]
@@ -18,6 +18,8 @@
     pub services: Vec<Service>,
     /// Backend servers.
     pub servers: Vec<Server>,
+    /// Routes.
+    pub routes: Vec<HostRoute>,
 }
 
 /// Names of objects that a note withdraws.
@@ -30,6 +32,8 @@
     pub services: Vec<ServiceId>,
     /// Backend servers.
     pub servers: Vec<ServerId>,
+    /// Routes.
+    pub routes: Vec<RouteId>,
 }
 
 /// A release note, as operators write it.
--- a/crates/note/src/state.rs
+++ b/crates/note/src/state.rs
@@ -4,7 +4,12 @@
 
 use serde::{Deserialize, Serialize};
 use smol_str::SmolStr;
-use types::{HostId, Rate, Revision, ServerId, ServiceId, Size, Slots, Span, ZoneId};
+use types::{
+    Boot, HostId, Rate, Revision, RouteId, ServerId, ServiceId, Size, Slots, Span, ZoneId,
+};
+
+/// Largest body that a note may allow, in bytes.
+pub(crate) const MAX_BODY_BYTES: u64 = 16 << 20;
 
 /// Whether an availability zone takes work.
 #[derive(Debug, Clone, Copy, Default, PartialEq, Eq, Serialize, Deserialize)]
@@ -54,6 +59,13 @@
     pub cold: Slots,
     /// Time in milliseconds that a cold backend server needs to become warm.
     pub warm_ms: u64,
+    /// Share of the slots that is used, since backend servers slow down when they are nearly full.
+    pub usable: f64,
+    /// Requests per second that a backend server bears while it says that it is cold. Zero for a
+    /// service whose backend servers don't say so.
+    pub cold_rate: Rate,
+    /// Path of the health endpoint of its backend servers. Empty for the default one.
+    pub health: SmolStr,
     /// Requests that may wait at one gate.
     pub queue: Slots,
     /// Time in milliseconds that a call gets if the caller names none.
@@ -73,6 +85,9 @@
             connections: Slots(200),
             cold: Slots(1),
             warm_ms: 5_000,
+            usable: 1.0,
+            cold_rate: Rate::default(),
+            health: SmolStr::default(),
             queue: Slots(20),
             timeout_ms: 5_000,
             body: Size(1 << 20),
@@ -106,6 +121,66 @@
     pub idempotent: bool,
 }
 
+/// A service among those that share a route's requests.
+#[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
+#[serde(deny_unknown_fields)]
+pub struct Part {
+    /// The service.
+    pub service: ServiceId,
+    /// Its share of the requests, relative to the other parts' weights.
+    pub weight: u32,
+}
+
+/// A route from a caller's host and path to services, and how its requests are served.
+#[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
+#[serde(deny_unknown_fields)]
+pub struct HostRoute {
+    /// Name of the route.
+    pub id: RouteId,
+    /// Host that callers name.
+    pub host: SmolStr,
+    /// Prefix of the path, with a slash at both ends.
+    pub path: SmolStr,
+    /// Services that share the requests.
+    pub parts: Vec<Part>,
+    /// Whether the requests may run more than once.
+    pub idempotent: bool,
+    /// Backend servers that one request may be sent to at most.
+    pub attempts: u32,
+    /// Longest time in milliseconds that a caller is kept waiting.
+    pub timeout_ms: u64,
+    /// Time in milliseconds within which an answer is worth most to the caller.
+    pub objective_ms: u64,
+    /// Rank, 0 for the most urgent.
+    #[serde(default)]
+    pub priority: u32,
+}
+
+/// What callers may send, and how long they may take.
+#[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
+#[serde(deny_unknown_fields, default)]
+pub struct CallerLimits {
+    /// Largest head of a request: request line and headers.
+    pub head: Size,
+    /// Largest body of a request.
+    pub body: Size,
+    /// Time in milliseconds within which the head must be complete.
+    pub head_ms: u64,
+    /// Time in milliseconds for which a connection without requests is kept.
+    pub idle_ms: u64,
+}
+
+impl Default for CallerLimits {
+    fn default() -> Self {
+        Self {
+            head: Size(64 << 10),
+            body: Size(MAX_BODY_BYTES),
+            head_ms: 10_000,
+            idle_ms: 60_000,
+        }
+    }
+}
+
 /// A service: a set of backend servers that answer the same requests.
 #[derive(Debug, Clone, PartialEq, Serialize, Deserialize)]
 #[serde(deny_unknown_fields)]
@@ -156,6 +231,12 @@
     /// Whether it takes work.
     #[serde(default)]
     pub status: ServerStatus,
+    /// Its incarnation, where the platform names it.
+    #[serde(default)]
+    pub boot: Boot,
+    /// Requests that it works on at once, where it differs from the service's limit.
+    #[serde(default, skip_serializing_if = "Option::is_none")]
+    pub slots: Option<Slots>,
 }
 
 /// An object of the state and the revision that last touched it.
@@ -176,6 +257,12 @@
     pub services: BTreeMap<ServiceId, Entry<Service>>,
     /// Backend servers by name.
     pub servers: BTreeMap<ServerId, Entry<Server>>,
+    /// Routes by name. Without any, the first segment of a path names the service.
+    #[serde(default)]
+    pub routes: BTreeMap<RouteId, Entry<HostRoute>>,
+    /// What callers may send.
+    #[serde(default)]
+    pub callers: CallerLimits,
 }
 
 impl State {
@@ -189,12 +276,25 @@
         self.servers.get(id).map(|e| &e.item)
     }
 
-    /// The backend server on this host.
+    /// The route with this name.
+    pub fn route(&self, id: &RouteId) -> Option<&HostRoute> {
+        self.routes.get(id).map(|e| &e.item)
+    }
+
+    /// The backend server on this host: its newest incarnation, if a former one is still listed.
     pub fn server_on(&self, host: &HostId) -> Option<&Server> {
         self.servers
             .values()
             .map(|e| &e.item)
-            .find(|s| s.host == *host)
+            .filter(|s| s.host == *host)
+            .max_by_key(|s| s.boot)
+    }
+
+    /// What one backend server bears: its service's limits, with its own slots.
+    pub fn limits_of(&self, server: &Server) -> Option<Limits> {
+        let limits = self.service(&server.service)?.limits.clone();
+        let slots = server.slots.unwrap_or(limits.slots);
+        Some(Limits { slots, ..limits })
     }
 
     /// Whether operators let this backend server take new work.
--- a/crates/platform/src/http.rs
+++ b/crates/platform/src/http.rs
@@ -5,21 +5,30 @@
 use futures::{FutureExt, future::BoxFuture};
 use reqwest::Client;
 use serde::de::DeserializeOwned;
-use types::Revision;
+use smol_str::SmolStr;
+use types::{Revision, Span};
 
 use crate::{HostList, Page, Platform, PlatformError};
 
-/// Longest time that one read may take.
+/// Longest time that one read may take, besides the time that it was asked to wait.
 const READ_TIMEOUT: Duration = Duration::from_millis(1_000);
+/// Longest time to make a connection. The platform answers within milliseconds.
+const CONNECT_TIMEOUT: Duration = Duration::from_millis(500);
+/// Silence after which an open connection is tested, and the time between two tests.
+const TEST_PERIOD: Duration = Duration::from_millis(500);
+/// Tests without an answer after which a connection counts as broken.
+const MOST_TESTS: u32 = 2;
+/// Time after which unacknowledged bytes break a connection.
+const SENT_TIMEOUT: Duration = Duration::from_millis(1_500);
 
-/// Client of the configuration service and of the host list.
+/// The one HTTP client that a process reads its platform with.
 #[derive(Debug, Clone)]
-pub struct HttpPlatform {
+pub struct HttpClient {
     client: Client,
     base: String,
 }
 
-impl HttpPlatform {
+impl HttpClient {
     /// A client of the service at `base`, such as `http://127.0.0.1:6000`.
     ///
     /// # Errors
@@ -28,8 +37,13 @@
     pub fn new(base: &str) -> Result<Self, PlatformError> {
         let client = Client::builder()
             .no_proxy()
+            .http1_only()
             .retry(reqwest::retry::never())
-            .timeout(READ_TIMEOUT)
+            .connect_timeout(CONNECT_TIMEOUT)
+            .tcp_keepalive(TEST_PERIOD)
+            .tcp_keepalive_interval(TEST_PERIOD)
+            .tcp_keepalive_retries(MOST_TESTS)
+            .tcp_user_timeout(SENT_TIMEOUT)
             .build()
             .map_err(PlatformError::Unreachable)?;
         Ok(Self {
@@ -38,27 +52,57 @@
         })
     }
 
-    async fn read<T: DeserializeOwned>(&self, path: String) -> Result<T, PlatformError> {
+    /// Reads what stands at a path with its query. The service may wait for `wait` before it answers.
+    ///
+    /// # Errors
+    ///
+    /// [`PlatformError`] tells apart a service that can't be reached, one that refuses, and an answer
+    /// that can't be understood.
+    pub async fn read<T: DeserializeOwned>(
+        &self,
+        path: &str,
+        wait: Span,
+    ) -> Result<T, PlatformError> {
         let url = format!("{}{path}", self.base);
-        let answer = self
+        let sending = self
             .client
             .get(url)
-            .send()
-            .await
-            .map_err(PlatformError::Unreachable)?;
+            .timeout(READ_TIMEOUT + wait.duration())
+            .send();
+        let answer = sending.await.map_err(PlatformError::Unreachable)?;
         match answer.status().as_u16() {
-            200 => answer.json().await.map_err(PlatformError::Malformed),
+            200 => {
+                let body = answer.bytes().await.map_err(PlatformError::Malformed)?;
+                serde_json::from_slice(&body).map_err(|cause| PlatformError::Undecodable {
+                    item: SmolStr::new(path),
+                    cause,
+                })
+            }
             status => Err(PlatformError::Refused { status }),
         }
     }
 }
 
+/// Client of the configuration service and of the host list.
+#[derive(Debug, Clone)]
+pub struct HttpPlatform {
+    client: HttpClient,
+}
+
+impl HttpPlatform {
+    /// Reads through `client`.
+    pub fn new(client: HttpClient) -> Self {
+        Self { client }
+    }
+}
+
 impl Platform for HttpPlatform {
     fn notes(&self, after: Revision) -> BoxFuture<'_, Result<Page, PlatformError>> {
-        self.read(format!("/v1/notes?after={after}")).boxed()
+        let path = format!("/v1/notes?after={after}");
+        async move { self.client.read(&path, Span::default()).await }.boxed()
     }
 
     fn hosts(&self) -> BoxFuture<'_, Result<HostList, PlatformError>> {
-        self.read("/v1/hosts".to_owned()).boxed()
+        async move { self.client.read("/v1/hosts", Span::default()).await }.boxed()
     }
 }
--- a/crates/platform/src/lib.rs
+++ b/crates/platform/src/lib.rs
@@ -3,16 +3,23 @@
 //! The platform's configuration service can only be read. It serves the release notes in one order,
 //! and a list of hosts that lags. Both may be old, and the service may be down: callers treat every
 //! read as a hint that may only move them forward.
+//!
+//! A platform publishes in one of two forms. [`Platform`] serves release notes, an ordered history.
+//! [`Registry`] serves newest values only: which backend servers there are, and what operators want.
+//! Both are read through one [`HttpClient`].
 
 mod http;
+mod registry;
 
 use std::{collections::BTreeMap, error::Error, fmt, sync::Arc};
 
 use futures::future::BoxFuture;
 use serde::{Deserialize, Serialize};
+use smol_str::SmolStr;
 use types::{HostId, Revision};
 
-pub use http::HttpPlatform;
+pub use http::{HttpClient, HttpPlatform};
+pub use registry::{Change, Registry};
 
 /// Notes after a revision, as many as fit one value of the service.
 #[derive(Debug, Clone, Serialize, Deserialize)]
@@ -46,8 +53,20 @@
         /// The HTTP status.
         status: u16,
     },
-    /// The answer can't be understood.
+    /// The answer's body broke off.
     Malformed(reqwest::Error),
+    /// The answer, or an item in it, can't be understood.
+    Undecodable {
+        /// What was read.
+        item: SmolStr,
+        /// What is wrong with it.
+        cause: serde_json::Error,
+    },
+    /// What was asked for isn't there.
+    Absent {
+        /// What was asked for.
+        item: SmolStr,
+    },
 }
 
 impl fmt::Display for PlatformError {
@@ -58,6 +77,8 @@
                 write!(f, "the configuration service refused with status {status}")
             }
             Self::Malformed(_) => f.write_str("the configuration service's answer is malformed"),
+            Self::Undecodable { item, .. } => write!(f, "{item} can't be understood"),
+            Self::Absent { item } => write!(f, "{item} isn't there"),
         }
     }
 }
@@ -66,7 +87,8 @@
     fn source(&self) -> Option<&(dyn Error + 'static)> {
         match self {
             Self::Unreachable(cause) | Self::Malformed(cause) => Some(cause),
-            Self::Refused { .. } => None,
+            Self::Undecodable { cause, .. } => Some(cause),
+            Self::Refused { .. } | Self::Absent { .. } => None,
         }
     }
 }
--- a/crates/route/src/lib.rs
+++ b/crates/route/src/lib.rs
@@ -1,4 +1,6 @@
-//! Choice of a backend server at an ingress.
+//! Choice of a service and a backend server at an ingress.
+//!
+//! A [`Directory`] finds the route of a request and the service that gets it.
 //!
 //! Every choice is a guess: what an ingress knows of a backend server is what its own calls told it,
 //! and that is old when it arrives. So a choice is cheap, avoids what lately refused, and leaves the
@@ -8,8 +10,10 @@
 //! of them. A [`Policy`] picks one of the candidates. [`TwoChoices`] is the one in use; the others
 //! are baselines that the experiments compare it with.
 
+mod directory;
 mod policy;
 mod table;
 
+pub use directory::Directory;
 pub use policy::{LeastReported, Policy, PolicyKind, Random, RoundRobin, TwoChoices};
 pub use table::{Member, Peer, Report, Table};
--- a/crates/types/src/id.rs
+++ b/crates/types/src/id.rs
@@ -3,7 +3,7 @@
 use std::{fmt, num::ParseIntError, str::FromStr};
 
 use serde::{Deserialize, Serialize};
-use smol_str::SmolStr;
+use smol_str::{SmolStr, format_smolstr};
 
 /// Longest identifier that operators may choose, in bytes.
 const MAX_ID_BYTES: usize = 63;
@@ -13,12 +13,14 @@
 pub enum IdError {
     /// The text is empty.
     Empty,
-    /// The text is longer than 63 bytes.
+    /// The text is too long.
     TooLong {
         /// Its length in bytes.
         bytes: usize,
+        /// Longest length allowed.
+        most: usize,
     },
-    /// The text has a character other than `a-z`, `0-9`, `-` and `.`.
+    /// The text has a character that isn't allowed.
     BadChar {
         /// The first such character.
         found: char,
@@ -28,13 +30,9 @@
 impl fmt::Display for IdError {
     fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
         match self {
-            Self::Empty => write!(f, "is empty, needs 1 to {MAX_ID_BYTES} characters"),
-            Self::TooLong { bytes } => {
-                write!(f, "has {bytes} bytes, allowed are {MAX_ID_BYTES}")
-            }
-            Self::BadChar { found } => {
-                write!(f, "has {found:?}, allowed are a-z, 0-9, '-' and '.'")
-            }
+            Self::Empty => f.write_str("is empty"),
+            Self::TooLong { bytes, most } => write!(f, "has {bytes} bytes, allowed are {most}"),
+            Self::BadChar { found } => write!(f, "has {found:?}, which is not allowed"),
         }
     }
 }
@@ -45,7 +43,10 @@
     let allowed = |c: &char| c.is_ascii_lowercase() || c.is_ascii_digit() || "-.".contains(*c);
     match text.chars().find(|c| !allowed(c)) {
         _ if text.is_empty() => Err(IdError::Empty),
-        _ if text.len() > MAX_ID_BYTES => Err(IdError::TooLong { bytes: text.len() }),
+        _ if text.len() > MAX_ID_BYTES => Err(IdError::TooLong {
+            bytes: text.len(),
+            most: MAX_ID_BYTES,
+        }),
         Some(found) => Err(IdError::BadChar { found }),
         None => Ok(()),
     }
@@ -113,6 +114,10 @@
     /// One backend server of a service.
     ServerId
 }
+text_id! {
+    /// A route from a caller's host and path to services.
+    RouteId
+}
 
 macro_rules! number_id {
     ($(#[$doc:meta])* $name:ident) => {
@@ -164,21 +169,48 @@
     }
 }
 
+/// Longest name of a call, in bytes.
+const MAX_CALL_BYTES: usize = 128;
+
 /// One caller's request, under the name that callers, logs and backend servers see.
-#[derive(Debug, Clone, Copy, PartialEq, Eq, PartialOrd, Ord, Hash)]
-pub struct CallId(pub u128);
+///
+/// The name is the caller's and is never changed: 1 to 128 visible ASCII characters.
+#[derive(Debug, Clone, PartialEq, Eq, PartialOrd, Ord, Hash)]
+pub struct CallId(SmolStr);
+
+impl CallId {
+    /// The name as text.
+    pub fn as_str(&self) -> &str {
+        &self.0
+    }
+}
+
+/// A drawn number, as 32 hexadecimal digits.
+impl From<u128> for CallId {
+    fn from(drawn: u128) -> Self {
+        Self(format_smolstr!("{drawn:032x}"))
+    }
+}
 
 impl fmt::Display for CallId {
     fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
-        write!(f, "{:032x}", self.0)
+        f.write_str(&self.0)
     }
 }
 
 impl FromStr for CallId {
-    type Err = ParseIntError;
-
-    fn from_str(text: &str) -> Result<Self, ParseIntError> {
-        u128::from_str_radix(text, 16).map(Self)
+    type Err = IdError;
+
+    fn from_str(text: &str) -> Result<Self, IdError> {
+        match text.chars().find(|c| !c.is_ascii_graphic()) {
+            _ if text.is_empty() => Err(IdError::Empty),
+            _ if text.len() > MAX_CALL_BYTES => Err(IdError::TooLong {
+                bytes: text.len(),
+                most: MAX_CALL_BYTES,
+            }),
+            Some(found) => Err(IdError::BadChar { found }),
+            None => Ok(Self(SmolStr::new(text))),
+        }
     }
 }
 
--- a/crates/types/src/outcome.rs
+++ b/crates/types/src/outcome.rs
@@ -42,6 +42,11 @@
         matches!(self, Self::Busy | Self::Late | Self::Shed)
     }
 
+    /// Whether the backend server itself refused, so that it saw the request.
+    pub fn is_servers(self) -> bool {
+        self == Self::Shed
+    }
+
     /// The name for logs and for callers.
     pub fn name(self) -> &'static str {
         match self {
