Give each change of a view a revision of its own

Cause: after all nodes were started at once every request got 404. Listing and orders had been read at the same revision of the registry, so the second of them made another view under the same revision, and publishing took it for the one in force: nodes had backend servers and no routes. Ruled out: a race with the ingress that follows the view; the 404s lasted. Change: a rebuilt view has a revision above the one before. Test: each_part_makes_another_view_even_if_both_were_read_at_one_revision.

--- a/crates/fleet/src/snapshot.rs
+++ b/crates/fleet/src/snapshot.rs
@@ -160,7 +160,8 @@
     }
 
     fn rebuild(&mut self, revision: Revision) -> bool {
-        let revision = revision.max(self.view.revision);
+        // Both parts may have been read at the same revision, but each makes another view.
+        let revision = revision.max(self.view.revision.next());
         let state = State::assemble(&self.parts.listing, &self.parts.orders, revision);
         let material = Material {
             servers: self
--- /dev/null
+++ b/crates/fleet/tests/snapshot.rs
@@ -0,0 +1,118 @@
+//! Views made of newest values.
+
+use fleet::Snapshot;
+use note::{Listed, Listing, Orders, Server, ServerStatus};
+use types::{Boot, Moment, Revision, Slots, Span};
+
+fn server(name: &str) -> Server {
+    let address = "127.0.0.1:80".parse().expect("an address");
+    Server {
+        id: name.parse().expect("a name"),
+        service: "draws".parse().expect("a name"),
+        zone: "nadi".parse().expect("a name"),
+        host: name.parse().expect("a name"),
+        node: address,
+        address,
+        status: ServerStatus::In,
+        boot: Boot(1),
+        slots: Some(Slots(9)),
+    }
+}
+
+fn listed(name: &str, beat: u64) -> Listed {
+    Listed {
+        server: server(name),
+        beat,
+    }
+}
+
+fn listing(revision: u64, servers: Vec<Listed>) -> Listing {
+    Listing {
+        revision: Revision(revision),
+        servers,
+        ..Listing::default()
+    }
+}
+
+fn orders(revision: u64, version: u64) -> Orders {
+    Orders {
+        revision: Revision(revision),
+        version,
+        ..Orders::default()
+    }
+}
+
+fn names(snapshot: &Snapshot) -> Vec<String> {
+    let servers = snapshot.view().state.servers.keys();
+    servers.map(ToString::to_string).collect()
+}
+
+const NOW: Moment = Moment(10_000_000);
+
+#[test]
+fn each_part_makes_another_view_even_if_both_were_read_at_one_revision() {
+    let mut snapshot = Snapshot::default();
+    assert!(snapshot.take_listing(listing(100, vec![listed("a", 1)]), NOW));
+    let first = snapshot.view().revision;
+    assert!(snapshot.take_orders(orders(100, 7)));
+    assert!(snapshot.view().revision > first);
+    assert!(snapshot.is_complete());
+}
+
+#[test]
+fn heartbeats_alone_change_nothing() {
+    let mut snapshot = Snapshot::default();
+    snapshot.take_listing(listing(100, vec![listed("a", 1)]), NOW);
+    assert!(!snapshot.take_listing(listing(101, vec![listed("a", 2)]), NOW));
+}
+
+#[test]
+fn older_parts_are_passed_over() {
+    let mut snapshot = Snapshot::default();
+    snapshot.take_listing(listing(100, vec![listed("a", 1)]), NOW);
+    snapshot.take_orders(orders(100, 7));
+    assert!(!snapshot.take_listing(listing(99, vec![]), NOW));
+    assert!(!snapshot.take_orders(orders(101, 6)));
+    assert_eq!(names(&snapshot), ["a"]);
+}
+
+#[test]
+fn a_leaving_backend_server_stays_leaving_and_late_entries_are_passed_over() {
+    let mut snapshot = Snapshot::default();
+    let mut leaving = listed("a", 5);
+    leaving.server.status = ServerStatus::Leaving;
+    snapshot.take_listing(listing(100, vec![leaving]), NOW);
+    snapshot.take_listing(listing(101, vec![listed("a", 4)]), NOW);
+    snapshot.take_listing(listing(102, vec![listed("a", 6)]), NOW);
+    let status = snapshot
+        .view()
+        .state
+        .servers
+        .values()
+        .map(|e| e.item.status);
+    assert_eq!(status.collect::<Vec<_>>(), [ServerStatus::Leaving]);
+}
+
+#[test]
+fn what_is_gone_comes_back_with_newer_entries_only() {
+    let mut snapshot = Snapshot::default();
+    snapshot.take_listing(listing(100, vec![listed("a", 5)]), NOW);
+    snapshot.take_listing(listing(101, vec![]), NOW);
+    snapshot.take_listing(listing(102, vec![listed("a", 5)]), NOW);
+    assert!(names(&snapshot).is_empty());
+    snapshot.take_listing(listing(103, vec![listed("a", 6)]), NOW);
+    assert_eq!(names(&snapshot), ["a"]);
+}
+
+#[test]
+fn entries_that_vanish_around_an_outage_are_kept_until_their_owners_had_time() {
+    let mut snapshot = Snapshot::default();
+    snapshot.take_listing(listing(100, vec![listed("a", 5), listed("b", 5)]), NOW);
+    snapshot.failed();
+    snapshot.reached(NOW);
+    snapshot.take_listing(listing(101, vec![listed("b", 6)]), NOW);
+    assert_eq!(names(&snapshot), ["a", "b"]);
+    let later = NOW + Span::from_millis(2_001);
+    snapshot.take_listing(listing(102, vec![listed("b", 7)]), later);
+    assert_eq!(names(&snapshot), ["b"]);
+}
