Let gates decline work that has other places to go while their server is slow

Cause: backend servers share their hosts and are four times as slow for some 300 ms at a time. Ruled out: queueing (one to three requests ran at a time); the network (a hop is 0.5 ms there). The pace that health answers carry was seen to switch between 100 and 400, and probes to take 0.25 ms. Change: a gate probes its server twenty times a second while it has work and knows its pace within 50 ms. An attempt that has other places to go is declined while the server is slow or full; the last place takes it. What a gate declined cost the backend servers nothing, so it isn't paid from the budget of repeats. Tests: gate/tests/choosy.rs, with the cold rate's; without the mechanism the first fails.

--- a/crates/call/src/core.rs
+++ b/crates/call/src/core.rs
@@ -13,10 +13,19 @@
 /// Time after which to come back if nothing better is known.
 const DEFAULT_AFTER: Span = Span::from_millis(1_000);
 
+/// A backend server for an attempt.
+#[derive(Debug, Clone, PartialEq, Eq)]
+pub struct Choice {
+    /// The backend server.
+    pub server: ServerId,
+    /// Whether others are left that may be better.
+    pub others: bool,
+}
+
 /// Picks backend servers.
 pub trait Choose {
     /// A backend server for the next attempt, other than those in `tried`.
-    fn choose(&mut self, tried: &[ServerId]) -> Option<ServerId>;
+    fn choose(&mut self, tried: &[ServerId]) -> Option<Choice>;
 }
 
 /// What is known of a call when it begins.
@@ -77,8 +86,9 @@
         server: ServerId,
         /// Whether it repeats another one.
         repeat: bool,
-        /// Whether it is sent in case another one is slow, and is worth nothing if it must wait.
-        hedge: bool,
+        /// Whether it is worth nothing if it must wait or runs slowly: it is sent in case another one
+        /// is slow, or others may be better.
+        choosy: bool,
     },
     /// Ask over a fresh connection what became of the attempt.
     Ask(Try),
@@ -112,6 +122,8 @@
     revisit: bool,
     /// Whether the backend server can't have seen it: the gate refused it.
     withheld: bool,
+    /// Whether it was to be refused rather than made to wait or run slowly.
+    choosy: bool,
 }
 
 /// One call. See the crate's documentation.
@@ -179,7 +191,10 @@
             Outcome::NotRun { refusal, after } => {
                 self.attempts[attempt].barred = true;
                 self.note_refusal(attempt, refusal, after);
-                actions.extend(self.go_on(refusal.is_load(), now, choose, budget));
+                let declined = refusal == Refusal::Slow
+                    || (refusal == Refusal::Busy && self.attempts[attempt].choosy);
+                let loaded = refusal.is_load() && !declined;
+                actions.extend(self.go_on(loaded, now, choose, budget));
             }
             Outcome::Unknown => actions.extend(self.after_unknown(now, choose, budget)),
             // The gate's reading of the deadline comes a little early.
@@ -345,28 +360,28 @@
         if !allowed || self.attempts.len() >= MOST_TRIES || arrived >= self.request.attempts {
             return None;
         }
-        let server = choose.choose(&self.tried())?;
+        let choice = choose.choose(&self.tried())?;
         // What no backend server saw adds nothing to their load.
         if arrived > 0 && !budget.spend() {
             return None;
         }
         self.loaded += 1;
-        Some(self.send(server, hedge, now))
+        Some(self.send(choice, hedge, now))
     }
 
     fn send_or_finish(&mut self, now: Moment, choose: &mut dyn Choose) -> Vec<Action> {
         let more = self.attempts.len() < MOST_TRIES && self.arrived() < self.request.attempts;
-        let server = match more {
+        let choice = match more {
             true => choose.choose(&self.tried()),
             false => None,
         };
-        match server {
-            Some(server) => self.send(server, false, now),
+        match choice {
+            Some(choice) => self.send(choice, false, now),
             None => self.give_up(false),
         }
     }
 
-    fn send(&mut self, server: ServerId, hedge: bool, now: Moment) -> Vec<Action> {
+    fn send(&mut self, choice: Choice, hedge: bool, now: Moment) -> Vec<Action> {
         let sole = self.attempts.iter().all(|a| a.barred);
         assert!(
             self.request.idempotent || sole,
@@ -375,19 +390,22 @@
         let attempt = self.attempts.len();
         let impatient = now + self.timing.patience;
         let phase = Phase::Sent(impatient);
-        let target = server.clone();
+        let last = self.attempts.len() + 1 >= MOST_TRIES;
+        let choosy = hedge || (choice.others && !last);
+        let server = choice.server;
         self.attempts.push(Attempt {
-            server: target,
+            server: server.clone(),
             phase,
             barred: false,
             revisit: false,
             withheld: false,
+            choosy,
         });
         vec![Action::Send {
             attempt,
             server,
             repeat: self.loaded > 0,
-            hedge,
+            choosy,
         }]
     }
 
--- a/crates/call/src/lib.rs
+++ b/crates/call/src/lib.rs
@@ -29,6 +29,6 @@
 mod pace;
 
 pub use budget::{Bucket, Budget};
-pub use core::{Action, Call, Choose, Ending, Request, Timing, Try};
+pub use core::{Action, Call, Choice, Choose, Ending, Request, Timing, Try};
 pub use link::{Link, Sent};
 pub use pace::Pace;
--- a/crates/call/tests/support/mod.rs
+++ b/crates/call/tests/support/mod.rs
@@ -249,7 +249,7 @@
             id: sent.id,
             floor: sent.floor,
             deadline: sent.deadline,
-            hedge: false,
+            choosy: false,
             misplaced: false,
         };
         let boot = process.gate.boot();
--- a/crates/call/tests/support/parts.rs
+++ b/crates/call/tests/support/parts.rs
@@ -2,7 +2,7 @@
 
 use std::collections::BTreeMap;
 
-use call::{Call, Choose, Ending, Link, Sent, Try};
+use call::{Call, Choice, Choose, Ending, Link, Sent, Try};
 use gate::{Gate, Offer};
 use types::{AttemptId, Boot, Moment, Outcome, ServerId, Span};
 
@@ -99,9 +99,12 @@
 }
 
 impl Choose for Any {
-    fn choose(&mut self, tried: &[ServerId]) -> Option<ServerId> {
+    fn choose(&mut self, tried: &[ServerId]) -> Option<Choice> {
         let ids = (0..GATES).map(|at| server((self.turn + at) % GATES));
-        ids.into_iter().find(|id| !tried.contains(id))
+        let mut left = ids.filter(|id| !tried.contains(id));
+        let server = left.next()?;
+        let others = left.next().is_some();
+        Some(Choice { server, others })
     }
 }
 
--- a/crates/gate/src/core.rs
+++ b/crates/gate/src/core.rs
@@ -44,8 +44,8 @@
     pub floor: Seq,
     /// Last moment at which the request is wanted.
     pub deadline: Moment,
-    /// Whether it is refused rather than made to wait.
-    pub hedge: bool,
+    /// Whether it is refused rather than made to wait or run slowly, as it has other places to go.
+    pub choosy: bool,
     /// Whether it is meant for a backend server that this gate doesn't guard.
     pub misplaced: bool,
 }
@@ -93,8 +93,17 @@
     pub allowed: u32,
     /// Mean time of late answers.
     pub typical: Span,
+    /// Present time of the backend server's work, in percent of the usual one.
+    pub pace: u32,
 }
 
+/// Pace from which a backend server counts as slow. Its spells of slowness are four times that.
+const SLOW_PACE: u32 = 150;
+/// The usual pace.
+const USUAL_PACE: u32 = 100;
+/// Time for which a word on the pace holds: three probes.
+const PACE_AGE: Span = Span::from_millis(150);
+
 /// Bounds of the time that a backend server takes to notice that a request was cancelled.
 const LEAST_NOTICE: Span = Span::from_millis(10);
 const MOST_NOTICE: Span = Span::from_millis(200);
@@ -124,6 +133,8 @@
     fresh: Moment,
     /// Incarnation that the backend server named last.
     server: Option<Boot>,
+    /// The pace that the backend server named last, and when.
+    pace: (u32, Moment),
 }
 
 impl Gate {
@@ -144,6 +155,7 @@
             stopping: false,
             fresh: Moment(0),
             server: None,
+            pace: (USUAL_PACE, Moment(0)),
         }
     }
 
@@ -202,6 +214,9 @@
     /// An attempt comes.
     pub fn offer(&mut self, offer: Offer, now: Moment) -> Vec<Action> {
         self.leaving.retain(|until| *until > now);
+        if self.cold.is_set() {
+            self.probes.offered(now);
+        }
         let id = offer.id;
         self.sessions.raise(id, offer.floor, now);
         match self.sessions.fate(id) {
@@ -280,6 +295,19 @@
         self.start_waiting(now)
     }
 
+    /// The backend server named the present time of its work, in percent of the usual one.
+    pub fn heard_pace(&mut self, pace: u32, now: Moment) {
+        self.pace = (pace, now);
+    }
+
+    /// The pace as far as it is known now.
+    fn pace(&self, now: Moment) -> u32 {
+        match self.pace {
+            (pace, heard) if heard + PACE_AGE >= now => pace,
+            _ => USUAL_PACE,
+        }
+    }
+
     /// Whether the backend server counts as cold by its own word, or for want of it.
     pub fn is_cold(&self, now: Moment) -> bool {
         self.cold.is_set() && self.cold.is_cold(now)
@@ -337,6 +365,7 @@
             waiting: self.queue.len() as u32,
             allowed: self.allowance.expected(now) as u32,
             typical: self.allowance.typical(),
+            pace: self.pace(now),
         }
     }
 
@@ -354,6 +383,9 @@
         match self.closed(offer.deadline, now) {
             _ if offer.misplaced => self.refuse(offer.id, Refusal::Misplaced, Span::default()),
             Some(refusal) => self.refuse(offer.id, refusal, self.wait(self.queue.len(), now)),
+            None if offer.choosy && self.pace(now) >= SLOW_PACE => {
+                self.refuse(offer.id, Refusal::Slow, Span::default())
+            }
             None if self.has_slot(now) => self.start(offer.id, offer.deadline, now),
             None => self.enqueue(offer, now),
         }
@@ -391,7 +423,7 @@
     fn enqueue(&mut self, offer: Offer, now: Moment) -> Vec<Action> {
         let full = self.queue.len() >= self.limits.queue.0 as usize;
         let wait = self.wait(self.queue.ahead(offer.deadline), now);
-        if offer.hedge || full || now + wait + self.allowance.typical() > offer.deadline {
+        if offer.choosy || full || now + wait + self.allowance.typical() > offer.deadline {
             return self.refuse(offer.id, Refusal::Busy, wait);
         }
         self.sessions.record(offer.id, Fate::Open);
--- a/crates/gate/src/probe.rs
+++ b/crates/gate/src/probe.rs
@@ -5,6 +5,11 @@
 
 use types::{Moment, Rate, Span};
 
+/// Time after the last request for which a backend server counts as having work.
+const WORKING: Span = Span::from_millis(500);
+/// Periods between two probes of a backend server that has none.
+const IDLE_PERIODS: u64 = 5;
+
 /// Probes of one backend server, never more often than a rate allows.
 #[derive(Debug)]
 pub(crate) struct Probes {
@@ -13,6 +18,8 @@
     last: Option<Moment>,
     /// When something was heard of the backend server.
     heard: Moment,
+    /// When a request came, for one that is probed while it works.
+    offered: Option<Moment>,
     sent: u64,
 }
 
@@ -22,6 +29,7 @@
             period: period(rate),
             last: None,
             heard: Moment(0),
+            offered: None,
             sent: 0,
         }
     }
@@ -35,10 +43,19 @@
         self.heard = now;
     }
 
+    /// A request came for a backend server that is probed while it works.
+    pub(crate) fn offered(&mut self, now: Moment) {
+        self.offered = Some(now);
+    }
+
     /// The moment of the next probe.
     pub(crate) fn next(&self) -> Option<Moment> {
         let last = self.last.unwrap_or_default().max(self.heard);
-        self.period.map(|period| last + period)
+        let periods = match self.offered {
+            Some(offered) if offered + WORKING < last => IDLE_PERIODS,
+            _ => 1,
+        };
+        self.period.map(|period| last + Span(period.0 * periods))
     }
 
     /// Whether to probe at `now`, which is counted then.
--- a/crates/gate/tests/allowance.rs
+++ b/crates/gate/tests/allowance.rs
@@ -119,7 +119,7 @@
             id,
             floor: Seq(seq),
             deadline,
-            hedge: false,
+            choosy: false,
             misplaced: false,
         };
         gate.offer(offer, now);
--- a/crates/gate/tests/bears.rs
+++ b/crates/gate/tests/bears.rs
@@ -110,7 +110,7 @@
                         id,
                         floor: Seq(0),
                         deadline,
-                        hedge: false,
+                        choosy: false,
                         misplaced: false,
                     },
                     self.now,
@@ -299,7 +299,7 @@
         },
         floor: Seq(0),
         deadline: now + Span::from_millis(100),
-        hedge: false,
+        choosy: false,
         misplaced: false,
     };
     let actions = (1..=6).flat_map(|seq| gate.offer(offer(seq), now));
@@ -345,7 +345,7 @@
         id,
         floor: Seq(0),
         deadline,
-        hedge: false,
+        choosy: false,
         misplaced,
     };
 
--- /dev/null
+++ b/crates/gate/tests/choosy.rs
@@ -0,0 +1,136 @@
+//! What a gate does with attempts that have other places to go, while its backend server is slow, and
+//! with a backend server that says that it is cold.
+
+use gate::{Action, Bounds, Gate, Offer};
+use note::Limits;
+use types::{AttemptId, Boot, Moment, Outcome, Rate, Refusal, Seq, SessionId, Slots, Span};
+
+const START: Moment = Moment(10_000_000);
+const SLOTS: u32 = 100;
+const COLD_RATE: u32 = 25;
+
+struct World {
+    gate: Gate,
+    session: SessionId,
+    next: u64,
+}
+
+impl World {
+    fn new() -> Self {
+        let rate = Rate::new(f64::from(COLD_RATE)).expect("a rate");
+        let limits = Limits {
+            slots: Slots(SLOTS),
+            usable: 1.0,
+            ..Limits::rated(rate)
+        };
+        let mut gate = Gate::new(Boot(1), Limits::default(), Bounds::default());
+        let session = gate.open_session(Boot(2), START);
+        gate.set_limits(limits, START);
+        gate.set_open(true);
+        gate.set_fresh(Moment::MAX);
+        Self {
+            gate,
+            session,
+            next: 0,
+        }
+    }
+
+    /// The backend server says that it is warm.
+    fn warm(mut self, now: Moment) -> Self {
+        self.gate.heard_cold(Span::default(), now, now);
+        self
+    }
+
+    fn offer(&mut self, choosy: bool, now: Moment) -> Vec<Action> {
+        self.next += 1;
+        let id = AttemptId {
+            boot: Boot(1),
+            session: self.session,
+            seq: Seq(self.next),
+        };
+        let offer = Offer {
+            id,
+            floor: Seq(0),
+            deadline: now + Span::from_millis(60_000),
+            choosy,
+            misplaced: false,
+        };
+        self.gate.offer(offer, now)
+    }
+}
+
+fn is_start(actions: &[Action]) -> bool {
+    matches!(actions, [Action::Start(..)])
+}
+
+fn refusal(actions: &[Action]) -> Option<Refusal> {
+    match actions {
+        [Action::Reply(_, Outcome::NotRun { refusal, .. })] => Some(*refusal),
+        _ => None,
+    }
+}
+
+#[test]
+fn a_slow_backend_server_is_left_to_those_who_have_nowhere_else_to_go() {
+    let mut world = World::new().warm(START);
+    world.gate.heard_pace(400, START);
+    let choosy = world.offer(true, START);
+    assert_eq!(refusal(&choosy), Some(Refusal::Slow));
+    let other = world.offer(false, START);
+    assert!(is_start(&other));
+}
+
+#[test]
+fn an_old_word_on_the_pace_is_not_believed() {
+    let mut world = World::new().warm(START);
+    world.gate.heard_pace(400, START);
+    let later = START + Span::from_millis(200);
+    let choosy = world.offer(true, later);
+    assert!(is_start(&choosy));
+}
+
+#[test]
+fn an_unknown_backend_server_gets_nothing_in_the_second_after_the_start_and_then_the_cold_rate() {
+    let mut world = World::new();
+    let mut starts = Vec::new();
+    for ms in 0..4_000 {
+        let now = START + Span::from_millis(ms);
+        let tick = world.gate.tick(now);
+        let offer = world.offer(true, now);
+        let started = tick
+            .iter()
+            .chain(&offer)
+            .filter(|a| matches!(a, Action::Start(..)));
+        starts.extend(started.map(|_| now));
+    }
+    assert!(starts[0] >= START + Span::from_millis(1_000));
+    for (at, first) in starts.iter().enumerate() {
+        let window = starts[at..]
+            .iter()
+            .take_while(|s| s.since(*first) < Span::from_millis(1_000));
+        assert!(window.count() <= COLD_RATE as usize);
+    }
+    assert!(
+        starts.len() >= 2 * COLD_RATE as usize,
+        "{} starts",
+        starts.len()
+    );
+}
+
+#[test]
+fn a_backend_server_that_turns_cold_is_held_to_its_rate_at_once() {
+    let mut world = World::new().warm(START);
+    let starts = |world: &mut World, now| {
+        let offers = (0..60).map(|_| world.offer(true, now));
+        offers.filter(|actions| is_start(actions)).count()
+    };
+    assert_eq!(starts(&mut world, START), 60);
+    let later = START + Span::from_millis(300);
+    world
+        .gate
+        .heard_cold(Span::from_millis(3_000), later, later);
+    assert_eq!(starts(&mut world, later), 0);
+    let next = START + Span::from_millis(1_100);
+    world.gate.heard_cold(Span::from_millis(2_200), next, next);
+    assert_eq!(starts(&mut world, next), COLD_RATE as usize);
+}
--- a/crates/node/src/gatekeeper/carry.rs
+++ b/crates/node/src/gatekeeper/carry.rs
@@ -151,6 +151,9 @@
         if let Some(server) = facts.boot {
             self.gate.heard_server(server, now);
         }
+        if let Some(load) = facts.load {
+            self.gate.heard_pace(load.pace, now);
+        }
         let actions = self.gate.done(id, finish, now);
         self.carry_out(actions);
     }
@@ -258,6 +261,9 @@
         let now = self.board.clock.now();
         let cold = self.gate.is_cold(now);
         self.gate.probed(facts.as_ref().and_then(|f| f.boot), now);
+        if let Some(load) = facts.as_ref().and_then(|f| f.load) {
+            self.gate.heard_pace(load.pace, now);
+        }
         let left = facts.as_ref().map(|f| f.cold.unwrap_or_default());
         let actions = match left {
             Some(left) => self.gate.heard_cold(left, asked, now),
--- a/crates/node/src/ingress/drive.rs
+++ b/crates/node/src/ingress/drive.rs
@@ -239,9 +239,9 @@
                     attempt,
                     server,
                     repeat,
-                    hedge,
+                    choosy,
                 } => {
-                    queue.extend(self.send(attempt, server, repeat, hedge));
+                    queue.extend(self.send(attempt, server, repeat, choosy));
                 }
                 Action::Ask(attempt) => queue.extend(self.ask(attempt)),
                 Action::Cancel(attempt) => self.cancel(attempt),
@@ -252,7 +252,7 @@
         ending
     }
 
-    fn send(&mut self, attempt: Try, server: ServerId, repeat: bool, hedge: bool) -> Vec<Action> {
+    fn send(&mut self, attempt: Try, server: ServerId, repeat: bool, choosy: bool) -> Vec<Action> {
         let Some(peer) = self.ingress.peer(&server) else {
             // The view changed since the choice.
             self.attempts.push(self.unsendable(server));
@@ -268,7 +268,7 @@
             peer: Arc::clone(&peer),
             server: server.clone(),
             idempotent: self.accepted.idempotent,
-            hedge,
+            choosy,
             deadline: self.accepted.deadline,
             objective: self.accepted.objective,
             priority: self.accepted.priority,
@@ -372,7 +372,7 @@
     peer: Arc<Peer>,
     server: ServerId,
     idempotent: bool,
-    hedge: bool,
+    choosy: bool,
     deadline: Moment,
     objective: Moment,
     priority: u32,
@@ -398,7 +398,7 @@
             sent,
             server: self.server,
             idempotent: self.idempotent,
-            hedge: self.hedge,
+            choosy: self.choosy,
             objective: sent.deadline - self.deadline.since(self.objective),
             priority: self.priority,
             request: self.request,
--- a/crates/node/src/ingress/services.rs
+++ b/crates/node/src/ingress/services.rs
@@ -6,7 +6,7 @@
 };
 
 use board::Board;
-use call::{Bucket, Budget, Choose, Pace, Timing};
+use call::{Bucket, Budget, Choice, Choose, Pace, Timing};
 use note::State;
 use rand::{SeedableRng, rngs::SmallRng};
 use route::{Member, PolicyKind, Report, Table};
@@ -139,6 +139,7 @@
                 load: load.running + load.waiting,
                 allowed: load.allowed,
                 typical: load.typical,
+                pace: load.pace,
             };
             state.table.reported(server, report, now);
             match reply.outcome {
@@ -206,9 +207,14 @@
 }
 
 impl Choose for Selector<'_> {
-    fn choose(&mut self, tried: &[ServerId]) -> Option<ServerId> {
-        self.services
-            .with(self.service, |state| state.table.choose(tried, self.now))
+    fn choose(&mut self, tried: &[ServerId]) -> Option<Choice> {
+        let chosen = self
+            .services
+            .with(self.service, |state| state.table.choose(tried, self.now));
+        chosen.map(|picked| Choice {
+            server: picked.server,
+            others: picked.others,
+        })
     }
 }
 
--- a/crates/node/src/peers/convert.rs
+++ b/crates/node/src/peers/convert.rs
@@ -48,7 +48,7 @@
         sent,
         server,
         idempotent,
-        hedge,
+        choosy,
         objective,
         priority,
         request,
@@ -70,7 +70,7 @@
         depth: request.depth,
         repeat: request.repeat,
         node: node.to_string(),
-        hedge,
+        choosy,
         origin: request.origin.map_or(String::new(), |o| o.to_string()),
         objective: objective.0,
         priority,
@@ -92,7 +92,7 @@
         },
         server: request.server.parse().map_err(ConvertError::Name)?,
         idempotent: request.idempotent,
-        hedge: request.hedge,
+        choosy: request.choosy,
         objective: Moment(request.objective),
         priority: request.priority,
         request: ServerRequest {
@@ -132,6 +132,7 @@
             waiting: reply.load.waiting,
             allowed: reply.load.allowed,
             typical: u32::try_from(reply.load.typical.0).unwrap_or(u32::MAX),
+            pace: reply.load.pace,
         }),
         revision: reply.revision.0,
         boot: reply.boot.0,
@@ -166,6 +167,7 @@
             waiting: load.waiting,
             allowed: load.allowed,
             typical: Span(load.typical.into()),
+            pace: load.pace,
         },
         revision: Revision(message.revision),
         boot: Boot(message.boot),
@@ -194,6 +196,7 @@
 fn to_refusal(refusal: Refusal) -> peer::Refusal {
     match refusal {
         Refusal::Busy => peer::Refusal::Busy,
+        Refusal::Slow => peer::Refusal::Slow,
         Refusal::Late => peer::Refusal::Late,
         Refusal::Leaving => peer::Refusal::Leaving,
         Refusal::Stopping => peer::Refusal::Stopping,
@@ -211,6 +214,7 @@
     Some(match refusal {
         peer::Refusal::Unspecified => return None,
         peer::Refusal::Busy => Refusal::Busy,
+        peer::Refusal::Slow => Refusal::Slow,
         peer::Refusal::Late => Refusal::Late,
         peer::Refusal::Leaving => Refusal::Leaving,
         peer::Refusal::Stopping => Refusal::Stopping,
--- a/crates/node/src/peers/local.rs
+++ b/crates/node/src/peers/local.rs
@@ -28,7 +28,7 @@
                 id,
                 floor: attempt.sent.floor,
                 deadline: attempt.sent.deadline,
-                hedge: attempt.hedge,
+                choosy: attempt.choosy,
                 misplaced: false,
             },
             server: attempt.server,
--- a/crates/node/src/peers/mod.rs
+++ b/crates/node/src/peers/mod.rs
@@ -59,8 +59,8 @@
     pub(crate) sent: Sent,
     pub(crate) server: ServerId,
     pub(crate) idempotent: bool,
-    /// Whether it is refused rather than made to wait.
-    pub(crate) hedge: bool,
+    /// Whether it is refused rather than made to wait or run slowly.
+    pub(crate) choosy: bool,
     /// Last moment, on the gate's clock, at which the answer is worth most.
     pub(crate) objective: Moment,
     /// Rank, 0 for the most urgent.
--- a/crates/note/src/registry.rs
+++ b/crates/note/src/registry.rs
@@ -49,9 +49,10 @@
 
 /// Requests that may wait at one gate. The deadline bounds the wait; this bounds the memory.
 const LISTED_QUEUE: Slots = Slots(256);
-/// Probes of a backend server that tells how cold it is, per second: the time for which its gate may
-/// believe it warm when it isn't.
-const LISTED_PROBES: f64 = 4.0;
+/// Probes per second of a backend server that tells how cold and how slow it is, while it has work: a
+/// slow spell lasts some hundred milliseconds, and must be known within a part of that. A third of
+/// what the platform bears.
+const LISTED_PROBES: f64 = 20.0;
 /// Repeats for each first attempt, half of the fifth that the users' platform allows, since a repeat's
 /// nested calls count as repeats again.
 const LISTED_RETRIES: f64 = 0.1;
--- a/crates/rig/benches/decisions.rs
+++ b/crates/rig/benches/decisions.rs
@@ -2,7 +2,7 @@
 
 use std::{hint::black_box, sync::Arc, time::Duration};
 
-use call::{Action, Bucket, Call, Choose, Link, Request, Timing};
+use call::{Action, Bucket, Call, Choice, Choose, Link, Request, Timing};
 use criterion::{BenchmarkId, Criterion, criterion_group, criterion_main};
 use gate::{Bounds, Finish, Gate, Offer};
 use note::{Limits, View};
@@ -93,12 +93,13 @@
         group.bench_with_input(BenchmarkId::from_parameter(size), &size, |b, _| {
             b.iter(|| {
                 now = now + Span(10);
-                let id = table.choose(&[], now).expect("a backend server");
+                let id = table.choose(&[], now).expect("a backend server").server;
                 table.sent(&id);
                 let report = Report {
                     load: 3,
                     allowed: 10,
                     typical: Span::from_millis(5),
+                    pace: 100,
                 };
                 table.reported(&id, report, now);
                 table.closed(&id);
@@ -120,8 +121,11 @@
 struct One(ServerId);
 
 impl Choose for One {
-    fn choose(&mut self, tried: &[ServerId]) -> Option<ServerId> {
-        tried.is_empty().then(|| self.0.clone())
+    fn choose(&mut self, tried: &[ServerId]) -> Option<Choice> {
+        tried.is_empty().then(|| Choice {
+            server: self.0.clone(),
+            others: false,
+        })
     }
 }
 
@@ -156,6 +160,7 @@
                 idempotent: false,
                 repeat: false,
                 deadline,
+                attempts: 3,
             };
             let mut call = Call::new(request, timing);
             let actions = call.begin(now, &mut one);
@@ -165,7 +170,7 @@
                 id: sent.id,
                 floor: sent.floor,
                 deadline: sent.deadline,
-                hedge: false,
+                choosy: false,
                 misplaced: false,
             };
             black_box(gate.offer(offer, now));
--- a/crates/route/src/lib.rs
+++ b/crates/route/src/lib.rs
@@ -16,4 +16,4 @@
 
 pub use directory::Directory;
 pub use policy::{LeastReported, Policy, PolicyKind, Random, RoundRobin, TwoChoices};
-pub use table::{Member, Peer, Report, Table};
+pub use table::{Member, Peer, Picked, Report, Table};
--- a/crates/route/src/table.rs
+++ b/crates/route/src/table.rs
@@ -12,6 +12,13 @@
 /// Ages of a report at which half of the load, and of the time of answers, still counts.
 const LOAD_HALF_LIFE: Span = Span::from_millis(20);
 const TIME_HALF_LIFE: Span = Span::from_millis(200);
+/// Age of a report at which half of the slowness that it names still counts: a slow spell lasts some
+/// hundred milliseconds.
+const PACE_HALF_LIFE: Span = Span::from_millis(100);
+/// The usual pace of a backend server, in percent.
+const USUAL_PACE: u32 = 100;
+/// Time for which a backend server that is slow at present is avoided.
+const AVOID_SLOW: Span = Span::from_millis(60);
 /// Weight of one report in the usual time of answers.
 const USUAL_WEIGHT: f64 = 0.05;
 /// Time for which a backend server that can't be reached is avoided.
@@ -43,6 +50,8 @@
     pub allowed: u32,
     /// Mean time of late answers.
     pub typical: Span,
+    /// Present time of the backend server's work, in percent of the usual one.
+    pub pace: u32,
 }
 
 /// A backend server and what was learned of it.
@@ -70,6 +79,7 @@
             load: 0,
             allowed: member.slots,
             typical: Span::default(),
+            pace: USUAL_PACE,
         };
         let (heard, avoid) = (Moment(0), Moment(0));
         Self {
@@ -95,10 +105,21 @@
         let others = f64::from(others) * fade(LOAD_HALF_LIFE);
         let rounds = (f64::from(self.open) + others + 1.0) / f64::from(self.report.allowed.max(1));
         let excess = self.report.typical.0 as f64 - self.usual;
-        (self.usual + excess * fade(TIME_HALF_LIFE)) * (1.0 + rounds)
+        let slowness = f64::from(self.report.pace.max(1)) / f64::from(USUAL_PACE) - 1.0;
+        let pace = 1.0 + slowness * fade(PACE_HALF_LIFE);
+        (self.usual + excess * fade(TIME_HALF_LIFE)) * pace * (1.0 + rounds)
     }
 }
 
+/// The backend server that was picked.
+#[derive(Debug, Clone, PartialEq, Eq)]
+pub struct Picked {
+    /// Its name.
+    pub server: ServerId,
+    /// Whether others are left that aren't avoided.
+    pub others: bool,
+}
+
 /// The backend servers of one service that an ingress uses.
 #[derive(Debug)]
 pub struct Table {
@@ -141,14 +162,18 @@
     }
 
     /// Picks a backend server other than those in `tried`.
-    pub fn choose(&mut self, tried: &[ServerId], now: Moment) -> Option<ServerId> {
+    pub fn choose(&mut self, tried: &[ServerId], now: Moment) -> Option<Picked> {
         let untried = |p: &&Peer| !tried.contains(&p.member.id);
         let mut candidates: Vec<&Peer> = self.peers.iter().filter(untried).collect();
-        if candidates.iter().any(|p| p.avoid <= now) {
+        let good = candidates.iter().filter(|p| p.avoid <= now).count();
+        if good > 0 {
             candidates.retain(|p| p.avoid <= now);
         }
         let picked = self.policy.pick(&candidates, now, &mut self.rng)?;
-        Some(candidates[picked].member.id.clone())
+        Some(Picked {
+            server: candidates[picked].member.id.clone(),
+            others: good > 1,
+        })
     }
 
     /// An attempt was sent.
@@ -178,6 +203,7 @@
         let Some(peer) = self.find(id) else { return };
         let span = match refusal {
             Refusal::Session | Refusal::Cancelled | Refusal::Barred => return,
+            Refusal::Slow => AVOID_SLOW,
             r if r.is_load() => after.min(MOST_AVOID_BUSY),
             _ => AVOID_DOWN,
         };
--- a/crates/types/src/outcome.rs
+++ b/crates/types/src/outcome.rs
@@ -14,6 +14,8 @@
 pub enum Refusal {
     /// All slots are taken and the queue is full, or the wait would be too long.
     Busy,
+    /// The backend server is slow at present, and the attempt has other places to go.
+    Slow,
     /// The deadline has passed.
     Late,
     /// The backend server is leaving or its availability zone is out.
@@ -51,6 +53,7 @@
     pub fn name(self) -> &'static str {
         match self {
             Self::Busy => "busy",
+            Self::Slow => "slow",
             Self::Late => "late",
             Self::Leaving => "leaving",
             Self::Stopping => "stopping",
