Refuse what waits for a replaced server; pass over ended incarnations

Cause, first: a request that waited at a gate was started on whatever server the host had by then. Cause, second: after a loss of power the registry lists ended incarnations beside the new ones until they expire, and half of the attempts went to names that no gate guards any more: 153 refusals as misplaced in the 4 s after the return. Change: replacing a server refuses what waits; of several incarnations at one address a view holds the newest. Tests: what_waits_for_a_backend_server_is_not_given_to_the_one_that_takes_its_place, an_older_incarnation_at_an_address_is_gone_though_its_entry_has_not_expired.

--- a/crates/fleet/tests/snapshot.rs
+++ b/crates/fleet/tests/snapshot.rs
@@ -1,11 +1,14 @@
 //! Views made of newest values.
 
+use std::net::SocketAddr;
+
 use fleet::Snapshot;
 use note::{Listed, Listing, Orders, Server, ServerStatus};
 use types::{Boot, Moment, Revision, Slots, Span};
 
 fn server(name: &str) -> Server {
-    let address = "127.0.0.1:80".parse().expect("an address");
+    let port = 80 + u16::from(name.as_bytes()[0]);
+    let address = SocketAddr::from(([127, 0, 0, 1], port));
     Server {
         id: name.parse().expect("a name"),
         service: "draws".parse().expect("a name"),
@@ -116,3 +119,13 @@
     snapshot.take_listing(listing(102, vec![listed("b", 7)]), later);
     assert_eq!(names(&snapshot), ["b"]);
 }
+
+#[test]
+fn an_older_incarnation_at_an_address_is_gone_though_its_entry_has_not_expired() {
+    let mut snapshot = Snapshot::default();
+    let mut anew = listed("b", 1);
+    anew.server.boot = Boot(2);
+    anew.server.address = server("a").address;
+    snapshot.take_listing(listing(100, vec![listed("a", 5), anew]), NOW);
+    assert_eq!(names(&snapshot), ["b"]);
+}
--- a/crates/gate/src/core.rs
+++ b/crates/gate/src/core.rs
@@ -313,11 +313,14 @@
         self.cold.is_set() && self.cold.is_cold(now)
     }
 
-    /// Another backend server takes the place of the one before. Nothing is known of it.
-    pub fn replace_server(&mut self, now: Moment) {
+    /// Another backend server takes the place of the one before. Nothing is known of it, and what
+    /// waits was meant for the other, which may even have been of another service.
+    pub fn replace_server(&mut self, now: Moment) -> Vec<Action> {
+        self.pace = (USUAL_PACE, Moment(0));
         self.server = None;
         self.cold.forget();
         self.allowance.learn(Evidence::Restarted, now);
+        self.refuse_waiting(Refusal::Misplaced)
     }
 
     /// Time passes: what waited too long is refused, and the allowance may have grown.
--- a/crates/gate/tests/choosy.rs
+++ b/crates/gate/tests/choosy.rs
@@ -1,5 +1,5 @@
-//! What a gate does with attempts that have other places to go, while its backend server is slow, and
-//! with a backend server that says that it is cold.
+//! What a gate does with attempts that have other places to go, while its backend server is slow; with
+//! a backend server that says that it is cold; and when another one takes its place.
 
 use gate::{Action, Bounds, Gate, Offer};
 use note::Limits;
@@ -134,3 +134,14 @@
     world.gate.heard_cold(Span::from_millis(2_200), next, next);
     assert_eq!(starts(&mut world, next), COLD_RATE as usize);
 }
+
+#[test]
+fn what_waits_for_a_backend_server_is_not_given_to_the_one_that_takes_its_place() {
+    let mut world = World::new();
+    assert!(world.offer(false, START).is_empty(), "it waits, as the backend server counts as cold");
+    let replaced = world.gate.replace_server(START);
+    assert_eq!(refusal(&replaced), Some(Refusal::Misplaced));
+    let later = START + Span::from_millis(2_000);
+    let started = world.gate.tick(later);
+    assert!(!started.iter().any(|a| matches!(a, Action::Start(..))));
+}
--- a/crates/node/src/gatekeeper/carry.rs
+++ b/crates/node/src/gatekeeper/carry.rs
@@ -78,7 +78,8 @@
         }
         let place = |both: &(Server, Service)| (both.0.id.clone(), both.0.boot, both.0.address);
         if self.server.as_ref().map(place) != both.as_ref().map(place) {
-            self.gate.replace_server(self.board.clock.now());
+            let actions = self.gate.replace_server(self.board.clock.now());
+            self.carry_out(actions);
         }
         self.server = both;
         let id = self.server.as_ref().map(|(server, _)| server.id.clone());
--- a/crates/note/src/registry.rs
+++ b/crates/note/src/registry.rs
@@ -1,10 +1,10 @@
 //! A state read from a registry: newest values only, in place of a history of notes.
 
-use std::collections::BTreeMap;
+use std::{collections::BTreeMap, net::SocketAddr};
 
 use serde::{Deserialize, Serialize};
 use smol_str::SmolStr;
-use types::{Rate, Revision, Slots, ZoneId};
+use types::{Boot, Rate, Revision, Slots, ZoneId};
 
 use crate::state::{
     CallerLimits, Entry, HostRoute, Limits, Server, Service, State, Zone, ZoneStatus,
@@ -106,7 +106,9 @@
             };
             state.zones.insert(id.clone(), Entry { item, changed });
         }
-        for item in servers.cloned() {
+        let newest = newest_boots(listing);
+        let live = servers.filter(|s| newest.get(&s.address) == Some(&s.boot));
+        for item in live.cloned() {
             state
                 .servers
                 .insert(item.id.clone(), Entry { item, changed });
@@ -115,6 +117,17 @@
     }
 }
 
+/// The newest incarnation at each address: an older one has ended, though its entry may not have
+/// expired yet.
+fn newest_boots(listing: &Listing) -> BTreeMap<SocketAddr, Boot> {
+    let mut newest = BTreeMap::new();
+    for server in listing.servers.iter().map(|listed| &listed.server) {
+        let boot: &mut Boot = newest.entry(server.address).or_default();
+        *boot = server.boot.max(*boot);
+    }
+    newest
+}
+
 fn entries<K: Ord, T: Clone>(
     items: &[T],
     key: impl Fn(&T) -> K,
