Order what waits by objective, nested calls and rank

Ruled out: more slots in use (above 0.8 of them work takes 1.7 times as long); too much at once at one server (busiest to mean 1.1). Change: what can still make its objective goes first, then calls of servers that already run a request, then rank. Callers' nodes learn per route how long its work takes and tell the gate, which refuses at once what can't be answered in time, also what is pushed back by others. When all places have declined, the cheapest by their fresh reports takes the request. Impatience is learned per route, too.

--- a/crates/call/src/core.rs
+++ b/crates/call/src/core.rs
@@ -24,8 +24,9 @@
 
 /// Picks backend servers.
 pub trait Choose {
-    /// A backend server for the next attempt, other than those in `tried`.
-    fn choose(&mut self, tried: &[ServerId]) -> Option<Choice>;
+    /// A backend server for the next attempt: one that isn't in `tried`, or, if none of those looks
+    /// any better, the best of `declined`, who would have made it wait or run slowly.
+    fn choose(&mut self, tried: &[ServerId], declined: &[ServerId]) -> Option<Choice>;
 }
 
 /// What is known of a call when it begins.
@@ -124,6 +125,8 @@
     withheld: bool,
     /// Whether it was to be refused rather than made to wait or run slowly.
     choosy: bool,
+    /// Whether it was refused for that.
+    declined: bool,
 }
 
 /// One call. See the crate's documentation.
@@ -191,8 +194,9 @@
             Outcome::NotRun { refusal, after } => {
                 self.attempts[attempt].barred = true;
                 self.note_refusal(attempt, refusal, after);
-                let declined = refusal == Refusal::Slow
-                    || (refusal == Refusal::Busy && self.attempts[attempt].choosy);
+                let choosy = self.attempts[attempt].choosy;
+                let declined = choosy && matches!(refusal, Refusal::Slow | Refusal::Busy);
+                self.attempts[attempt].declined = declined;
                 let loaded = refusal.is_load() && !declined;
                 actions.extend(self.go_on(loaded, now, choose, budget));
             }
@@ -312,6 +316,12 @@
         tried.map(|a| a.server.clone()).collect()
     }
 
+    /// Backend servers that would have made an attempt wait or run slowly.
+    fn declined(&self) -> Vec<ServerId> {
+        let declined = self.attempts.iter().filter(|a| a.choosy && a.declined);
+        declined.map(|a| a.server.clone()).collect()
+    }
+
     /// An attempt wasn't run: tries elsewhere, or ends if nothing else is open.
     fn go_on(
         &mut self,
@@ -360,7 +370,7 @@
         if !allowed || self.attempts.len() >= MOST_TRIES || arrived >= self.request.attempts {
             return None;
         }
-        let choice = choose.choose(&self.tried())?;
+        let choice = choose.choose(&self.tried(), &self.declined())?;
         // What no backend server saw adds nothing to their load.
         if arrived > 0 && !budget.spend() {
             return None;
@@ -372,7 +382,7 @@
     fn send_or_finish(&mut self, now: Moment, choose: &mut dyn Choose) -> Vec<Action> {
         let more = self.attempts.len() < MOST_TRIES && self.arrived() < self.request.attempts;
         let choice = match more {
-            true => choose.choose(&self.tried()),
+            true => choose.choose(&self.tried(), &self.declined()),
             false => None,
         };
         match choice {
@@ -400,6 +410,7 @@
             revisit: false,
             withheld: false,
             choosy,
+            declined: false,
         });
         vec![Action::Send {
             attempt,
--- a/crates/call/src/pace.rs
+++ b/crates/call/src/pace.rs
@@ -1,9 +1,11 @@
-//! How long the answers of a service take.
+//! How long the answers to one kind of request take.
 
 use types::Span;
 
-/// Quantile that is followed.
-const QUANTILE: f64 = 0.95;
+/// Quantile of the answer times that says when to become impatient.
+const TAIL: f64 = 0.95;
+/// Quantile of the times at backend servers that says how much work a request is.
+const MIDDLE: f64 = 0.5;
 /// Part of the estimate by which one answer moves it at most.
 const STEP: f64 = 0.1;
 /// Estimate before the first answer.
@@ -17,37 +19,64 @@
 /// Time between two tries to ask a gate.
 const PAUSE: Span = Span::from_millis(100);
 
-/// Follows the 95th percentile of the times that a service's answers take.
+/// Follows one quantile of a series of times.
 ///
-/// The estimate moves up on a slower answer and down on a faster one, in proportion 19 to 1, which
-/// balances at the quantile (the stochastic approximation of Robbins and Monro).
+/// The estimate moves up on a larger value and down on a smaller one, in proportion of the quantile
+/// to its rest, which balances at the quantile (the stochastic approximation of Robbins and Monro).
 #[derive(Debug, Clone, Copy)]
-pub struct Pace {
+struct Quantile {
+    part: f64,
     estimate: f64,
 }
 
+impl Quantile {
+    fn new(part: f64) -> Self {
+        let estimate = FIRST_ESTIMATE.0 as f64;
+        Self { part, estimate }
+    }
+
+    fn learn(&mut self, took: Span) {
+        let part = match took.0 as f64 > self.estimate {
+            true => self.part,
+            false => self.part - 1.0,
+        };
+        self.estimate = (self.estimate * (1.0 + STEP * part)).max(1.0);
+    }
+}
+
+/// What is known of how long one kind of request takes.
+#[derive(Debug, Clone, Copy)]
+pub struct Pace {
+    tail: Quantile,
+    work: Quantile,
+}
+
 impl Default for Pace {
     fn default() -> Self {
         Self {
-            estimate: FIRST_ESTIMATE.0 as f64,
+            tail: Quantile::new(TAIL),
+            work: Quantile::new(MIDDLE),
         }
     }
 }
 
 impl Pace {
-    /// An answer took this time.
-    pub fn learn(&mut self, took: Span) {
-        let part = if took.0 as f64 > self.estimate {
-            QUANTILE
-        } else {
-            QUANTILE - 1.0
-        };
-        self.estimate = (self.estimate * (1.0 + STEP * part)).max(1.0);
+    /// An answer took this time, of which the request spent `ran` at the backend server.
+    pub fn learn(&mut self, took: Span, ran: Span) {
+        self.tail.learn(took);
+        if ran > Span::default() {
+            self.work.learn(ran);
+        }
     }
 
-    /// The 95th percentile.
+    /// The 95th percentile of the answer times.
     pub fn estimate(&self) -> Span {
-        Span(self.estimate as u64)
+        Span(self.tail.estimate as u64)
+    }
+
+    /// The median of the times at backend servers.
+    pub fn work(&self) -> Span {
+        Span(self.work.estimate as u64)
     }
 
     /// When calls of the service become impatient.
--- a/crates/call/tests/support/mod.rs
+++ b/crates/call/tests/support/mod.rs
@@ -251,6 +251,10 @@
             deadline: sent.deadline,
             choosy: false,
             misplaced: false,
+            objective: Moment::MAX,
+            expected: Span::default(),
+            priority: 0,
+            nested: false,
         };
         let boot = process.gate.boot();
         self.flying.push(Message::Run {
--- a/crates/call/tests/support/parts.rs
+++ b/crates/call/tests/support/parts.rs
@@ -99,12 +99,19 @@
 }
 
 impl Choose for Any {
-    fn choose(&mut self, tried: &[ServerId]) -> Option<Choice> {
+    fn choose(&mut self, tried: &[ServerId], declined: &[ServerId]) -> Option<Choice> {
         let ids = (0..GATES).map(|at| server((self.turn + at) % GATES));
         let mut left = ids.filter(|id| !tried.contains(id));
-        let server = left.next()?;
-        let others = left.next().is_some();
-        Some(Choice { server, others })
+        match left.next() {
+            Some(server) => Some(Choice {
+                server,
+                others: true,
+            }),
+            None => declined.first().map(|server| Choice {
+                server: server.clone(),
+                others: false,
+            }),
+        }
     }
 }
 
--- a/crates/gate/src/core.rs
+++ b/crates/gate/src/core.rs
@@ -10,7 +10,7 @@
     allowance::{Allowance, Evidence},
     cold::ColdLimit,
     probe::Probes,
-    queue::Queue,
+    queue::{Queue, Waiting},
     session::{Fate, Gap, Sessions},
 };
 
@@ -48,6 +48,14 @@
     pub choosy: bool,
     /// Whether it is meant for a backend server that this gate doesn't guard.
     pub misplaced: bool,
+    /// Last moment at which its answer is worth most.
+    pub objective: Moment,
+    /// Time that its work usually takes, zero if nobody knows.
+    pub expected: Span,
+    /// Rank, 0 for the most urgent.
+    pub priority: u32,
+    /// Whether a backend server calls that runs another request.
+    pub nested: bool,
 }
 
 /// How a started attempt ended.
@@ -111,6 +119,8 @@
 #[derive(Debug)]
 struct Run {
     began: Moment,
+    /// Time that its work usually takes.
+    expected: Span,
 }
 
 /// The gate of one backend server. See the crate's documentation.
@@ -385,11 +395,11 @@
     fn admit(&mut self, offer: Offer, now: Moment) -> Vec<Action> {
         match self.closed(offer.deadline, now) {
             _ if offer.misplaced => self.refuse(offer.id, Refusal::Misplaced, Span::default()),
-            Some(refusal) => self.refuse(offer.id, refusal, self.wait(self.queue.len(), now)),
+            Some(refusal) => self.refuse(offer.id, refusal, self.wait_behind_all(now)),
             None if offer.choosy && self.pace(now) >= SLOW_PACE => {
                 self.refuse(offer.id, Refusal::Slow, Span::default())
             }
-            None if self.has_slot(now) => self.start(offer.id, offer.deadline, now),
+            None if self.has_slot(now) => self.start(&self.waiting(&offer), now),
             None => self.enqueue(offer, now),
         }
     }
@@ -423,27 +433,87 @@
         self.running.len() + self.leaving.len()
     }
 
+    fn waiting(&self, offer: &Offer) -> Waiting {
+        let expected = match offer.expected {
+            Span(0) => self.allowance.typical(),
+            known => known,
+        };
+        Waiting {
+            id: offer.id,
+            deadline: offer.deadline,
+            objective: offer.objective,
+            expected,
+            priority: offer.priority,
+            nested: offer.nested,
+        }
+    }
+
     fn enqueue(&mut self, offer: Offer, now: Moment) -> Vec<Action> {
+        let waiting = self.waiting(&offer);
         let full = self.queue.len() >= self.limits.queue.0 as usize;
-        let wait = self.wait(self.queue.ahead(offer.deadline), now);
-        if offer.choosy || full || now + wait + self.allowance.typical() > offer.deadline {
-            return self.refuse(offer.id, Refusal::Busy, wait);
+        let (ahead, work) = self.queue.ahead(&waiting, now, self.slowness(now));
+        let wait = self.wait(ahead, work, now);
+        let late = now + wait + waiting.expected > offer.deadline;
+        if offer.choosy || full || late {
+            return self.refuse(offer.id, Refusal::Busy, self.wait_behind_all(now));
         }
         self.sessions.record(offer.id, Fate::Open);
-        self.queue.push(offer.deadline, offer.id);
-        Vec::new()
+        self.queue.push(waiting);
+        self.refuse_displaced(now)
+    }
+
+    /// Refuses what can no longer be answered in time, now that others start before it.
+    fn refuse_displaced(&mut self, now: Moment) -> Vec<Action> {
+        let (mut ahead, mut work) = (0, Span::default());
+        let mut actions = Vec::new();
+        for waiting in self.queue.ranked(now, self.slowness(now)) {
+            let start = now + self.wait(ahead, work, now);
+            if start + waiting.expected > waiting.deadline {
+                self.queue.remove(waiting.id);
+                let after = self.wait_behind_all(now);
+                actions.extend(self.refuse(waiting.id, Refusal::Busy, after));
+            } else {
+                (ahead, work) = (ahead + 1, work + waiting.expected);
+            }
+        }
+        actions
+    }
+
+    /// How many times as long as usual work takes now.
+    fn slowness(&self, now: Moment) -> f64 {
+        f64::from(self.pace(now)) / f64::from(USUAL_PACE)
     }
 
-    /// Expected wait behind `ahead` requests: Little's law over the running ones.
-    fn wait(&self, ahead: usize, now: Moment) -> Span {
-        let rounds = (ahead + 1) as f64 / self.allowance.allowed(now) as f64;
-        let slots = self.allowance.typical().scale(rounds);
-        slots.max(self.cold.wait(ahead, now))
+    /// Expected wait behind `ahead` requests whose work takes `work` together.
+    fn wait(&self, ahead: usize, work: Span, now: Moment) -> Span {
+        let left = |run: &Run| (run.began + run.expected).since(now);
+        let running = self.running.values().map(left);
+        let whole = running.fold(work, |sum, left| sum + left);
+        let slots = self.allowance.allowed(now) as f64;
+        whole.scale(1.0 / slots).max(self.cold.wait(ahead, now))
     }
 
-    fn start(&mut self, id: AttemptId, deadline: Moment, now: Moment) -> Vec<Action> {
+    fn wait_behind_all(&self, now: Moment) -> Span {
+        let waiting = self.queue.ranked(now, 1.0);
+        let work = waiting
+            .iter()
+            .fold(Span::default(), |sum, w| sum + w.expected);
+        self.wait(waiting.len(), work, now)
+    }
+
+    fn start(&mut self, waiting: &Waiting, now: Moment) -> Vec<Action> {
+        let Waiting {
+            id,
+            deadline,
+            expected,
+            ..
+        } = *waiting;
         self.sessions.record(id, Fate::Open);
-        let before = self.running.insert(id, Run { began: now });
+        let run = Run {
+            began: now,
+            expected,
+        };
+        let before = self.running.insert(id, run);
         assert!(before.is_none(), "invariant: an attempt starts once, {id}");
         let most = self.allowance.allowed(now);
         assert!(
@@ -470,23 +540,18 @@
     fn start_waiting(&mut self, now: Moment) -> Vec<Action> {
         self.leaving.retain(|until| *until > now);
         let mut actions = Vec::new();
-        while self
-            .queue
-            .earliest()
-            .is_some_and(|deadline| deadline <= now)
-        {
-            let late = self.queue.pop().map(|(_, id)| id);
-            actions.extend(late.into_iter().flat_map(|id| self.refuse_late(id)));
+        for id in self.queue.expire(now) {
+            actions.extend(self.refuse_late(id));
         }
         // What waits was let in by a view that may no longer be acted on.
         if now > self.fresh {
             actions.extend(self.refuse_waiting(Refusal::Stale));
         }
         while self.may_start(now) {
-            let Some((deadline, id)) = self.queue.pop() else {
+            let Some(waiting) = self.queue.pop(now, self.slowness(now)) else {
                 break;
             };
-            actions.extend(self.start(id, deadline, now));
+            actions.extend(self.start(&waiting, now));
         }
         actions
     }
@@ -515,7 +580,7 @@
     fn refusal(&self, refusal: Refusal, now: Moment) -> Outcome {
         Outcome::NotRun {
             refusal,
-            after: self.wait(self.queue.len(), now),
+            after: self.wait_behind_all(now),
         }
     }
 
--- a/crates/gate/tests/choosy.rs
+++ b/crates/gate/tests/choosy.rs
@@ -54,6 +54,10 @@
             deadline: now + Span::from_millis(60_000),
             choosy,
             misplaced: false,
+            objective: Moment::MAX,
+            expected: Span::default(),
+            priority: 0,
+            nested: false,
         };
         self.gate.offer(offer, now)
     }
@@ -138,7 +142,10 @@
 #[test]
 fn what_waits_for_a_backend_server_is_not_given_to_the_one_that_takes_its_place() {
     let mut world = World::new();
-    assert!(world.offer(false, START).is_empty(), "it waits, as the backend server counts as cold");
+    assert!(
+        world.offer(false, START).is_empty(),
+        "it waits, as the backend server counts as cold"
+    );
     let replaced = world.gate.replace_server(START);
     assert_eq!(refusal(&replaced), Some(Refusal::Misplaced));
     let later = START + Span::from_millis(2_000);
--- a/crates/node/src/gatekeeper/carry.rs
+++ b/crates/node/src/gatekeeper/carry.rs
@@ -26,6 +26,8 @@
     listeners: Vec<oneshot::Sender<Reply>>,
     /// Dropped to cancel the running request.
     running: Option<oneshot::Sender<()>>,
+    /// When it was started.
+    began: Option<Moment>,
 }
 
 /// The actor that carries one gate.
@@ -113,6 +115,7 @@
             idempotent: msg.idempotent,
             listeners: Vec::new(),
             running: None,
+            began: None,
         });
         work.listeners.push(msg.reply);
         let now = self.board.clock.now();
@@ -127,6 +130,7 @@
             idempotent: false,
             listeners: Vec::new(),
             running: None,
+            began: None,
         });
         work.listeners.push(msg.reply);
         let actions = self.gate.ask(msg.id, msg.cancel, now);
@@ -178,7 +182,7 @@
         self.server.as_ref().map(|(server, _)| &server.id)
     }
 
-    fn reply(&self, outcome: Outcome) -> Reply {
+    fn reply(&self, outcome: Outcome, began: Option<Moment>) -> Reply {
         let clock = self.board.clock.now();
         Reply {
             outcome,
@@ -186,6 +190,7 @@
             revision: self.board.view.borrow().revision,
             boot: self.gate.boot(),
             clock,
+            ran: began.map_or(Span::default(), |began| clock.since(began)),
         }
     }
 
@@ -210,6 +215,7 @@
             .run(request, target, self.board.clock.instant(deadline));
         let (keep, cancelled) = oneshot::channel();
         work.running = Some(keep);
+        work.began = Some(self.board.clock.now());
         tokio::spawn(finish(self.actor.clone(), id, running, cancelled));
     }
 
@@ -218,7 +224,7 @@
             return;
         };
         self.meter.attempt(outcome_name(&outcome));
-        let reply = self.reply(outcome);
+        let reply = self.reply(outcome, work.began);
         for listener in work.listeners {
             let _ = listener.send(reply.clone());
         }
--- a/crates/node/src/gatekeeper/mod.rs
+++ b/crates/node/src/gatekeeper/mod.rs
@@ -22,7 +22,7 @@
 };
 use serde::Serialize;
 use tokio::sync::oneshot;
-use types::{AttemptId, Boot, Moment, Outcome, Revision, ServerId, SessionId};
+use types::{AttemptId, Boot, Moment, Outcome, Revision, ServerId, SessionId, Span};
 
 use crate::{
     backend::{Backend, ServerRequest},
@@ -42,6 +42,8 @@
     pub(crate) revision: Revision,
     pub(crate) boot: Boot,
     pub(crate) clock: Moment,
+    /// Time that the request spent at the backend server.
+    pub(crate) ran: Span,
 }
 
 /// Opens a session for an ingress.
--- a/crates/node/src/ingress/accept.rs
+++ b/crates/node/src/ingress/accept.rs
@@ -25,6 +25,8 @@
     /// Path and query, byte for byte.
     pub(super) target: SmolStr,
     pub(super) headers: HeaderMap,
+    /// Whether it comes from the own host, where the backend server is the one who calls.
+    pub(super) own: bool,
 }
 
 impl Head {
@@ -42,6 +44,10 @@
 #[derive(Debug)]
 pub(super) struct Accepted {
     pub(super) service: ServiceId,
+    /// What requests of the same kind share: the route's name, or the service's.
+    pub(super) kind: SmolStr,
+    /// Whether a backend server calls that runs another request.
+    pub(super) nested: bool,
     pub(super) limits: Limits,
     pub(super) idempotent: bool,
     pub(super) attempts: u32,
@@ -118,6 +124,8 @@
         objective: now + Span::from_millis(route.objective_ms),
         priority: route.priority,
         request: server_request(ingress, call, head, asked),
+        kind: SmolStr::new(route.id.as_str()),
+        nested: asked.depth > 0 || head.own,
         limits: service.limits,
         service: id,
     })
@@ -147,6 +155,8 @@
         objective: deadline,
         priority: 0,
         request: server_request(ingress, call, head, asked),
+        kind: SmolStr::new(service.id.as_str()),
+        nested: asked.depth > 0 || head.own,
         limits: service.limits,
         service: service.id,
     })
--- a/crates/node/src/ingress/drive.rs
+++ b/crates/node/src/ingress/drive.rs
@@ -16,7 +16,7 @@
     stream::FuturesUnordered,
 };
 use tokio::time::{Sleep, sleep_until};
-use types::{Moment, Outcome, Refusal, ServerId};
+use types::{Moment, Outcome, Refusal, ServerId, Span};
 
 use super::{
     Ingress,
@@ -25,15 +25,15 @@
 };
 use crate::{
     gatekeeper::{Reply, outcome_name},
-    peers::{Attempt, Fault, Peer},
+    peers::{Attempt, Fault, Peer, Rank},
     spreader::Heard,
 };
 
 /// Carries a call to its end.
 pub(super) async fn drive(ingress: &Arc<Ingress>, accepted: Accepted) -> Ending {
-    let timing = ingress
+    let pace = ingress
         .services
-        .begin(&accepted.service, accepted.limits.retries);
+        .begin(&accepted.service, &accepted.kind, accepted.limits.retries);
     let request = Request {
         idempotent: accepted.idempotent,
         repeat: accepted.request.repeat,
@@ -42,7 +42,8 @@
     };
     let mut drive = Drive {
         ingress: Arc::clone(ingress),
-        call: Call::new(request, timing),
+        call: Call::new(request, pace.timing()),
+        expected: pace.work(),
         accepted,
         attempts: Vec::new(),
         pending: FuturesUnordered::new(),
@@ -79,6 +80,8 @@
     ingress: Arc<Ingress>,
     call: Call,
     accepted: Accepted,
+    /// Time that the request's work usually takes.
+    expected: Span,
     attempts: Vec<Open>,
     pending: FuturesUnordered<BoxFuture<'static, Event>>,
 }
@@ -216,9 +219,14 @@
             open.peer.hear(sent.id, reply, asked, now);
         }
         let took = now.since(asked);
-        self.ingress
-            .services
-            .heard(&self.accepted.service, &open.server, reply, took, now);
+        self.ingress.services.heard(
+            &self.accepted.service,
+            &self.accepted.kind,
+            &open.server,
+            reply,
+            took,
+            now,
+        );
         if reply.revision > self.ingress.board.view.borrow().revision {
             let heard = Heard {
                 peer: open.peer.address,
@@ -270,8 +278,12 @@
             idempotent: self.accepted.idempotent,
             choosy,
             deadline: self.accepted.deadline,
-            objective: self.accepted.objective,
-            priority: self.accepted.priority,
+            rank: Rank {
+                objective: self.accepted.objective,
+                expected: self.expected,
+                priority: self.accepted.priority,
+                nested: self.accepted.nested,
+            },
             request,
             sent: Arc::clone(&sent),
         };
@@ -374,8 +386,8 @@
     idempotent: bool,
     choosy: bool,
     deadline: Moment,
-    objective: Moment,
-    priority: u32,
+    /// With the objective on the own clock.
+    rank: Rank,
     request: crate::backend::ServerRequest,
     sent: Arc<OnceLock<Sent>>,
 }
@@ -399,8 +411,10 @@
             server: self.server,
             idempotent: self.idempotent,
             choosy: self.choosy,
-            objective: sent.deadline - self.deadline.since(self.objective),
-            priority: self.priority,
+            rank: Rank {
+                objective: sent.deadline - self.deadline.since(self.rank.objective),
+                ..self.rank
+            },
             request: self.request,
             revision: board.view.borrow().revision,
             node: board.identity.node,
--- a/crates/node/src/ingress/frame.rs
+++ b/crates/node/src/ingress/frame.rs
@@ -70,6 +70,7 @@
             method,
             target,
             headers,
+            own: false,
         },
     })
 }
--- a/crates/node/src/ingress/services.rs
+++ b/crates/node/src/ingress/services.rs
@@ -6,11 +6,12 @@
 };
 
 use board::Board;
-use call::{Bucket, Budget, Choice, Choose, Pace, Timing};
+use call::{Bucket, Budget, Choice, Choose, Pace};
 use note::State;
 use rand::{SeedableRng, rngs::SmallRng};
 use route::{Member, PolicyKind, Report, Table};
 use serde::Serialize;
+use smol_str::SmolStr;
 use types::{Boot, Moment, Outcome, ServerId, ServiceId, Span};
 
 use crate::gatekeeper::Reply;
@@ -19,7 +20,6 @@
 struct ServiceState {
     table: Table,
     bucket: Bucket,
-    pace: Pace,
 }
 
 /// A backend server as the dump shows it.
@@ -55,6 +55,8 @@
     policy: PolicyKind,
     retries: RetryPolicy,
     list: Mutex<HashMap<ServiceId, ServiceState>>,
+    /// How long each kind of request takes.
+    paces: Mutex<HashMap<SmolStr, Pace>>,
 }
 
 impl Services {
@@ -64,9 +66,14 @@
             policy,
             retries,
             list: Mutex::default(),
+            paces: Mutex::default(),
         }
     }
 
+    fn paces(&self) -> MutexGuard<'_, HashMap<SmolStr, Pace>> {
+        self.paces.lock().expect("no holder panics")
+    }
+
     fn list(&self) -> MutexGuard<'_, HashMap<ServiceId, ServiceState>> {
         self.list.lock().expect("no holder panics")
     }
@@ -80,6 +87,11 @@
         let view = board.view();
         let mut list = self.list();
         list.retain(|id, _| view.state.services.contains_key(id));
+        let known = |kind: &SmolStr| {
+            let routes = view.state.routes.keys().any(|id| id.as_str() == kind);
+            routes || view.state.services.keys().any(|id| id.as_str() == kind)
+        };
+        self.paces().retain(|kind, _| known(kind));
         let nodes = view.state.servers.len();
         for id in view.state.services.keys() {
             let state = list.entry(id.clone()).or_insert_with(|| self.state(nodes));
@@ -98,20 +110,14 @@
         ServiceState {
             table,
             bucket: self.retries.bucket(nodes),
-            pace: Pace::default(),
         }
     }
 
-    /// When calls of a service become impatient. A call begins, which adds to the budget of repeats.
-    pub(crate) fn begin(&self, service: &ServiceId, ratio: f64) -> Timing {
-        let mut list = self.list();
-        match list.get_mut(service) {
-            Some(state) => {
-                state.bucket.earn(ratio);
-                state.pace.timing()
-            }
-            None => Pace::default().timing(),
-        }
+    /// How long requests of a kind take. A call of the service begins, which adds to its budget of
+    /// repeats.
+    pub(crate) fn begin(&self, service: &ServiceId, kind: &SmolStr, ratio: f64) -> Pace {
+        self.with(service, |state| state.bucket.earn(ratio));
+        self.paces().get(kind).copied().unwrap_or_default()
     }
 
     /// An attempt is sent.
@@ -128,12 +134,20 @@
     pub(crate) fn heard(
         &self,
         service: &ServiceId,
+        kind: &SmolStr,
         server: &ServerId,
         reply: &Reply,
         took: Span,
         now: Moment,
     ) {
         let load = reply.load;
+        if matches!(&reply.outcome, Outcome::Answer(answer) if !answer.is_failure()) {
+            let mut paces = self.paces();
+            paces
+                .entry(kind.clone())
+                .or_default()
+                .learn(took, reply.ran);
+        }
         self.with(service, |state| {
             let report = Report {
                 load: load.running + load.waiting,
@@ -149,10 +163,7 @@
                 Outcome::Answer(ref answer) if answer.is_failure() => {
                     state.table.failed(server, now);
                 }
-                Outcome::Answer(_) => {
-                    state.table.answered(server);
-                    state.pace.learn(took);
-                }
+                Outcome::Answer(_) => state.table.answered(server),
                 Outcome::Unknown | Outcome::Expired => {}
             }
         });
@@ -207,10 +218,10 @@
 }
 
 impl Choose for Selector<'_> {
-    fn choose(&mut self, tried: &[ServerId]) -> Option<Choice> {
-        let chosen = self
-            .services
-            .with(self.service, |state| state.table.choose(tried, self.now));
+    fn choose(&mut self, tried: &[ServerId], declined: &[ServerId]) -> Option<Choice> {
+        let chosen = self.services.with(self.service, |state| {
+            state.table.choose(tried, declined, self.now)
+        });
         chosen.map(|picked| Choice {
             server: picked.server,
             others: picked.others,
--- a/crates/node/src/peers/convert.rs
+++ b/crates/node/src/peers/convert.rs
@@ -8,7 +8,7 @@
 use types::{SessionId, Span};
 use wire::peer;
 
-use super::Attempt;
+use super::{Attempt, Rank};
 use crate::{
     backend::ServerRequest,
     gatekeeper::{Opened, Reply},
@@ -49,8 +49,7 @@
         server,
         idempotent,
         choosy,
-        objective,
-        priority,
+        rank,
         request,
         revision,
         node,
@@ -72,8 +71,10 @@
         node: node.to_string(),
         choosy,
         origin: request.origin.map_or(String::new(), |o| o.to_string()),
-        objective: objective.0,
-        priority,
+        objective: rank.objective.0,
+        priority: rank.priority,
+        expected: rank.expected.0,
+        nested: rank.nested,
     }
 }
 
@@ -93,8 +94,12 @@
         server: request.server.parse().map_err(ConvertError::Name)?,
         idempotent: request.idempotent,
         choosy: request.choosy,
-        objective: Moment(request.objective),
-        priority: request.priority,
+        rank: Rank {
+            objective: Moment(request.objective),
+            expected: Span(request.expected),
+            priority: request.priority,
+            nested: request.nested,
+        },
         request: ServerRequest {
             call: request.call.parse().map_err(ConvertError::Name)?,
             method: request.method.into(),
@@ -137,6 +142,7 @@
         revision: reply.revision.0,
         boot: reply.boot.0,
         clock: reply.clock.0,
+        ran: reply.ran.0,
     }
 }
 
@@ -172,6 +178,7 @@
         revision: Revision(message.revision),
         boot: Boot(message.boot),
         clock: Moment(message.clock),
+        ran: Span(message.ran),
     }
 }
 
--- a/crates/node/src/peers/tests.rs
+++ b/crates/node/src/peers/tests.rs
@@ -8,7 +8,7 @@
 use board::{Board, Identity};
 use futures::{FutureExt, future::BoxFuture};
 use gate::Load;
-use types::{AttemptId, Boot, Moment, Outcome, Refusal, Revision, SessionId};
+use types::{AttemptId, Boot, Moment, Outcome, Refusal, Revision, SessionId, Span};
 
 use super::{Attempt, Fault, GateClient, Peer};
 use crate::gatekeeper::{Opened, Reply};
@@ -62,6 +62,7 @@
         revision: Revision(0),
         boot,
         clock: Moment(0),
+        ran: Span::default(),
     }
 }
 
--- a/crates/rig/benches/decisions.rs
+++ b/crates/rig/benches/decisions.rs
@@ -93,7 +93,10 @@
         group.bench_with_input(BenchmarkId::from_parameter(size), &size, |b, _| {
             b.iter(|| {
                 now = now + Span(10);
-                let id = table.choose(&[], now).expect("a backend server").server;
+                let id = table
+                    .choose(&[], &[], now)
+                    .expect("a backend server")
+                    .server;
                 table.sent(&id);
                 let report = Report {
                     load: 3,
@@ -121,7 +124,7 @@
 struct One(ServerId);
 
 impl Choose for One {
-    fn choose(&mut self, tried: &[ServerId]) -> Option<Choice> {
+    fn choose(&mut self, tried: &[ServerId], _declined: &[ServerId]) -> Option<Choice> {
         tried.is_empty().then(|| Choice {
             server: self.0.clone(),
             others: false,
@@ -172,6 +175,10 @@
                 deadline: sent.deadline,
                 choosy: false,
                 misplaced: false,
+                objective: Moment::MAX,
+                expected: Span::default(),
+                priority: 0,
+                nested: false,
             };
             black_box(gate.offer(offer, now));
             black_box(gate.done(sent.id, Finish::Answered(Arc::clone(&answer)), now));
--- a/crates/route/src/table.rs
+++ b/crates/route/src/table.rs
@@ -161,18 +161,29 @@
             .collect();
     }
 
-    /// Picks a backend server other than those in `tried`.
-    pub fn choose(&mut self, tried: &[ServerId], now: Moment) -> Option<Picked> {
+    /// Picks a backend server that isn't in `tried` and not avoided. If there is none, the cheapest of
+    /// the untried and of `declined`, who would have made the request wait or run slowly.
+    pub fn choose(
+        &mut self,
+        tried: &[ServerId],
+        declined: &[ServerId],
+        now: Moment,
+    ) -> Option<Picked> {
         let untried = |p: &&Peer| !tried.contains(&p.member.id);
-        let mut candidates: Vec<&Peer> = self.peers.iter().filter(untried).collect();
-        let good = candidates.iter().filter(|p| p.avoid <= now).count();
-        if good > 0 {
-            candidates.retain(|p| p.avoid <= now);
+        let good = |p: &&Peer| untried(p) && p.avoid <= now;
+        let candidates: Vec<&Peer> = self.peers.iter().filter(good).collect();
+        if let Some(picked) = self.policy.pick(&candidates, now, &mut self.rng) {
+            return Some(Picked {
+                server: candidates[picked].member.id.clone(),
+                others: candidates.len() > 1 || !declined.is_empty(),
+            });
         }
-        let picked = self.policy.pick(&candidates, now, &mut self.rng)?;
+        let left = |p: &&Peer| untried(p) || declined.contains(&p.member.id);
+        let cheapest = self.peers.iter().filter(left);
+        let cheapest = cheapest.min_by(|a, b| a.cost(now).total_cmp(&b.cost(now)))?;
         Some(Picked {
-            server: candidates[picked].member.id.clone(),
-            others: good > 1,
+            server: cheapest.member.id.clone(),
+            others: false,
         })
     }
 
--- a/crates/route/tests/table.rs
+++ b/crates/route/tests/table.rs
@@ -36,7 +36,7 @@
 /// How often a server is chosen in 100 choices.
 fn share(table: &mut Table, server: usize, now: Moment) -> usize {
     (0..100)
-        .filter(|_| table.choose(&[], now).map(|p| p.server) == Some(id(server)))
+        .filter(|_| table.choose(&[], &[], now).map(|p| p.server) == Some(id(server)))
         .count()
 }
 
@@ -59,9 +59,9 @@
 fn a_server_that_is_avoided_is_still_used_for_want_of_others() {
     let mut table = table(2, 2);
     table.refused(&id(0), Refusal::Down, Span::default(), at(0));
-    let picked = table.choose(&[id(1)], at(1));
+    let picked = table.choose(&[id(1)], &[], at(1));
     assert_eq!(picked.map(|p| p.server), Some(id(0)));
-    assert_eq!(table.choose(&[id(0), id(1)], at(1)), None);
+    assert_eq!(table.choose(&[id(0), id(1)], &[], at(1)), None);
 }
 
 #[test]
