Log each decision on a request, bounded and off the path

Cause: a request couldn't be followed over two nodes: only endings were logged, at standard error, by a logger that blocks when its reader stops. Change: lines for attempts sent and heard with what was known and how old it was, for what a gate starts, keeps waiting, refuses and ends, for callers who leave; a buffer that a thread writes out, a budget of lines for each kind of event and level, and a line that says what was left out. Ruled out: writing on the path (blocks), a channel a line (a wake-up each).

--- a/crates/node/src/gatekeeper/carry.rs
+++ b/crates/node/src/gatekeeper/carry.rs
@@ -9,7 +9,7 @@
 use kameo::actor::WeakActorRef;
 use note::{Limits, Server, Service};
 use tokio::sync::oneshot;
-use types::{AttemptId, Boot, Moment, Outcome, ServerId, Span};
+use types::{AttemptId, Boot, CallId, Moment, Outcome, ServerId, Span};
 
 use super::{Ask, Done, Dumped, Opened, Probed, Reply, Run, Tick, follow, outcome_name};
 use crate::{
@@ -20,6 +20,9 @@
 
 /// An attempt that waits or runs.
 struct Work {
+    /// The call that the attempt belongs to, unknown if only a question about it came.
+    call: Option<CallId>,
+    came: Moment,
     /// Taken when the attempt starts.
     request: Option<ServerRequest>,
     idempotent: bool,
@@ -110,7 +113,10 @@
             misplaced,
             ..msg.offer
         };
+        let now = self.board.clock.now();
         let work = self.work.entry(id).or_insert_with(|| Work {
+            call: Some(msg.request.call.clone()),
+            came: now,
             request: Some(msg.request),
             idempotent: msg.idempotent,
             listeners: Vec::new(),
@@ -118,14 +124,18 @@
             began: None,
         });
         work.listeners.push(msg.reply);
-        let now = self.board.clock.now();
         let actions = self.gate.offer(offer, now);
+        if actions.is_empty() {
+            self.log_run("run_waits", id, "queued");
+        }
         self.carry_out(actions);
     }
 
     pub(super) fn ask(&mut self, msg: Ask) {
         let now = self.board.clock.now();
         let work = self.work.entry(msg.id).or_insert_with(|| Work {
+            call: None,
+            came: now,
             request: None,
             idempotent: false,
             listeners: Vec::new(),
@@ -216,10 +226,28 @@
         let (keep, cancelled) = oneshot::channel();
         work.running = Some(keep);
         work.began = Some(self.board.clock.now());
+        self.log_run("run_started", id, "started");
         tokio::spawn(finish(self.actor.clone(), id, running, cancelled));
     }
 
+    /// One line for a decision on an attempt, with what decided it.
+    fn log_run(&self, event: &'static str, id: AttemptId, outcome: &str) {
+        let now = self.board.clock.now();
+        let load = self.gate.load(now);
+        let work = self.work.get(&id);
+        let call = work.and_then(|w| w.call.as_ref()).map(ToString::to_string);
+        let age = work.map_or(0, |w| now.since(w.came).0);
+        log::info!(
+            call, attempt:% = id, server = self.server_id().map(ToString::to_string), outcome,
+            age_us = age, running = load.running, waiting = load.waiting, allowed = load.allowed,
+            pace = load.pace, cold = self.gate.is_cold(now),
+            view:% = self.board.view.borrow().revision;
+            "{event}"
+        );
+    }
+
     fn answer(&mut self, id: AttemptId, outcome: Outcome) {
+        self.log_run("run_ended", id, outcome_name(&outcome));
         let Some(work) = self.work.remove(&id) else {
             return;
         };
--- a/crates/node/src/ingress/drive.rs
+++ b/crates/node/src/ingress/drive.rs
@@ -15,6 +15,7 @@
     future::{AbortHandle, BoxFuture, abortable},
     stream::FuturesUnordered,
 };
+use route::Peer as Known;
 use tokio::time::{Sleep, sleep_until};
 use types::{Moment, Outcome, Refusal, ServerId, Span};
 
@@ -151,7 +152,7 @@
                 asked,
             } => {
                 self.learn(attempt, &reply, asked, now);
-                self.log(attempt, outcome_name(&reply.outcome));
+                self.log_heard(attempt, &reply, now.since(asked));
                 let outcome = reply.outcome;
                 self.decide(|call, selector, budget| {
                     call.heard(attempt, outcome, now, selector, budget)
@@ -161,7 +162,10 @@
                 attempt,
                 result: Err(Fault::Broken),
                 ..
-            } => self.decide(|call, selector, budget| call.broken(attempt, now, selector, budget)),
+            } => {
+                self.log_fault(attempt, Fault::Broken);
+                self.decide(|call, selector, budget| call.broken(attempt, now, selector, budget))
+            }
             // Nothing was sent.
             Event::Ran {
                 attempt,
@@ -199,14 +203,44 @@
         self.decide(|call, selector, budget| call.heard(attempt, outcome, now, selector, budget))
     }
 
-    fn log(&self, attempt: Try, outcome: &str) {
-        let call = &self.accepted.request.call;
+    fn log_sent(&self, attempt: Try, server: &ServerId, choosy: bool, known: Option<&Known>) {
+        let board = &self.ingress.board;
+        let now = board.clock.now();
+        log::info!(
+            call:% = self.accepted.request.call, attempt, service:% = self.accepted.service,
+            server:% = server, choosy,
+            local = known.map(|k| k.member.local),
+            open = known.map(|k| k.open),
+            load = known.map(|k| k.report.load),
+            pace = known.map(|k| k.report.pace),
+            report_ms = known.map(|k| now.since(k.heard).as_millis()),
+            left_ms = self.accepted.deadline.since(now).as_millis(),
+            view:% = board.view.borrow().revision;
+            "attempt_sent"
+        );
+    }
+
+    fn log_heard(&self, attempt: Try, reply: &Reply, took: Span) {
+        let load = reply.load;
+        log::info!(
+            call:% = self.accepted.request.call, attempt, server:% = self.attempts[attempt].server,
+            outcome = outcome_name(&reply.outcome), took_us = took.0, ran_us = reply.ran.0,
+            running = load.running, waiting = load.waiting, allowed = load.allowed, pace = load.pace,
+            view:% = reply.revision;
+            "attempt_heard"
+        );
+    }
+
+    fn log_fault(&self, attempt: Try, fault: Fault) {
         let server = &self.attempts[attempt].server;
-        log::debug!(call:% = call, attempt, server:% = server, outcome; "attempt_heard");
+        log::warn!(
+            call:% = self.accepted.request.call, attempt, server:% = server, fault = fault.name();
+            "attempt_unheard"
+        );
     }
 
     fn fail(&self, attempt: Try, fault: Fault, now: Moment) {
-        self.log(attempt, fault.name());
+        self.log_fault(attempt, fault);
         let server = &self.attempts[attempt].server;
         self.ingress
             .services
@@ -267,7 +301,8 @@
             let now = self.now();
             return self.hear_refusal(attempt, Refusal::Misplaced, now);
         };
-        self.ingress.services.sent(&self.accepted.service, &server);
+        let known = self.ingress.services.sent(&self.accepted.service, &server);
+        self.log_sent(attempt, &server, choosy, known.as_ref());
         let sent = Arc::new(OnceLock::new());
         let mut request = self.accepted.request.clone();
         request.repeat |= repeat;
@@ -372,6 +407,7 @@
 impl Drop for Drive {
     fn drop(&mut self) {
         if !self.call.is_finished() {
+            log::info!(call:% = self.accepted.request.call, attempts = self.attempts.len(); "caller_left");
             let actions = self.call.abandon();
             self.carry_out(actions);
         }
--- a/crates/node/src/ingress/services.rs
+++ b/crates/node/src/ingress/services.rs
@@ -9,7 +9,7 @@
 use call::{Bucket, Budget, Choice, Choose, Pace};
 use note::State;
 use rand::{SeedableRng, rngs::SmallRng};
-use route::{Member, PolicyKind, Report, Table};
+use route::{Member, Peer, PolicyKind, Report, Table};
 use serde::Serialize;
 use smol_str::SmolStr;
 use types::{Boot, Moment, Outcome, ServerId, ServiceId, Span};
@@ -120,9 +120,12 @@
         self.paces().get(kind).copied().unwrap_or_default()
     }
 
-    /// An attempt is sent.
-    pub(crate) fn sent(&self, service: &ServiceId, server: &ServerId) {
-        self.with(service, |state| state.table.sent(server));
+    /// An attempt is sent. Returns what is known of the backend server.
+    pub(crate) fn sent(&self, service: &ServiceId, server: &ServerId) -> Option<Peer> {
+        self.with(service, |state| {
+            state.table.sent(server);
+            state.table.peer(server).cloned()
+        })
     }
 
     /// An attempt is settled.
@@ -179,7 +182,7 @@
 
     /// What is known of all backend servers in use.
     pub(crate) fn dump(&self, now: Moment) -> HashMap<ServiceId, Vec<DumpedPeer>> {
-        let dump = |p: &route::Peer| DumpedPeer {
+        let dump = |p: &Peer| DumpedPeer {
             server: p.member.id.clone(),
             local: p.member.local,
             open: p.open,
--- a/crates/node/src/main.rs
+++ b/crates/node/src/main.rs
@@ -31,7 +31,7 @@
         println!("settings of {} are in order", settings.host);
         return ExitCode::SUCCESS;
     }
-    logs::init(settings.log);
+    let _logs = logs::init(settings.log);
     match serve(settings) {
         Ok(()) => ExitCode::SUCCESS,
         Err(error) => fail(&error, 1),
--- a/crates/rig/src/fleet.rs
+++ b/crates/rig/src/fleet.rs
@@ -95,6 +95,7 @@
         let child = Command::new(program("amaranthyoked"))
             .arg(&file)
             .stdin(Stdio::null())
+            .stdout(log.try_clone()?)
             .stderr(log)
             .kill_on_drop(true)
             .spawn()?;
--- a/crates/route/src/table.rs
+++ b/crates/route/src/table.rs
@@ -237,6 +237,11 @@
         }
     }
 
+    /// What is known of one backend server.
+    pub fn peer(&self, id: &ServerId) -> Option<&Peer> {
+        self.peers.iter().find(|p| p.member.id == *id)
+    }
+
     /// The backend servers in use.
     pub fn peers(&self) -> &[Peer] {
         &self.peers
