Fetch only the part of a view that a node lacks

Ruled out by a trial, reverted: that too many attempts go to other zones though local slots are free. Change: a pull names the digests of what its sender has and brings only what differs; orders, which are large, are fetched from a peer only if the node's own read doesn't bring them within 200 ms. Tests: a_peer_gets_only_the_part_that_it_lacks, parts_that_two_nodes_read_apart_come_together.

--- a/crates/fleet/src/lib.rs
+++ b/crates/fleet/src/lib.rs
@@ -23,5 +23,5 @@
 pub use history::{Extension, History, HistoryError};
 pub use join::Join;
 pub use lease::Lease;
-pub use snapshot::{Parts, Snapshot};
+pub use snapshot::{Digests, Parts, Snapshot};
 pub use spread::{Action, Budget, Spread};
--- a/crates/fleet/src/snapshot.rs
+++ b/crates/fleet/src/snapshot.rs
@@ -24,22 +24,33 @@
 /// Backend servers that are gone and remembered, so that a late entry doesn't bring them back.
 const MOST_GONE: usize = 4_096;
 
-/// Both parts, as nodes give them to each other.
+/// What a peer lacks, as nodes give it to each other.
 #[derive(Debug, Clone, Default, PartialEq, Serialize, Deserialize)]
 pub struct Parts {
     /// Revision of the giver's view.
     pub revision: Revision,
-    /// The backend servers.
-    pub listing: Listing,
-    /// What operators want.
-    pub orders: Orders,
+    /// The backend servers, unless the peer knows the same.
+    pub listing: Option<Listing>,
+    /// What operators want, unless the peer knows the same. It may be large.
+    pub orders: Option<Orders>,
+}
+
+/// Digests of both parts, without what changes with each heartbeat.
+#[derive(Debug, Clone, Copy, Default, PartialEq, Eq)]
+pub struct Digests {
+    /// Of the backend servers.
+    pub listing: Digest,
+    /// Of what operators want.
+    pub orders: Digest,
 }
 
 /// The view in force and the parts that it was made of.
 #[derive(Debug, Clone, Default)]
 pub struct Snapshot {
     view: Arc<View>,
-    parts: Parts,
+    listing: Listing,
+    orders: Orders,
+    digests: Digests,
     gone: BTreeMap<ServerId, (Boot, u64)>,
     /// Whether the last read failed.
     failing: bool,
@@ -53,17 +64,24 @@
         &self.view
     }
 
-    /// Both parts, as a peer takes them.
-    pub fn parts(&self) -> Parts {
+    /// Digests of both parts.
+    pub fn digests(&self) -> Digests {
+        self.digests
+    }
+
+    /// The parts that a peer with these digests lacks.
+    pub fn parts(&self, theirs: Digests) -> Parts {
+        let own = self.digests;
         Parts {
             revision: self.view.revision,
-            ..self.parts.clone()
+            listing: (own.listing != theirs.listing).then(|| self.listing.clone()),
+            orders: (own.orders != theirs.orders).then(|| self.orders.clone()),
         }
     }
 
     /// Whether anything of both parts is known.
     pub fn is_complete(&self) -> bool {
-        self.parts.orders.version > 0 && self.parts.listing.revision > Revision(0)
+        self.orders.version > 0 && self.listing.revision > Revision(0)
     }
 
     /// A read of the registry failed.
@@ -80,10 +98,10 @@
 
     /// Takes a listing if it is newer, and tells whether the view changed.
     pub fn take_listing(&mut self, mut listing: Listing, now: Moment) -> bool {
-        if listing.revision <= self.parts.listing.revision {
+        if listing.revision <= self.listing.revision {
             return false;
         }
-        let before = std::mem::take(&mut self.parts.listing.servers);
+        let before = std::mem::take(&mut self.listing.servers);
         let known: BTreeMap<&ServerId, &Listed> =
             before.iter().map(|l| (&l.server.id, l)).collect();
         listing.servers.retain(|new| !is_ghost(&self.gone, new));
@@ -116,13 +134,18 @@
                 .iter()
                 .zip(&listing.servers)
                 .all(|(a, b)| a.server == b.server);
-        self.parts.listing = listing;
-        !same && self.rebuild(self.parts.listing.revision)
+        self.listing = listing;
+        if !same {
+            let servers: Vec<_> = self.listing.servers.iter().map(|l| &l.server).collect();
+            self.digests.listing = Digest::of(&servers);
+            self.rebuild(self.listing.revision);
+        }
+        !same
     }
 
     /// Takes orders if they are newer, and tells whether the view changed.
     pub fn take_orders(&mut self, orders: Orders) -> bool {
-        let own = &self.parts.orders;
+        let own = &self.orders;
         if orders.revision <= own.revision || orders.version < own.version {
             return false;
         }
@@ -130,14 +153,22 @@
             revision: orders.revision,
             ..own.clone()
         } == orders;
-        self.parts.orders = orders;
-        !same && self.rebuild(self.parts.orders.revision)
+        self.orders = orders;
+        if !same {
+            self.digests.orders = Digest::of(&Orders {
+                revision: Revision(0),
+                ..self.orders.clone()
+            });
+            self.rebuild(self.orders.revision);
+        }
+        !same
     }
 
     /// Takes what is newer of a peer's parts, and tells whether the view changed.
     pub fn merge(&mut self, parts: Parts, now: Moment) -> bool {
-        let orders = self.take_orders(parts.orders);
-        self.take_listing(parts.listing, now) || orders
+        let orders = parts.orders.is_some_and(|o| self.take_orders(o));
+        let listing = parts.listing.is_some_and(|l| self.take_listing(l, now));
+        orders || listing
     }
 
     /// A peer has the same view under a newer revision. Tells whether the own revision changed.
@@ -159,40 +190,20 @@
         }
     }
 
-    fn rebuild(&mut self, revision: Revision) -> bool {
+    fn rebuild(&mut self, revision: Revision) {
         // Both parts may have been read at the same revision, but each makes another view.
         let revision = revision.max(self.view.revision.next());
-        let state = State::assemble(&self.parts.listing, &self.parts.orders, revision);
-        let material = Material {
-            servers: self
-                .parts
-                .listing
-                .servers
-                .iter()
-                .map(|l| &l.server)
-                .collect(),
-            orders: Orders {
-                revision: Revision(0),
-                ..self.parts.orders.clone()
-            },
-        };
+        let digests = [self.digests.listing, self.digests.orders];
         self.view = Arc::new(View {
             revision,
-            digest: Digest::of(&material),
-            state,
+            digest: Digest::of(&digests),
+            orders: self.digests.orders,
+            state: State::assemble(&self.listing, &self.orders, revision),
             ..View::default()
         });
-        true
     }
 }
 
-/// What two nodes must agree on.
-#[derive(Debug, Serialize)]
-struct Material<'a> {
-    servers: Vec<&'a note::Server>,
-    orders: Orders,
-}
-
 /// Whether an entry was written before its backend server went.
 fn is_ghost(gone: &BTreeMap<ServerId, (Boot, u64)>, new: &Listed) -> bool {
     let mark = gone.get(&new.server.id);
--- a/crates/fleet/tests/snapshot.rs
+++ b/crates/fleet/tests/snapshot.rs
@@ -129,3 +129,32 @@
     snapshot.take_listing(listing(100, vec![listed("a", 5), anew]), NOW);
     assert_eq!(names(&snapshot), ["b"]);
 }
+
+#[test]
+fn a_peer_gets_only_the_part_that_it_lacks() {
+    let mut giver = Snapshot::default();
+    giver.take_listing(listing(100, vec![listed("a", 1)]), NOW);
+    giver.take_orders(orders(100, 7));
+    let mut taker = giver.clone();
+    giver.take_listing(listing(105, vec![listed("b", 1)]), NOW);
+    let parts = giver.parts(taker.digests());
+    assert!(parts.orders.is_none());
+    assert!(taker.merge(parts, NOW));
+    assert_eq!(names(&taker), ["b"]);
+    assert_eq!(taker.view().digest, giver.view().digest);
+}
+
+#[test]
+fn parts_that_two_nodes_read_apart_come_together() {
+    let mut one = Snapshot::default();
+    one.take_listing(listing(100, vec![listed("a", 1)]), NOW);
+    one.take_orders(orders(90, 7));
+    let mut two = one.clone();
+    one.take_listing(listing(110, vec![listed("b", 1)]), NOW);
+    two.take_orders(orders(105, 8));
+    let (to_two, to_one) = (one.parts(two.digests()), two.parts(one.digests()));
+    assert!(one.merge(to_one, NOW));
+    assert!(two.merge(to_two, NOW));
+    assert_eq!(one.view().digest, two.view().digest);
+    assert_eq!(names(&two), ["b"]);
+}
--- a/crates/node/src/ingress/drive.rs
+++ b/crates/node/src/ingress/drive.rs
@@ -266,6 +266,7 @@
                 peer: open.peer.address,
                 revision: reply.revision,
                 digest: None,
+                orders: None,
             };
             let _ = self.ingress.spreader.tell(heard).try_send();
         }
--- a/crates/node/src/peers/server.rs
+++ b/crates/node/src/peers/server.rs
@@ -3,6 +3,7 @@
 use std::sync::Arc;
 
 use board::{Board, Phase};
+use fleet::Digests;
 use kameo::actor::ActorRef;
 use note::Digest;
 use tonic::{Request, Response, Status};
@@ -45,6 +46,7 @@
             digest: view.digest.0.to_vec().into(),
             node: self.board.identity.node.to_string(),
             ready: self.board.phase() != Phase::Joining,
+            orders: view.orders.0.to_vec().into(),
         }
     }
 
@@ -77,6 +79,7 @@
                 peer: attempt.node,
                 revision: attempt.revision,
                 digest: None,
+                orders: None,
             };
             let _ = self.spreader.tell(heard).await;
         }
@@ -98,7 +101,8 @@
                 let heard = Heard {
                     peer,
                     revision: Revision(theirs.revision),
-                    digest: theirs.digest.as_ref().try_into().ok().map(Digest),
+                    digest: digest(&theirs.digest),
+                    orders: digest(&theirs.orders),
                 };
                 let _ = self.spreader.tell(heard).await;
             }
@@ -108,8 +112,15 @@
     }
 
     async fn pull(&self, request: Request<PullRequest>) -> Result<Response<PullReply>, Status> {
-        let after = Revision(request.into_inner().revision);
-        let extension = self.spreader.ask(Lacks { after }).await;
+        let request = request.into_inner();
+        let lacks = Lacks {
+            after: Revision(request.revision),
+            digests: Digests {
+                listing: digest(&request.listing).unwrap_or_default(),
+                orders: digest(&request.orders).unwrap_or_default(),
+            },
+        };
+        let extension = self.spreader.ask(lacks).await;
         let extension = extension.map_err(|_| Status::unavailable("the spreader is gone"))?;
         let view = match extension {
             Some(extension) => serde_json::to_vec(&extension).unwrap_or_default(),
@@ -118,3 +129,7 @@
         Ok(Response::new(PullReply { view: view.into() }))
     }
 }
+
+fn digest(bytes: &[u8]) -> Option<Digest> {
+    bytes.try_into().ok().map(Digest)
+}
--- a/crates/node/src/spreader/mod.rs
+++ b/crates/node/src/spreader/mod.rs
@@ -16,7 +16,9 @@
 use std::{collections::HashMap, net::SocketAddr, sync::Arc, time::Duration};
 
 use board::{Board, Phase};
-use fleet::{Action, Budget, Extension, History, HistoryError, Join, Lease, Snapshot, Spread};
+use fleet::{
+    Action, Budget, Digests, Extension, History, HistoryError, Join, Lease, Snapshot, Spread,
+};
 use kameo::{
     actor::{ActorRef, Spawn, WeakActorRef},
     error::Infallible,
@@ -81,6 +83,13 @@
         }
     }
 
+    fn digests(&self) -> Digests {
+        match self {
+            Self::Notes { .. } => Digests::default(),
+            Self::Registry { snapshot, .. } => snapshot.digests(),
+        }
+    }
+
     fn view(&self) -> &Arc<note::View> {
         match self {
             Self::Notes { history, .. } => history.view(),
@@ -95,12 +104,16 @@
     pub(crate) peer: SocketAddr,
     pub(crate) revision: Revision,
     pub(crate) digest: Option<Digest>,
+    /// Digest of the peer's orders, where there are any.
+    pub(crate) orders: Option<Digest>,
 }
 
 /// A peer lacks what follows this revision.
 #[derive(Debug)]
 pub(crate) struct Lacks {
     pub(crate) after: Revision,
+    /// What it has, where the platform keeps newest values.
+    pub(crate) digests: Digests,
 }
 
 /// Wants to know what the spreader holds.
@@ -238,7 +251,9 @@
     ) -> Option<Extension> {
         match &self.source {
             Source::Notes { history, .. } => history.since(msg.after),
-            Source::Registry { snapshot, .. } => Some(Extension::Parts(Box::new(snapshot.parts()))),
+            Source::Registry { snapshot, .. } => {
+                Some(Extension::Parts(Box::new(snapshot.parts(msg.digests))))
+            }
         }
     }
 }
@@ -351,6 +366,7 @@
             digest: own.digest.0.to_vec().into(),
             node: self.board.identity.node.to_string(),
             ready: self.board.phase() != Phase::Joining,
+            orders: own.orders.0.to_vec().into(),
         };
         tokio::spawn(async move {
             let view = timeout(COMPARE_TIMEOUT, compare(channel, own))
@@ -367,8 +383,9 @@
         let actor = self.actor.clone();
         let asked = self.board.clock.now();
         let after = self.source.view().revision;
+        let digests = self.source.digests();
         tokio::spawn(async move {
-            let extension = timeout(PULL_TIMEOUT, pull(channel, after))
+            let extension = timeout(PULL_TIMEOUT, pull(channel, after, digests))
                 .await
                 .ok()
                 .flatten();
@@ -390,7 +407,7 @@
         match self.source {
             Source::Notes { .. } => self.spread.heard(heard.peer, heard.revision),
             Source::Registry { .. } => match heard.digest {
-                Some(digest) if digest != own.digest => self.spread.differs(heard.peer),
+                Some(digest) if digest != own.digest => self.hear_difference(heard),
                 Some(_) => {
                     self.raise(heard.revision);
                     Vec::new()
@@ -412,6 +429,7 @@
             peer,
             revision,
             digest: Some(digest),
+            orders: theirs.orders.as_ref().try_into().ok().map(Digest),
         };
         match () {
             () if is_history && revision == own.revision && differs => {
@@ -538,10 +556,14 @@
     Some(reply.into_inner())
 }
 
-async fn pull(channel: Channel, after: Revision) -> Option<Extension> {
+async fn pull(channel: Channel, after: Revision, digests: Digests) -> Option<Extension> {
     let mut client = PeerClient::new(channel).max_decoding_message_size(MOST_VIEW_BYTES);
     let reply = client
-        .pull(PullRequest { revision: after.0 })
+        .pull(PullRequest {
+            revision: after.0,
+            listing: digests.listing.0.to_vec().into(),
+            orders: digests.orders.0.to_vec().into(),
+        })
         .await
         .ok()?
         .into_inner();
--- a/crates/node/src/spreader/registry.rs
+++ b/crates/node/src/spreader/registry.rs
@@ -1,15 +1,16 @@
 //! Reads a registry: the listing at the node's share of the budget, the orders when they change.
 
-use std::{sync::Arc, time::Duration};
+use std::{net::SocketAddr, sync::Arc, time::Duration};
 
+use fleet::Action;
 use kameo::message::{Context, Message};
-use note::{Listing, Orders};
+use note::{Digest, Listing, Orders};
 use platform::{PlatformError, Registry};
 use rand::RngExt;
 use tokio::time::sleep;
 use types::{Moment, Revision, Span};
 
-use super::{Source, Spreader, tell};
+use super::{Heard, Source, Spreader, tell};
 use crate::meter::Meter;
 
 /// Time that a read waits for orders to change. A connection that went silent is noticed sooner.
@@ -18,6 +19,9 @@
 const LEAST_PAUSE: Duration = Duration::from_millis(250);
 const MOST_PAUSE: Duration = Duration::from_millis(2_000);
 
+/// Time that a node gives its own read of orders that a peer has already: many times what a read takes.
+const ORDERS_PATIENCE: Duration = Duration::from_millis(200);
+
 /// How far reading has come since the start.
 #[derive(Debug, Default)]
 pub(crate) struct Reading {
@@ -99,7 +103,48 @@
     }
 }
 
+/// A peer had other orders a moment ago.
+#[derive(Debug)]
+struct OrdersDiffered {
+    peer: SocketAddr,
+    orders: Digest,
+}
+
+impl Message<OrdersDiffered> for Spreader {
+    type Reply = ();
+
+    async fn handle(&mut self, msg: OrdersDiffered, _ctx: &mut Context<Self, ()>) {
+        if self.source.digests().orders != msg.orders {
+            let actions = self.spread.differs(msg.peer);
+            self.carry_out(actions);
+        }
+    }
+}
+
 impl Spreader {
+    /// A peer has another view. A listing is small and is fetched at once. Orders are large and most
+    /// nodes are just reading them from the registry, so they are fetched only if that fails or takes
+    /// long.
+    pub(super) fn hear_difference(&mut self, heard: Heard) -> Vec<Action> {
+        let own = self.source.digests().orders;
+        let reading = match &self.source {
+            Source::Registry { reading, .. } => reading.orders && !reading.failing,
+            Source::Notes { .. } => false,
+        };
+        match heard.orders {
+            Some(orders) if orders != own && reading => {
+                let actor = self.actor.clone();
+                let peer = heard.peer;
+                tokio::spawn(async move {
+                    sleep(ORDERS_PATIENCE).await;
+                    tell(actor, OrdersDiffered { peer, orders }).await;
+                });
+                Vec::new()
+            }
+            _ => self.spread.differs(heard.peer),
+        }
+    }
+
     /// Counts a read, and notes when the registry is lost and regained.
     fn note_read(&mut self, error: Option<&PlatformError>) {
         self.reads += 1;
