Start on servers that started with their gate; follow orders by their changes

Cause, second: each change of the orders cost each node two calls, a watch that returned and a read. Ruled out, first: less caution in general; a gate that is started anew beside a cold server still sends nothing for a second (a test of its own). Change: a server whose coldness is younger than its gate, give or take 300 ms, can have got next to nothing, so the wait ends. What a watch brings is taken into the orders that are known. An answer that can't be used no longer counts as a registry lost.

--- a/crates/gate/src/cold.rs
+++ b/crates/gate/src/cold.rs
@@ -5,8 +5,9 @@
 //! Without a word it counts as cold.
 //!
 //! The rate holds over any second: a request is sent only if fewer than the rate were sent within the
-//! second before. The window starts full, since a gate that starts anew doesn't know what was sent
-//! just before.
+//! second before. A gate that starts anew doesn't know what was sent just before, so it sends nothing
+//! for a second, unless the backend server turns out to have started no earlier than the gate, as
+//! after a loss of power of their host. Then nobody can have sent it anything.
 
 use std::collections::VecDeque;
 
@@ -14,6 +15,9 @@
 
 /// Time for which a word about coldness is believed: two lost probes at the usual four a second.
 const BELIEF: Span = Span::from_millis(600);
+/// Time by which a backend server may have started earlier than the gate and still have got nothing to
+/// speak of: a third of the window, in which the rate allows a third of what the window does.
+const HEAD_START: Span = Span::from_millis(300);
 /// The window of the rate.
 const WINDOW: Span = Span::from_millis(1_000);
 
@@ -24,6 +28,10 @@
     most: Option<usize>,
     /// The last of the moments at which requests were sent, as many as the limit.
     sent: VecDeque<Moment>,
+    /// When the gate began to count.
+    began: Moment,
+    /// Until when requests may count that the gate doesn't know of.
+    blind: Moment,
     /// When the backend server stops being cold, as it said itself.
     warm: Moment,
     /// Until when that is believed.
@@ -35,6 +43,8 @@
         let mut limit = Self {
             most: None,
             sent: VecDeque::new(),
+            began: Moment(0),
+            blind: Moment(0),
             warm: Moment::MAX,
             believed: Moment(0),
         };
@@ -52,16 +62,21 @@
         self.most.is_some()
     }
 
-    /// The gate starts, or loses count: the second before `now` counts as full.
-    pub(crate) fn fill(&mut self, now: Moment) {
-        let most = self.most.unwrap_or_default();
-        self.sent = std::iter::repeat_n(now, most).collect();
+    /// The gate begins to count: what was sent in the second before isn't known.
+    pub(crate) fn begin(&mut self, now: Moment) {
+        self.began = now;
+        self.blind = now + WINDOW;
     }
 
-    /// Asked at `asked`, the backend server said that it stays cold for `left`.
-    pub(crate) fn heard(&mut self, left: Span, asked: Moment, now: Moment) {
+    /// Asked at `asked`, the backend server said that it stays cold for `left` of the `whole` time
+    /// that a start is cold for.
+    pub(crate) fn heard(&mut self, left: Span, whole: Span, asked: Moment, now: Moment) {
         self.believed = self.believed.max(asked + BELIEF);
         self.warm = now + left;
+        let age = Span(whole.0.saturating_sub(left.0));
+        if left > Span::default() && age <= now.since(self.began) + HEAD_START {
+            self.blind = self.blind.min(now);
+        }
     }
 
     /// The backend server may have been started anew.
@@ -76,8 +91,10 @@
     /// The moment from which a request may be sent, as things are at `now`.
     pub(crate) fn next(&self, now: Moment) -> Moment {
         match self.most {
-            Some(most) if self.is_cold(now) && self.sent.len() >= most => {
-                self.sent[self.sent.len() - most] + WINDOW
+            Some(most) if self.is_cold(now) => {
+                let full = self.sent.len() >= most;
+                let oldest = full.then(|| self.sent[self.sent.len() - most] + WINDOW);
+                oldest.unwrap_or(now).max(self.blind)
             }
             _ => now,
         }
--- a/crates/gate/src/core.rs
+++ b/crates/gate/src/core.rs
@@ -185,7 +185,7 @@
         let counted = self.cold.is_set();
         self.cold.set_rate(limits.cold_rate);
         if !counted {
-            self.cold.fill(now);
+            self.cold.begin(now);
         }
         self.allowance.set_limits(limits.clone());
         self.probes.set_rate(limits.probes);
@@ -301,7 +301,7 @@
 
     /// Asked at `asked`, the backend server said that it stays cold for `left`.
     pub fn heard_cold(&mut self, left: Span, asked: Moment, now: Moment) -> Vec<Action> {
-        self.cold.heard(left, asked, now);
+        self.cold.heard(left, self.limits.warm(), asked, now);
         self.start_waiting(now)
     }
 
--- a/crates/gate/tests/choosy.rs
+++ b/crates/gate/tests/choosy.rs
@@ -121,6 +121,28 @@
     );
 }
 
+#[test]
+fn a_backend_server_that_started_with_its_gate_gets_the_cold_rate_at_once() {
+    let mut world = World::new();
+    let whole = Limits::default().warm();
+    let now = START + Span::from_millis(200);
+    let left = Span(whole.0 - Span::from_millis(250).0);
+    world.gate.heard_cold(left, now, now);
+    let started = (0..60).map(|_| world.offer(true, now));
+    let started = started.filter(|actions| is_start(actions)).count();
+    assert_eq!(started, COLD_RATE as usize);
+}
+
+#[test]
+fn a_backend_server_that_was_cold_before_its_gate_started_gets_nothing_for_a_second() {
+    let mut world = World::new();
+    let whole = Limits::default().warm();
+    let now = START + Span::from_millis(200);
+    let left = Span(whole.0 - Span::from_millis(1_500).0);
+    world.gate.heard_cold(left, now, now);
+    assert!(!is_start(&world.offer(true, now)));
+}
+
 #[test]
 fn a_backend_server_that_turns_cold_is_held_to_its_rate_at_once() {
     let mut world = World::new().warm(START);
--- a/crates/node/src/spreader/registry.rs
+++ b/crates/node/src/spreader/registry.rs
@@ -3,7 +3,10 @@
 use std::{net::SocketAddr, sync::Arc, time::Duration};
 
 use fleet::Action;
-use kameo::message::{Context, Message};
+use kameo::{
+    actor::WeakActorRef,
+    message::{Context, Message},
+};
 use note::{Digest, Listing, Orders};
 use platform::{PlatformError, Registry};
 use rand::RngExt;
@@ -40,11 +43,7 @@
 }
 
 #[derive(Debug)]
-struct ReadOrders(Result<Orders, PlatformError>);
-
-/// A read that waited for orders to change ended without a change.
-#[derive(Debug)]
-struct Waited(Result<(), PlatformError>);
+struct ReadOrders(Result<Arc<Orders>, PlatformError>);
 
 impl Message<ReadListing> for Spreader {
     type Reply = ();
@@ -85,9 +84,8 @@
         ) = (&mut self.source, msg.0)
         {
             reading.orders = true;
-            let (version, out) = (orders.version, orders.out.clone());
-            if snapshot.take_orders(orders) {
-                log::info!(version, zones_out:? = out; "orders_read");
+            if snapshot.take_orders(orders.as_ref().clone()) {
+                log::info!(version = orders.version, zones_out:? = orders.out; "orders_read");
             }
             self.publish();
         }
@@ -95,14 +93,6 @@
     }
 }
 
-impl Message<Waited> for Spreader {
-    type Reply = ();
-
-    async fn handle(&mut self, msg: Waited, _ctx: &mut Context<Self, ()>) {
-        self.note_read(msg.0.as_ref().err());
-    }
-}
-
 /// A peer had other orders a moment ago.
 #[derive(Debug)]
 struct OrdersDiffered {
@@ -156,6 +146,11 @@
             return;
         };
         match error {
+            // The registry answered: it is there, but what it holds can't be used.
+            Some(error @ (PlatformError::Undecodable { .. } | PlatformError::Absent { .. })) => {
+                let cause = std::error::Error::source(error).map(ToString::to_string);
+                log::error!(error:% = error, cause; "registry_unusable");
+            }
             Some(error) => {
                 self.failed_reads += 1;
                 snapshot.failed();
@@ -209,54 +204,58 @@
         });
     }
 
-    /// Reads the orders, and again whenever they change.
+    /// Reads the orders, and follows their changes.
     pub(super) fn follow_orders(&self) {
         let Source::Registry { registry, .. } = &self.source else {
             return;
         };
-        let (registry, actor) = (Arc::clone(registry), self.actor.clone());
-        let meter = Arc::clone(&self.meter);
-        tokio::spawn(async move {
-            let mut pause = LEAST_PAUSE;
-            while actor.as_ref().is_some_and(|a| a.upgrade().is_some()) {
-                meter.control("read");
-                let orders = registry.orders().await;
-                let revision = orders.as_ref().ok().map(|o| o.revision);
-                tell(actor.clone(), ReadOrders(orders)).await;
-                let ended = match revision {
-                    Some(after) => wait_for_change(registry.as_ref(), after, &meter).await,
-                    None => Ended::Failed(None),
-                };
-                match ended {
-                    Ended::Changed => pause = LEAST_PAUSE,
-                    Ended::Failed(error) => {
-                        if let Some(error) = error {
-                            tell(actor.clone(), Waited(Err(error))).await;
-                        }
-                        let jitter = rand::rng().random_range(0.75..1.25);
-                        sleep(pause.mul_f64(jitter)).await;
-                        pause = (pause * 2).min(MOST_PAUSE);
-                    }
-                }
-            }
-        });
+        let follower = Follower {
+            registry: Arc::clone(registry),
+            actor: self.actor.clone(),
+            meter: Arc::clone(&self.meter),
+        };
+        tokio::spawn(follower.run());
     }
 }
 
-/// How waiting for a change ended.
-enum Ended {
-    Changed,
-    Failed(Option<PlatformError>),
+/// Follows the orders in a task of its own.
+struct Follower {
+    registry: Arc<dyn Registry>,
+    actor: Option<WeakActorRef<Spreader>>,
+    meter: Arc<Meter>,
 }
 
-/// Waits, for as long as it takes, until orders have changed after a revision.
-async fn wait_for_change(registry: &dyn Registry, mut after: Revision, meter: &Meter) -> Ended {
-    loop {
-        meter.control("read");
-        match registry.changed(after, WAIT).await {
-            Ok(change) if change.happened => return Ended::Changed,
-            Ok(change) => after = after.max(change.revision),
-            Err(error) => return Ended::Failed(Some(error)),
+impl Follower {
+    async fn run(self) {
+        let mut pause = LEAST_PAUSE;
+        while self.actor.as_ref().is_some_and(|a| a.upgrade().is_some()) {
+            if self.follow().await {
+                pause = LEAST_PAUSE;
+            }
+            let jitter = rand::rng().random_range(0.75..1.25);
+            sleep(pause.mul_f64(jitter)).await;
+            pause = (pause * 2).min(MOST_PAUSE);
+        }
+    }
+
+    /// Reads the orders and waits for one change after the other until a read fails. Tells whether any
+    /// read succeeded.
+    async fn follow(&self) -> bool {
+        self.meter.control("read");
+        let mut read = self.registry.orders().await;
+        let mut succeeded = false;
+        loop {
+            let orders = match read {
+                Ok(orders) => Arc::new(orders),
+                Err(error) => {
+                    tell(self.actor.clone(), ReadOrders(Err(error))).await;
+                    return succeeded;
+                }
+            };
+            succeeded = true;
+            tell(self.actor.clone(), ReadOrders(Ok(Arc::clone(&orders)))).await;
+            self.meter.control("read");
+            read = self.registry.next_orders(orders, WAIT).await;
         }
     }
 }
--- a/crates/platform/src/registry.rs
+++ b/crates/platform/src/registry.rs
@@ -1,20 +1,13 @@
 //! A registry: the newest values only, read as a whole.
 
+use std::sync::Arc;
+
 use futures::future::BoxFuture;
 use note::{Listing, Orders};
-use types::{Revision, Span};
+use types::Span;
 
 use crate::PlatformError;
 
-/// What a waiting read of the orders learned.
-#[derive(Debug, Clone, Copy, PartialEq, Eq)]
-pub struct Change {
-    /// Revision up to which the registry told all changes.
-    pub revision: Revision,
-    /// Whether anything changed.
-    pub happened: bool,
-}
-
 /// A registry, as far as the system needs it.
 pub trait Registry: Send + Sync {
     /// Reads the list of backend servers.
@@ -23,6 +16,11 @@
     /// Reads what operators want. [`PlatformError::Absent`] before the first configuration.
     fn orders(&self) -> BoxFuture<'_, Result<Orders, PlatformError>>;
 
-    /// Waits until what operators want has changed after a revision, for `wait` at most.
-    fn changed(&self, after: Revision, wait: Span) -> BoxFuture<'_, Result<Change, PlatformError>>;
+    /// Waits until what operators want differs from `orders`, for `wait` at most. Returns what they want
+    /// now, which is the same under a newer revision if nothing changed.
+    fn next_orders(
+        &self,
+        orders: Arc<Orders>,
+        wait: Span,
+    ) -> BoxFuture<'_, Result<Orders, PlatformError>>;
 }
