--- a/crates/node/src/spreader/mod.rs
+++ b/crates/node/src/spreader/mod.rs
@@ -59,7 +59,7 @@
         /// Who keeps them.
         registry: Arc<dyn Registry>,
         /// The newest values so far.
-        snapshot: Snapshot,
+        snapshot: Box<Snapshot>,
         /// How far reading has come.
         reading: registry::Reading,
     },
@@ -78,7 +78,7 @@
     pub(crate) fn registry(registry: Arc<dyn Registry>) -> Self {
         Self::Registry {
             registry,
-            snapshot: Snapshot::default(),
+            snapshot: Box::default(),
             reading: registry::Reading::default(),
         }
     }
@@ -443,8 +443,9 @@
             }
             () => {}
         }
-        // A history that is behind is not as new as the peer's; newest values are merged either way.
-        if theirs.ready && !(is_history && newer) && !(differs && !is_history) {
+        // The lease covers a view that is no older than the peer's.
+        let current = if is_history { !newer } else { !differs };
+        if theirs.ready && current {
             self.renew(asked);
         }
     }
