Explain a request from logs; reload settings; metrics by service and stage

Cause: an id could be followed with grep only, SIGHUP and a changed file were ignored, and histograms had no buckets below 5 ms nor a service. Change: amaranthyoke explain ID FILE..., settings that are read again on SIGHUP or when the file changes, with a line that names what needs a restart; attempt_seconds by service and stage.

--- a/crates/cli/src/error.rs
+++ b/crates/cli/src/error.rs
@@ -2,6 +2,8 @@
 
 use std::{error::Error, fmt, io, path::PathBuf};
 
+use types::CallId;
+
 /// Why the tool could not look.
 #[derive(Debug)]
 pub enum ToolError {
@@ -19,6 +21,11 @@
         /// Why not.
         cause: reqwest::Error,
     },
+    /// No line of the logs names the request.
+    NoLines {
+        /// The request.
+        call: CallId,
+    },
     /// The runtime can't be started.
     Runtime(io::Error),
 }
@@ -28,6 +35,7 @@
         match self {
             Self::File { path, .. } => write!(f, "can't read {}", path.display()),
             Self::Admin { address, .. } => write!(f, "can't read the admin API at {address}"),
+            Self::NoLines { call } => write!(f, "no line names the request {call}"),
             Self::Runtime(_) => f.write_str("can't start the runtime"),
         }
     }
@@ -38,6 +46,7 @@
         match self {
             Self::File { cause, .. } | Self::Runtime(cause) => Some(cause),
             Self::Admin { cause, .. } => Some(cause),
+            Self::NoLines { .. } => None,
         }
     }
 }
--- a/crates/cli/src/lib.rs
+++ b/crates/cli/src/lib.rs
@@ -1,4 +1,4 @@
-//! Operations of the operators' tool: check notes, compare nodes, dump a process.
+//! Operations of the operators' tool: check notes, compare nodes, dump a process, explain a request.
 //!
 //! The tool only reads. What it prints for people it can print as JSON for machines, and its exit
 //! codes tell the same: 0 all well, 1 something is wrong with what was looked at, 2 the tool could
@@ -6,6 +6,7 @@
 
 mod client;
 mod error;
+pub mod explain;
 pub mod nodes;
 pub mod notes;
 
--- a/crates/cli/src/main.rs
+++ b/crates/cli/src/main.rs
@@ -3,8 +3,9 @@
 use std::{error::Error, net::SocketAddr, path::PathBuf, process::ExitCode};
 
 use bpaf::Bpaf;
-use cli::{Admin, ToolError, nodes, notes};
+use cli::{Admin, ToolError, explain, nodes, notes};
 use serde::Serialize;
+use types::CallId;
 
 /// Exit code if the tool could not look.
 const EXIT_TOOL: u8 = 2;
@@ -31,6 +32,16 @@
         #[bpaf(positional("ADMIN"), some("name at least one admin address"))]
         admins: Vec<SocketAddr>,
     },
+    /// Tell from the nodes' logs what became of a request. Exit code 2 if no line names it
+    #[bpaf(command)]
+    Explain {
+        /// The request's name, as the caller gave it
+        #[bpaf(positional("ID"))]
+        call: CallId,
+        /// Logs of the nodes that it may have passed; standard input without them
+        #[bpaf(positional("FILE"))]
+        files: Vec<PathBuf>,
+    },
     /// Print the whole state of a process as JSON
     #[bpaf(command)]
     Dump {
@@ -89,6 +100,11 @@
             print(json, &list, || nodes::render(&list));
             Ok(list.iter().all(|s| s.current))
         }
+        Command::Explain { call, files } => {
+            let explanation = explain::explain(&call, &files)?;
+            print(json, &explanation, || explain::render(&explanation));
+            Ok(true)
+        }
         Command::Dump { admin } => {
             let state = Admin::new().state(admin).await?;
             print(true, &state, String::new);
--- a/crates/node/src/ingress/drive.rs
+++ b/crates/node/src/ingress/drive.rs
@@ -253,6 +253,10 @@
             open.peer.hear(sent.id, reply, asked, now);
         }
         let took = now.since(asked);
+        if matches!(reply.outcome, Outcome::Answer(_)) {
+            let service = &self.accepted.service;
+            self.ingress.meter.answered(service, took, reply.ran);
+        }
         self.ingress.services.heard(
             &self.accepted.service,
             &self.accepted.kind,
--- a/crates/node/src/lib.rs
+++ b/crates/node/src/lib.rs
@@ -28,6 +28,7 @@
 mod meter;
 pub mod ops;
 mod peers;
+mod reload;
 pub mod settings;
 mod socket;
 mod spreader;
--- a/crates/node/src/main.rs
+++ b/crates/node/src/main.rs
@@ -1,6 +1,10 @@
 //! The daemon: parses its command line and runs a node.
 
-use std::{error::Error, path::PathBuf, process::ExitCode};
+use std::{
+    error::Error,
+    path::{Path, PathBuf},
+    process::ExitCode,
+};
 
 use bpaf::Bpaf;
 use node::{logs, ops, settings};
@@ -32,13 +36,13 @@
         return ExitCode::SUCCESS;
     }
     let _logs = logs::init(settings.log);
-    match serve(settings) {
+    match serve(settings, &arguments.path) {
         Ok(()) => ExitCode::SUCCESS,
         Err(error) => fail(&error, 1),
     }
 }
 
-fn serve(settings: settings::Settings) -> Result<(), ops::RunError> {
+fn serve(settings: settings::Settings, path: &Path) -> Result<(), ops::RunError> {
     let mut builder = match settings.threads {
         Some(1) => Builder::new_current_thread(),
         _ => Builder::new_multi_thread(),
@@ -50,7 +54,7 @@
         .enable_all()
         .build()
         .map_err(ops::RunError::Runtime)?;
-    runtime.block_on(ops::run(settings))
+    runtime.block_on(ops::run(settings, path))
 }
 
 /// Prints an error and its causes, outermost first.
--- a/crates/node/src/meter.rs
+++ b/crates/node/src/meter.rs
@@ -6,7 +6,17 @@
 };
 use opentelemetry_sdk::metrics::SdkMeterProvider;
 use prometheus::{Encoder, Registry, TextEncoder};
-use types::Span;
+use types::{ServiceId, Span};
+
+/// Bounds of the histograms' buckets in seconds, from what a hop takes to the longest time that the
+/// users' callers wait.
+const BOUNDARIES: [f64; 12] = [
+    0.001, 0.0025, 0.005, 0.01, 0.025, 0.05, 0.1, 0.25, 0.5, 1.0, 2.5, 5.0,
+];
+
+fn seconds(span: Span) -> f64 {
+    span.0 as f64 / 1e6
+}
 
 /// The instruments, and the registry that shows them.
 #[derive(Debug)]
@@ -16,6 +26,7 @@
     attempts: Counter<u64>,
     control: Counter<u64>,
     latency: Histogram<f64>,
+    stages: Histogram<f64>,
     /// Keeps the instruments alive.
     _provider: SdkMeterProvider,
 }
@@ -44,7 +55,13 @@
                 .build(),
             latency: meter
                 .f64_histogram("call_seconds")
-                .with_description("Call times")
+                .with_description("Call times by ending")
+                .with_boundaries(BOUNDARIES.to_vec())
+                .build(),
+            stages: meter
+                .f64_histogram("attempt_seconds")
+                .with_description("Times of answered attempts by service and stage")
+                .with_boundaries(BOUNDARIES.to_vec())
                 .build(),
             registry,
             _provider: provider,
@@ -54,7 +71,17 @@
     /// A call ended.
     pub(crate) fn call(&self, ending: &'static str, took: Span) {
         self.calls.add(1, &[KeyValue::new("ending", ending)]);
-        self.latency.record(took.0 as f64 / 1e6, &[]);
+        let ending = [KeyValue::new("ending", ending)];
+        self.latency.record(seconds(took), &ending);
+    }
+
+    /// An attempt was answered: the time until then, and the part spent at the backend server.
+    pub(crate) fn answered(&self, service: &ServiceId, took: Span, ran: Span) {
+        for (stage, time) in [("whole", took), ("backend", ran)] {
+            let service = KeyValue::new("service", service.to_string());
+            let stage = KeyValue::new("stage", stage);
+            self.stages.record(seconds(time), &[service, stage]);
+        }
     }
 
     /// An attempt ended.
@@ -71,9 +98,9 @@
     pub(crate) fn text(&self) -> String {
         let mut text = Vec::new();
         let families = self.registry.gather();
-        TextEncoder::new()
-            .encode(&families, &mut text)
-            .unwrap_or_default();
-        String::from_utf8(text).unwrap_or_default()
+        if let Err(error) = TextEncoder::new().encode(&families, &mut text) {
+            log::error!(error:% = error; "metrics_unwritable");
+        }
+        String::from_utf8_lossy(&text).into_owned()
     }
 }
--- a/crates/node/src/ops.rs
+++ b/crates/node/src/ops.rs
@@ -4,6 +4,7 @@
     error::Error,
     fmt, io,
     net::SocketAddr,
+    path::Path,
     sync::{Arc, Mutex},
     time::Duration,
 };
@@ -16,7 +17,7 @@
 use platform::{HttpClient, HttpPlatform, PlatformError};
 use tokio::{
     net::TcpListener,
-    signal::unix::{SignalKind, signal},
+    signal::unix::{Signal, SignalKind, signal},
     sync::watch,
     task::JoinHandle,
     time::{Instant, sleep, timeout_at},
@@ -32,6 +33,7 @@
     ingress::{self, Ingress, RetryPolicy, Services},
     meter::Meter,
     peers::{Peers, server::PeerService},
+    reload::Reload,
     settings::{Conventions, Readiness, Settings},
     spreader::{self, Plan, Source},
 };
@@ -90,17 +92,26 @@
 /// # Errors
 ///
 /// [`RunError`] if it can't start, or had to cut requests to stop in time.
-pub async fn run(settings: Settings) -> Result<(), RunError> {
+pub async fn run(settings: Settings, path: &Path) -> Result<(), RunError> {
     let mut signals = Signals::new()?;
     let node = start(&settings).await?;
-    log::info!(host:% = settings.host, boot:% = node.board.identity.boot; "started");
-    signals.stop().await;
+    log::info!(
+        host:% = settings.host, zone:% = settings.zone, boot:% = node.board.identity.boot,
+        version = env!("CARGO_PKG_VERSION");
+        "started"
+    );
+    let mut reload = Reload::new(settings, path);
+    tokio::select! {
+        () = signals.stop.wait() => {}
+        () = reload.follow(&mut signals.hup) => {}
+    }
+    let settings = reload.settings();
     log::info!(within_ms = settings.stop_ms, linger_ms = settings.linger_ms; "stopping");
     let deadline = Instant::now() + settings.stop().duration();
     node.linger(settings.linger()).await;
     tokio::select! {
         stopped = node.stop(deadline) => stopped,
-        () = signals.stop() => Err(RunError::Cut),
+        () = signals.stop.wait() => Err(RunError::Cut),
     }
     .inspect(|()| log::info!("stopped"))
     .inspect_err(|_| log::warn!("stopped_early"))
@@ -315,31 +326,37 @@
     Server { close, task }
 }
 
-/// Signals that stop the process.
+/// Signals that the process handles.
 struct Signals {
-    term: tokio::signal::unix::Signal,
-    int: tokio::signal::unix::Signal,
-    hup: tokio::signal::unix::Signal,
+    stop: StopSignals,
+    hup: Signal,
+}
+
+/// Signals that ask for a graceful shutdown.
+struct StopSignals {
+    term: Signal,
+    int: Signal,
 }
 
 impl Signals {
     fn new() -> Result<Self, RunError> {
         let on = |kind| signal(kind).map_err(RunError::Signals);
         Ok(Self {
-            term: on(SignalKind::terminate())?,
-            int: on(SignalKind::interrupt())?,
+            stop: StopSignals {
+                term: on(SignalKind::terminate())?,
+                int: on(SignalKind::interrupt())?,
+            },
             hup: on(SignalKind::hangup())?,
         })
     }
+}
 
-    /// Waits for SIGTERM or SIGINT. SIGHUP is logged: settings are read at the start only.
-    async fn stop(&mut self) {
-        loop {
-            tokio::select! {
-                _ = self.term.recv() => return,
-                _ = self.int.recv() => return,
-                _ = self.hup.recv() => log::warn!("hangup_ignored"),
-            }
+impl StopSignals {
+    /// Waits for SIGTERM or SIGINT.
+    async fn wait(&mut self) {
+        tokio::select! {
+            _ = self.term.recv() => {}
+            _ = self.int.recv() => {}
         }
     }
 }
--- a/crates/node/src/settings.rs
+++ b/crates/node/src/settings.rs
@@ -37,7 +37,7 @@
 }
 
 /// Settings of a node.
-#[derive(Debug, Clone, Serialize, Deserialize)]
+#[derive(Debug, Clone, PartialEq, Serialize, Deserialize)]
 #[serde(deny_unknown_fields)]
 pub struct Settings {
     /// Host that the node runs on, as release notes name it.
