--- a/crates/call/src/core.rs
+++ b/crates/call/src/core.rs
@@ -316,10 +316,16 @@
         tried.map(|a| a.server.clone()).collect()
     }
 
-    /// Backend servers that would have made an attempt wait or run slowly.
+    /// Backend servers that would have made an attempt wait or run slowly, and didn't refuse one that
+    /// would have put up with that.
     fn declined(&self) -> Vec<ServerId> {
-        let declined = self.attempts.iter().filter(|a| a.choosy && a.declined);
-        declined.map(|a| a.server.clone()).collect()
+        let refused = |id: &ServerId| {
+            let mut sent = self.attempts.iter();
+            sent.any(|a| a.server == *id && !a.declined)
+        };
+        let declined = self.attempts.iter().filter(|a| a.declined);
+        let left = declined.filter(|a| !refused(&a.server));
+        left.map(|a| a.server.clone()).collect()
     }
 
     /// An attempt wasn't run: tries elsewhere, or ends if nothing else is open.
--- /dev/null
+++ b/crates/call/tests/choice.rs
@@ -0,0 +1,84 @@
+//! Where a call goes when gates decline it.
+
+use call::{Action, Budget, Call, Choice, Choose, Ending, Request, Timing};
+use types::{Moment, Outcome, Refusal, ServerId, Span};
+
+const NOW: Moment = Moment(10_000_000);
+
+/// Two backend servers; when both have declined, the second is the better.
+struct Two;
+
+fn server(name: &str) -> ServerId {
+    name.parse().expect("a name")
+}
+
+impl Choose for Two {
+    fn choose(&mut self, tried: &[ServerId], declined: &[ServerId]) -> Option<Choice> {
+        let untried = ["a", "b"]
+            .map(server)
+            .into_iter()
+            .find(|id| !tried.contains(id));
+        let others = untried.is_some();
+        let server = untried.or_else(|| declined.last().cloned())?;
+        Some(Choice { server, others })
+    }
+}
+
+struct NoBudget;
+
+impl Budget for NoBudget {
+    fn spend(&mut self) -> bool {
+        false
+    }
+}
+
+fn call() -> Call {
+    let request = Request {
+        idempotent: false,
+        repeat: false,
+        deadline: NOW + Span::from_millis(1_000),
+        attempts: 2,
+    };
+    let timing = Timing {
+        patience: Span::from_millis(500),
+        hedge: Span::from_millis(500),
+        pause: Span::from_millis(100),
+    };
+    Call::new(request, timing)
+}
+
+/// The backend server that an attempt goes to, and whether it may decline.
+fn sent(actions: &[Action]) -> Option<(String, bool)> {
+    actions.iter().find_map(|action| match action {
+        Action::Send { server, choosy, .. } => Some((server.to_string(), *choosy)),
+        _ => None,
+    })
+}
+
+fn refuse(call: &mut Call, attempt: usize, refusal: Refusal) -> Vec<Action> {
+    let outcome = Outcome::refused(refusal);
+    call.heard(attempt, outcome, NOW, &mut Two, &mut NoBudget)
+}
+
+#[test]
+fn when_all_have_declined_the_best_of_them_takes_it_and_no_budget_is_spent() {
+    let mut call = call();
+    assert_eq!(sent(&call.begin(NOW, &mut Two)), Some(("a".into(), true)));
+    let second = refuse(&mut call, 0, Refusal::Slow);
+    assert_eq!(sent(&second), Some(("b".into(), true)));
+    let last = refuse(&mut call, 1, Refusal::Busy);
+    assert_eq!(sent(&last), Some(("b".into(), false)));
+}
+
+#[test]
+fn one_that_refuses_though_the_call_would_wait_is_not_asked_again() {
+    let mut call = call();
+    call.begin(NOW, &mut Two);
+    refuse(&mut call, 0, Refusal::Slow);
+    refuse(&mut call, 1, Refusal::Busy);
+    let other = refuse(&mut call, 2, Refusal::Busy);
+    assert_eq!(sent(&other), Some(("a".into(), false)));
+    let end = refuse(&mut call, 3, Refusal::Busy);
+    let refused = |a: &Action| matches!(a, Action::Finish(Ending::NotRun { .. }));
+    assert!(end.iter().any(refused), "{end:?}");
+}
