Don't take a cold backend server for a slow one

After a loss of power all servers are cold and name twice their usual pace, so every gate declined what had other places to go: 1,106 attempts as slow in four seconds, 241 answered. Ruled out: the cold rate as the only bound; attempts went around all gates before one took them, and gave up after six. Change: a cold server is slow only from twice the pace that cold servers have. A log line of an attempt shows no report where none was heard. Test: a_cold_backend_server_is_not_declined_for_being_cold.

--- a/crates/gate/src/core.rs
+++ b/crates/gate/src/core.rs
@@ -107,6 +107,9 @@
 
 /// Pace from which a backend server counts as slow. Its spells of slowness are four times that.
 const SLOW_PACE: u32 = 150;
+/// Times that the work of a cold backend server takes, in usual times: a cold one isn't declined for
+/// that alone, as the others are often cold for the same reason.
+const COLD_PACE: u32 = 2;
 /// The usual pace.
 const USUAL_PACE: u32 = 100;
 /// Time for which a word on the pace holds: three probes.
@@ -318,6 +321,12 @@
         }
     }
 
+    /// Whether work takes clearly longer now than it usually does.
+    fn is_slow(&self, now: Moment) -> bool {
+        let usual = if self.is_cold(now) { COLD_PACE } else { 1 };
+        self.pace(now) >= SLOW_PACE * usual
+    }
+
     /// Whether the backend server counts as cold by its own word, or for want of it.
     pub fn is_cold(&self, now: Moment) -> bool {
         self.cold.is_set() && self.cold.is_cold(now)
@@ -396,7 +405,7 @@
         match self.closed(offer.deadline, now) {
             _ if offer.misplaced => self.refuse(offer.id, Refusal::Misplaced, Span::default()),
             Some(refusal) => self.refuse(offer.id, refusal, self.wait_behind_all(now)),
-            None if offer.choosy && self.pace(now) >= SLOW_PACE => {
+            None if offer.choosy && self.is_slow(now) => {
                 self.refuse(offer.id, Refusal::Slow, Span::default())
             }
             None if self.has_slot(now) => self.start(&self.waiting(&offer), now),
--- a/crates/gate/tests/choosy.rs
+++ b/crates/gate/tests/choosy.rs
@@ -84,6 +84,17 @@
     assert!(is_start(&other));
 }
 
+#[test]
+fn a_cold_backend_server_is_not_declined_for_being_cold() {
+    let mut world = World::new();
+    let now = START + Span::from_millis(1_000);
+    world.gate.heard_cold(Span::from_millis(2_000), now, now);
+    world.gate.heard_pace(200, now);
+    assert!(is_start(&world.offer(true, now)));
+    world.gate.heard_pace(800, now);
+    assert_eq!(refusal(&world.offer(true, now)), Some(Refusal::Slow));
+}
+
 #[test]
 fn an_old_word_on_the_pace_is_not_believed() {
     let mut world = World::new().warm(START);
--- a/crates/node/src/ingress/drive.rs
+++ b/crates/node/src/ingress/drive.rs
@@ -206,14 +206,15 @@
     fn log_sent(&self, attempt: Try, server: &ServerId, choosy: bool, known: Option<&Known>) {
         let board = &self.ingress.board;
         let now = board.clock.now();
+        let heard = known.filter(|k| k.heard > Moment(0));
         log::info!(
             call:% = self.accepted.request.call, attempt, service:% = self.accepted.service,
             server:% = server, choosy,
             local = known.map(|k| k.member.local),
             open = known.map(|k| k.open),
-            load = known.map(|k| k.report.load),
-            pace = known.map(|k| k.report.pace),
-            report_ms = known.map(|k| now.since(k.heard).as_millis()),
+            load = heard.map(|k| k.report.load),
+            pace = heard.map(|k| k.report.pace),
+            report_ms = heard.map(|k| now.since(k.heard).as_millis()),
             left_ms = self.accepted.deadline.since(now).as_millis(),
             view:% = board.view.borrow().revision;
             "attempt_sent"
