--- a/crates/node/src/ingress/mod.rs
+++ b/crates/node/src/ingress/mod.rs
@@ -5,6 +5,9 @@
 //! answered ([`answer`]). If the caller goes away the future of its request is dropped, which cancels
 //! whatever is open.
 
+#[cfg(test)]
+mod tests;
+
 mod accept;
 mod answer;
 mod drive;
