--- a/crates/dialect/src/lib.rs
+++ b/crates/dialect/src/lib.rs
@@ -124,6 +124,8 @@
     TooDeep,
     /// The node has no view yet.
     Joining,
+    /// The bodies that the node holds already leave no room for this one.
+    NoRoom,
 }
 
 impl Rejection {
@@ -138,6 +140,7 @@
             Self::BadHeader(_) => "bad_header",
             Self::TooDeep => "too_deep",
             Self::Joining => "joining",
+            Self::NoRoom => "no_room",
         }
     }
 
@@ -150,7 +153,7 @@
             Self::Malformed | Self::BadHeader(_) => StatusCode::BAD_REQUEST,
             Self::Incomplete => StatusCode::REQUEST_TIMEOUT,
             Self::TooDeep => StatusCode::LOOP_DETECTED,
-            Self::Joining => StatusCode::SERVICE_UNAVAILABLE,
+            Self::Joining | Self::NoRoom => StatusCode::SERVICE_UNAVAILABLE,
         }
     }
 }
--- a/crates/node/src/ingress/answer.rs
+++ b/crates/node/src/ingress/answer.rs
@@ -11,8 +11,10 @@
 /// What a caller is told to wait at least, and at most.
 const LEAST_AFTER: Span = Span::from_millis(50);
 const MOST_AFTER: Span = Span::from_millis(30_000);
-/// When a caller is to come back to a node that has no view yet.
+/// When a caller is to come back to a node that has no view yet: the time that joining takes.
 const JOINING_AFTER: Span = Span::from_millis(500);
+/// When a caller is to come back to a node that holds too many bodies: a large one takes about as long.
+const ROOM_AFTER: Span = Span::from_millis(1_000);
 
 /// How a request ended.
 pub(super) type Ended = Result<Ending, Rejection>;
@@ -47,7 +49,11 @@
         Ok(Ending::Unknown { late }) => Verdict::Unknown { late },
         Err(rejection) => Verdict::Rejected {
             rejection,
-            after: (rejection == Rejection::Joining).then(|| spread(JOINING_AFTER)),
+            after: match rejection {
+                Rejection::Joining => Some(spread(JOINING_AFTER)),
+                Rejection::NoRoom => Some(spread(ROOM_AFTER)),
+                _ => None,
+            },
         },
     };
     let told = dialect.tell(call, &verdict);
--- a/crates/node/src/ingress/frame.rs
+++ b/crates/node/src/ingress/frame.rs
@@ -150,6 +150,14 @@
         matches!(self, Self::Counted(0))
     }
 
+    /// Bytes of the body that are known to come, or that came in chunks so far with `ahead` more.
+    pub(super) fn size(&self, ahead: usize) -> u64 {
+        match self {
+            Self::Counted(length) => *length,
+            Self::Chunked(chunks) => (chunks.whole.len() + ahead) as u64,
+        }
+    }
+
     /// Takes the body off the front of `buffer`, `None` if it isn't complete yet.
     pub(super) fn take(
         &mut self,
--- a/crates/node/src/ingress/http1.rs
+++ b/crates/node/src/ingress/http1.rs
@@ -32,6 +32,7 @@
     Ingress,
     accept::{self, Accepted},
     frame::{self, Body, Message},
+    room::Held,
 };
 
 /// Requests of one connection that are carried at the same time.
@@ -52,6 +53,7 @@
     keep: bool,
     began: Moment,
     deadline: Moment,
+    held: Held,
 }
 
 /// An answer, and what goes with it.
@@ -151,7 +153,7 @@
     /// Whether more may be read: for a body up to its limit, and a little ahead of it.
     fn room(&self) -> bool {
         let body = match &self.partial {
-            Some(_) => accept::most_body(&self.ingress.board) as usize,
+            Some(partial) => partial.body.size(self.buffer.len()) as usize,
             None => 0,
         };
         self.buffer.len() < body + MOST_AHEAD
@@ -222,6 +224,7 @@
             keep,
             began,
             deadline,
+            held: Held::default(),
         }
     }
 
@@ -230,16 +233,25 @@
         let Some(mut partial) = self.partial.take() else {
             return false;
         };
+        let most = match &partial.accepted {
+            Ok(accepted) => accepted
+                .limits
+                .body
+                .0
+                .min(accept::most_body(&self.ingress.board)),
+            Err(_) => accept::most_body(&self.ingress.board),
+        };
+        let size = partial.body.size(self.buffer.len()).min(most);
+        if let Err(rejection) = self.ingress.room.take(size, &mut partial.held) {
+            self.cut_short(partial, rejection);
+            return false;
+        }
         let read = is_read(&partial);
         let turn = self.flights.is_empty() || (self.reads && read);
         if !turn {
             self.partial = Some(partial);
             return false;
         }
-        let most = match &partial.accepted {
-            Ok(accepted) => accepted.limits.body.0,
-            Err(_) => accept::most_body(&self.ingress.board),
-        };
         match partial.body.take(&mut self.buffer, most) {
             Ok(Some(body)) => {
                 self.reads = read && (self.reads || self.flights.is_empty());
@@ -269,9 +281,11 @@
             bodiless,
             keep,
             began,
+            held,
             ..
         } = partial;
         let flight = async move {
+            let _held = held;
             let response = ingress.carry(&call, accepted, began).await;
             Reply {
                 response,
@@ -304,6 +318,7 @@
             keep: false,
             began: now,
             deadline: now,
+            held: Held::default(),
         };
         self.cut_short(partial, rejection);
     }
--- a/crates/node/src/ingress/http2.rs
+++ b/crates/node/src/ingress/http2.rs
@@ -6,7 +6,11 @@
 use bytes::Bytes;
 use dialect::Rejection;
 use http_body_util::{BodyExt, Full, LengthLimitError, Limited};
-use hyper::{body::Incoming, server::conn::http2, service::service_fn};
+use hyper::{
+    body::{Body, Incoming},
+    server::conn::http2,
+    service::service_fn,
+};
 use hyper_util::rt::{TokioExecutor, TokioIo};
 use smol_str::SmolStr;
 use tokio::{net::TcpStream, sync::watch, time::timeout_at};
@@ -14,6 +18,7 @@
 use super::{
     Ingress,
     accept::{self, Head},
+    room::Held,
 };
 
 /// Serves a connection until either side closes it.
@@ -44,6 +49,11 @@
     let head = head(parts, own);
     let call = accept::call_id(ingress.dialect.as_ref(), &head.headers);
     let mut accepted = accept::accept(&ingress, &call, &head, began);
+    let mut held = Held::default();
+    let size = body.size_hint().lower();
+    if let Err(rejection) = ingress.room.take(size, &mut held) {
+        accepted = Err(rejection);
+    }
     if let Ok(ready) = &mut accepted {
         let reading = Limited::new(body, ready.limits.body.0 as usize).collect();
         let deadline = ingress.board.clock.instant(ready.deadline);
--- a/crates/node/src/ingress/mod.rs
+++ b/crates/node/src/ingress/mod.rs
@@ -14,6 +14,7 @@
 mod frame;
 mod http1;
 mod http2;
+mod room;
 mod services;
 
 use std::{
@@ -43,6 +44,7 @@
 };
 
 use accept::Accepted;
+pub(crate) use room::Room as BodyRoom;
 pub(crate) use services::{DumpedPeer, RetryPolicy, Services};
 
 /// First bytes of an HTTP/2 connection that no HTTP/1.1 request begins with.
@@ -59,6 +61,8 @@
     pub(crate) directory: Mutex<Directory>,
     pub(crate) meter: Arc<Meter>,
     pub(crate) spreader: ActorRef<Spreader>,
+    /// Memory for callers' bodies.
+    pub(crate) room: BodyRoom,
 }
 
 impl Ingress {
--- a/crates/node/src/ingress/tests.rs
+++ b/crates/node/src/ingress/tests.rs
@@ -4,7 +4,7 @@
 use dialect::Rejection;
 use proptest::prelude::*;
 
-use super::frame::take_head;
+use super::{BodyRoom, frame::take_head, room::Held};
 
 const MOST_HEAD: u64 = 4_096;
 const MOST_BODY: u64 = 1_024;
@@ -61,6 +61,31 @@
     assert_eq!(whole(chunked), Err(Rejection::TooLarge));
 }
 
+#[test]
+fn bodies_that_leave_no_room_are_refused_and_room_comes_back() {
+    let room = BodyRoom::default();
+    let large = 30 << 20;
+    let mut first = Held::default();
+    assert_eq!(room.take(large, &mut first), Ok(()));
+    assert_eq!(
+        room.take(large, &mut first),
+        Ok(()),
+        "it holds that much already"
+    );
+    let mut second = Held::default();
+    assert_eq!(room.take(large, &mut second), Err(Rejection::NoRoom));
+    assert_eq!(room.take(1_000, &mut second), Ok(()), "small ones are free");
+    drop(first);
+    assert_eq!(room.take(large, &mut second), Ok(()));
+    drop(second);
+    let mut alone = Held::default();
+    assert_eq!(
+        room.take(u64::MAX, &mut alone),
+        Ok(()),
+        "a larger one is let in alone"
+    );
+}
+
 proptest! {
     /// However the bytes of two requests are cut into pieces, the same two requests come out.
     #[test]
--- a/crates/node/src/ops.rs
+++ b/crates/node/src/ops.rs
@@ -30,7 +30,7 @@
     admin::{self, Admin},
     backend::HttpBackend,
     gatekeeper::{self, Gatekeeper},
-    ingress::{self, Ingress, RetryPolicy, Services},
+    ingress::{self, BodyRoom, Ingress, RetryPolicy, Services},
     meter::Meter,
     peers::{Peers, server::PeerService},
     reload::Reload,
@@ -42,8 +42,8 @@
 const LINGER: Duration = Duration::from_millis(500);
 /// Time between two looks whether the gate is idle.
 const IDLE_POLL: Duration = Duration::from_millis(20);
-/// Largest message from a peer.
-const MOST_MESSAGE_BYTES: usize = 20 << 20;
+/// Largest message from a peer: the largest body that callers may send, and room for headers.
+const MOST_MESSAGE_BYTES: usize = 68 << 20;
 
 /// Why a node could not run.
 #[derive(Debug)]
@@ -169,6 +169,7 @@
         directory: Mutex::default(),
         meter,
         spreader: spreader.clone(),
+        room: BodyRoom::default(),
     });
     tokio::spawn(Arc::clone(&ingress).follow());
     let readiness = match &settings.readiness {
--- a/crates/node/src/peers/remote.rs
+++ b/crates/node/src/peers/remote.rs
@@ -25,8 +25,8 @@
 const PING_AFTER: Duration = Duration::from_millis(1_000);
 /// Time that the test may take before the connection counts as broken.
 const PING_TIMEOUT: Duration = Duration::from_millis(1_000);
-/// Largest message: the largest body that a release note allows, and room for headers.
-const MOST_MESSAGE_BYTES: usize = 20 << 20;
+/// Largest message: the largest body that callers may send, and room for headers.
+const MOST_MESSAGE_BYTES: usize = 68 << 20;
 
 /// How to connect to the node at `address`.
 pub(crate) fn connect(address: SocketAddr) -> Endpoint {
--- a/crates/note/src/registry.rs
+++ b/crates/note/src/registry.rs
@@ -4,7 +4,7 @@
 
 use serde::{Deserialize, Serialize};
 use smol_str::SmolStr;
-use types::{Boot, Rate, Revision, Slots, ZoneId};
+use types::{Boot, Rate, Revision, Size, Slots, ZoneId};
 
 use crate::state::{
     CallerLimits, Entry, HostRoute, Limits, Server, Service, State, Zone, ZoneStatus,
@@ -59,6 +59,8 @@
 /// Share of the slots that is used. The users' backend servers take 1.7 times as long when more than
 /// 0.8 of their slots are taken, which is less work done than with 0.8 of them.
 const LISTED_USABLE: f64 = 0.8;
+/// Largest body of an answer, and of a request unless callers are bounded further: what the users allow.
+const LISTED_BODY: Size = Size(64 << 20);
 /// Time in milliseconds that a call gets if neither its caller nor its route names one.
 const LISTED_TIMEOUT_MS: u64 = 60_000;
 
@@ -75,6 +77,7 @@
             cold_rate,
             queue: LISTED_QUEUE,
             timeout_ms: LISTED_TIMEOUT_MS,
+            body: LISTED_BODY,
             probes: Rate::new(LISTED_PROBES).expect("a constant in range"),
             retries: LISTED_RETRIES,
             usable: LISTED_USABLE,
