Give the rank of a request one type; split gate events and spreader sources

Cause: a newcomer's reading. Change: gate::Rank in offers, queue and attempts; gate/event.rs, spreader/source.rs. Ruled out: a change of behaviour; tests and bounds are as they were.

--- a/crates/call/tests/support/mod.rs
+++ b/crates/call/tests/support/mod.rs
@@ -251,10 +251,7 @@
             deadline: sent.deadline,
             choosy: false,
             misplaced: false,
-            objective: Moment::MAX,
-            expected: Span::default(),
-            priority: 0,
-            nested: false,
+            rank: gate::Rank::default(),
         };
         let boot = process.gate.boot();
         self.flying.push(Message::Run {
--- a/crates/gate/src/core.rs
+++ b/crates/gate/src/core.rs
@@ -3,108 +3,17 @@
 use std::{collections::BTreeMap, sync::Arc};
 
 use note::Limits;
-use serde::Serialize;
-use types::{Answer, AttemptId, Boot, Moment, Outcome, Refusal, Seq, SessionId, Span};
+use types::{AttemptId, Boot, Moment, Outcome, Refusal, SessionId, Span};
 
 use crate::{
     allowance::{Allowance, Evidence},
     cold::ColdLimit,
+    event::{Action, Bounds, Finish, Load, Offer},
     probe::Probes,
-    queue::{Queue, Waiting},
+    queue::{Queue, Rank, Waiting},
     session::{Fate, Gap, Sessions},
 };
 
-/// What a gate may remember at most.
-#[derive(Debug, Clone, Copy)]
-pub struct Bounds {
-    /// Sessions with ingresses.
-    pub sessions: usize,
-    /// Fates within one session.
-    pub fates: usize,
-    /// Bytes of answers kept for ingresses that may ask.
-    pub answers: u64,
-}
-
-impl Default for Bounds {
-    fn default() -> Self {
-        Self {
-            sessions: 4_096,
-            fates: 4_096,
-            answers: 16 << 20,
-        }
-    }
-}
-
-/// An attempt as it comes to the gate.
-#[derive(Debug, Clone, Copy)]
-pub struct Offer {
-    /// The attempt.
-    pub id: AttemptId,
-    /// Lowest number of the session that its ingress hasn't settled.
-    pub floor: Seq,
-    /// Last moment at which the request is wanted.
-    pub deadline: Moment,
-    /// Whether it is refused rather than made to wait or run slowly, as it has other places to go.
-    pub choosy: bool,
-    /// Whether it is meant for a backend server that this gate doesn't guard.
-    pub misplaced: bool,
-    /// Last moment at which its answer is worth most.
-    pub objective: Moment,
-    /// Time that its work usually takes, zero if nobody knows.
-    pub expected: Span,
-    /// Rank, 0 for the most urgent.
-    pub priority: u32,
-    /// Whether a backend server calls that runs another request.
-    pub nested: bool,
-}
-
-/// How a started attempt ended.
-#[derive(Debug, Clone)]
-pub enum Finish {
-    /// The whole answer came.
-    Answered(Arc<Answer>),
-    /// The backend server refused and promises that it didn't run the request.
-    Shed,
-    /// Another backend server has the address, and ran nothing.
-    Misplaced,
-    /// No connection could be made, so nothing was sent.
-    Unsent,
-    /// Something was sent and no whole answer came.
-    Broken,
-    /// No answer came by the deadline.
-    Expired,
-    /// The carrier gave up on the backend server on [`Action::Abort`].
-    Aborted,
-}
-
-/// What the carrier is to do.
-#[derive(Debug, Clone, PartialEq, Eq)]
-pub enum Action {
-    /// Send the request to the backend server, and give up at the deadline.
-    Start(AttemptId, Moment),
-    /// Tell everybody who waits for this attempt.
-    Reply(AttemptId, Outcome),
-    /// Cancel the request at the backend server.
-    Abort(AttemptId),
-    /// Probe the backend server, and tell [`Gate::probed`].
-    Probe,
-}
-
-/// The load of a backend server as its gate knows it.
-#[derive(Debug, Clone, Copy, Default, PartialEq, Eq, Serialize)]
-pub struct Load {
-    /// Requests that run.
-    pub running: u32,
-    /// Requests that wait.
-    pub waiting: u32,
-    /// Requests that may run once the backend server answers.
-    pub allowed: u32,
-    /// Mean time of late answers.
-    pub typical: Span,
-    /// Present time of the backend server's work, in percent of the usual one.
-    pub pace: u32,
-}
-
 /// Pace from which a backend server counts as slow. Its spells of slowness are four times that.
 const SLOW_PACE: u32 = 150;
 /// Times that the work of a cold backend server takes, in usual times: a cold one isn't declined for
@@ -443,17 +352,17 @@
     }
 
     fn waiting(&self, offer: &Offer) -> Waiting {
-        let expected = match offer.expected {
+        let expected = match offer.rank.expected {
             Span(0) => self.allowance.typical(),
             known => known,
         };
         Waiting {
             id: offer.id,
             deadline: offer.deadline,
-            objective: offer.objective,
-            expected,
-            priority: offer.priority,
-            nested: offer.nested,
+            rank: Rank {
+                expected,
+                ..offer.rank
+            },
         }
     }
 
@@ -462,7 +371,7 @@
         let full = self.queue.len() >= self.limits.queue.0 as usize;
         let (ahead, work) = self.queue.ahead(&waiting, now, self.slowness(now));
         let wait = self.wait(ahead, work, now);
-        let late = now + wait + waiting.expected > offer.deadline;
+        let late = now + wait + waiting.rank.expected > offer.deadline;
         if offer.choosy || full || late {
             return self.refuse(offer.id, Refusal::Busy, self.wait_behind_all(now));
         }
@@ -477,12 +386,12 @@
         let mut actions = Vec::new();
         for waiting in self.queue.ranked(now, self.slowness(now)) {
             let start = now + self.wait(ahead, work, now);
-            if start + waiting.expected > waiting.deadline {
+            if start + waiting.rank.expected > waiting.deadline {
                 self.queue.remove(waiting.id);
                 let after = self.wait_behind_all(now);
                 actions.extend(self.refuse(waiting.id, Refusal::Busy, after));
             } else {
-                (ahead, work) = (ahead + 1, work + waiting.expected);
+                (ahead, work) = (ahead + 1, work + waiting.rank.expected);
             }
         }
         actions
@@ -506,21 +415,16 @@
         let waiting = self.queue.ranked(now, 1.0);
         let work = waiting
             .iter()
-            .fold(Span::default(), |sum, w| sum + w.expected);
+            .fold(Span::default(), |sum, w| sum + w.rank.expected);
         self.wait(waiting.len(), work, now)
     }
 
     fn start(&mut self, waiting: &Waiting, now: Moment) -> Vec<Action> {
-        let Waiting {
-            id,
-            deadline,
-            expected,
-            ..
-        } = *waiting;
+        let Waiting { id, deadline, rank } = *waiting;
         self.sessions.record(id, Fate::Open);
         let run = Run {
             began: now,
-            expected,
+            expected: rank.expected,
         };
         let before = self.running.insert(id, run);
         assert!(before.is_none(), "invariant: an attempt starts once, {id}");
--- a/crates/gate/src/lib.rs
+++ b/crates/gate/src/lib.rs
@@ -44,9 +44,12 @@
 mod allowance;
 mod cold;
 mod core;
+mod event;
 mod probe;
 mod queue;
 mod session;
 
 pub use allowance::{Allowance, Evidence};
-pub use core::{Action, Bounds, Finish, Gate, Load, Offer};
+pub use core::Gate;
+pub use event::{Action, Bounds, Finish, Load, Offer};
+pub use queue::Rank;
--- a/crates/gate/src/queue.rs
+++ b/crates/gate/src/queue.rs
@@ -16,25 +16,43 @@
 
 use types::{AttemptId, Moment, Span};
 
+/// What decides when a request starts that has to wait.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub struct Rank {
+    /// Last moment at which its answer is worth most.
+    pub objective: Moment,
+    /// Time that its work usually takes, zero if nobody knows.
+    pub expected: Span,
+    /// Urgency, 0 for the most urgent.
+    pub priority: u32,
+    /// Whether a backend server calls that runs another request.
+    pub nested: bool,
+}
+
+impl Default for Rank {
+    fn default() -> Self {
+        Self {
+            objective: Moment::MAX,
+            expected: Span::default(),
+            priority: 0,
+            nested: false,
+        }
+    }
+}
+
 /// A request that waits.
 #[derive(Debug, Clone, Copy)]
 pub(crate) struct Waiting {
     pub(crate) id: AttemptId,
     /// Last moment at which it may be answered.
     pub(crate) deadline: Moment,
-    /// Last moment at which its answer is worth most.
-    pub(crate) objective: Moment,
-    /// Time that its work is expected to take at the usual pace.
-    pub(crate) expected: Span,
-    /// Rank, 0 for the most urgent.
-    pub(crate) priority: u32,
-    /// Whether a backend server calls that runs another request.
-    pub(crate) nested: bool,
+    /// With the time that its work is expected to take, known or not.
+    pub(crate) rank: Rank,
 }
 
 /// A place in the order: the smaller comes first.
 #[derive(Debug, PartialEq, Eq, PartialOrd, Ord)]
-struct Rank {
+struct Place {
     missed: bool,
     fresh: bool,
     priority: u32,
@@ -44,19 +62,21 @@
 
 impl Waiting {
     /// Its place at `now`, if work takes `slowness` times as long as usual.
-    fn rank(&self, now: Moment, slowness: f64) -> Rank {
-        let done = now + self.expected.scale(slowness);
+    fn place(&self, now: Moment, slowness: f64) -> Place {
+        let Rank {
+            objective,
+            expected,
+            priority,
+            nested,
+        } = self.rank;
+        let done = now + expected.scale(slowness);
         // Its caller's objective isn't known, so a nested call has the deadline only.
-        let objective = if self.nested {
-            self.deadline
-        } else {
-            self.objective
-        };
+        let objective = if nested { self.deadline } else { objective };
         let missed = done > objective;
-        Rank {
+        Place {
             missed,
-            fresh: !self.nested,
-            priority: self.priority,
+            fresh: !nested,
+            priority,
             by: if missed { self.deadline } else { objective },
             id: self.id,
         }
@@ -64,7 +84,7 @@
 
     /// The last moment at which its work may begin.
     fn latest(&self) -> Moment {
-        self.deadline - self.expected
+        self.deadline - self.rank.expected
     }
 }
 
@@ -86,14 +106,14 @@
     /// All that wait, in the order in which they would start at `now`.
     pub(crate) fn ranked(&self, now: Moment, slowness: f64) -> Vec<Waiting> {
         let mut list = self.waiting.clone();
-        list.sort_by_cached_key(|w| w.rank(now, slowness));
+        list.sort_by_cached_key(|w| w.place(now, slowness));
         list
     }
 
     /// Takes the one that starts next.
     pub(crate) fn pop(&mut self, now: Moment, slowness: f64) -> Option<Waiting> {
-        let rank = |at: &usize| self.waiting[*at].rank(now, slowness);
-        let first = (0..self.waiting.len()).min_by_key(rank)?;
+        let place = |at: &usize| self.waiting[*at].place(now, slowness);
+        let first = (0..self.waiting.len()).min_by_key(place)?;
         Some(self.waiting.swap_remove(first))
     }
 
@@ -117,11 +137,11 @@
 
     /// Requests and expected work that would start before `than`.
     pub(crate) fn ahead(&self, than: &Waiting, now: Moment, slowness: f64) -> (usize, Span) {
-        let rank = than.rank(now, slowness);
-        let before = |w: &&Waiting| w.rank(now, slowness).cmp(&rank) == Ordering::Less;
+        let place = than.place(now, slowness);
+        let before = |w: &&Waiting| w.place(now, slowness).cmp(&place) == Ordering::Less;
         let ahead = self.waiting.iter().filter(before);
         ahead.fold((0, Span::default()), |(count, work), w| {
-            (count + 1, work + w.expected)
+            (count + 1, work + w.rank.expected)
         })
     }
 
--- a/crates/gate/tests/allowance.rs
+++ b/crates/gate/tests/allowance.rs
@@ -121,10 +121,7 @@
             deadline,
             choosy: false,
             misplaced: false,
-            objective: Moment::MAX,
-            expected: Span::default(),
-            priority: 0,
-            nested: false,
+            rank: gate::Rank::default(),
         };
         gate.offer(offer, now);
         let answer = Answer {
--- a/crates/gate/tests/bears.rs
+++ b/crates/gate/tests/bears.rs
@@ -112,10 +112,7 @@
                         deadline,
                         choosy: false,
                         misplaced: false,
-                        objective: Moment::MAX,
-                        expected: Span::default(),
-                        priority: 0,
-                        nested: false,
+                        rank: gate::Rank::default(),
                     },
                     self.now,
                 )
@@ -305,10 +302,7 @@
         deadline: now + Span::from_millis(100),
         choosy: false,
         misplaced: false,
-        objective: Moment::MAX,
-        expected: Span::default(),
-        priority: 0,
-        nested: false,
+        rank: gate::Rank::default(),
     };
     let actions = (1..=6).flat_map(|seq| gate.offer(offer(seq), now));
     let started = actions.filter(|a| matches!(a, Action::Start(..))).count();
@@ -355,10 +349,7 @@
         deadline,
         choosy: false,
         misplaced,
-        objective: Moment::MAX,
-        expected: Span::default(),
-        priority: 0,
-        nested: false,
+        rank: gate::Rank::default(),
     };
 
     let refused = world.gate.offer(offer(first, true), world.now);
--- a/crates/gate/tests/choosy.rs
+++ b/crates/gate/tests/choosy.rs
@@ -54,10 +54,7 @@
             deadline: now + Span::from_millis(60_000),
             choosy,
             misplaced: false,
-            objective: Moment::MAX,
-            expected: Span::default(),
-            priority: 0,
-            nested: false,
+            rank: gate::Rank::default(),
         };
         self.gate.offer(offer, now)
     }
--- a/crates/gate/tests/overload.rs
+++ b/crates/gate/tests/overload.rs
@@ -5,7 +5,7 @@
 
 use std::collections::BTreeMap;
 
-use gate::{Action, Bounds, Finish, Gate, Offer};
+use gate::{Action, Bounds, Finish, Gate, Offer, Rank};
 use note::Limits;
 use types::{Answer, AttemptId, Boot, Moment, Outcome, Seq, SessionId, Slots, Span};
 
@@ -91,10 +91,12 @@
                 deadline: now + kind.deadline,
                 choosy: false,
                 misplaced: false,
-                objective: now + kind.objective,
-                expected: WORK,
-                priority: kind.priority,
-                nested: false,
+                rank: Rank {
+                    objective: now + kind.objective,
+                    expected: WORK,
+                    priority: kind.priority,
+                    nested: false,
+                },
             },
             now,
         );
--- a/crates/node/src/ingress/drive.rs
+++ b/crates/node/src/ingress/drive.rs
@@ -15,6 +15,7 @@
     future::{AbortHandle, BoxFuture, abortable},
     stream::FuturesUnordered,
 };
+use gate::Rank;
 use route::Peer as Known;
 use tokio::time::{Sleep, sleep_until};
 use types::{Moment, Outcome, Refusal, ServerId, Span};
@@ -26,7 +27,7 @@
 };
 use crate::{
     gatekeeper::{Reply, outcome_name},
-    peers::{Attempt, Fault, Peer, Rank},
+    peers::{Attempt, Fault, Peer},
     spreader::Heard,
 };
 
--- a/crates/node/src/peers/convert.rs
+++ b/crates/node/src/peers/convert.rs
@@ -3,12 +3,12 @@
 use std::{fmt, net::SocketAddr, sync::Arc};
 
 use call::Sent;
-use gate::Load;
+use gate::{Load, Rank};
 use types::{Answer, Boot, Header, IdError, Moment, Outcome, Refusal, Revision, Seq};
 use types::{SessionId, Span};
 use wire::peer;
 
-use super::{Attempt, Rank};
+use super::Attempt;
 use crate::{
     backend::ServerRequest,
     gatekeeper::{Opened, Reply},
--- a/crates/node/src/peers/mod.rs
+++ b/crates/node/src/peers/mod.rs
@@ -20,8 +20,9 @@
 use board::Board;
 use call::{Link, Sent};
 use futures::future::BoxFuture;
+use gate::Rank;
 use kameo::actor::ActorRef;
-use types::{AttemptId, Boot, Moment, Outcome, Refusal, Revision, ServerId, Span};
+use types::{AttemptId, Boot, Moment, Outcome, Refusal, Revision, ServerId};
 
 use crate::{
     backend::ServerRequest,
@@ -53,19 +54,6 @@
     }
 }
 
-/// What decides when a request starts that has to wait.
-#[derive(Debug, Clone, Copy)]
-pub(crate) struct Rank {
-    /// Last moment, on the gate's clock, at which the answer is worth most.
-    pub(crate) objective: Moment,
-    /// Time that the request's work usually takes, zero if nobody knows.
-    pub(crate) expected: Span,
-    /// Rank, 0 for the most urgent.
-    pub(crate) priority: u32,
-    /// Whether a backend server calls that runs another request.
-    pub(crate) nested: bool,
-}
-
 /// An attempt on its way to a gate.
 #[derive(Debug, Clone)]
 pub(crate) struct Attempt {
@@ -74,6 +62,7 @@
     pub(crate) idempotent: bool,
     /// Whether it is refused rather than made to wait or run slowly.
     pub(crate) choosy: bool,
+    /// With the objective on the gate's clock.
     pub(crate) rank: Rank,
     pub(crate) request: ServerRequest,
     pub(crate) revision: Revision,
--- a/crates/node/src/spreader/mod.rs
+++ b/crates/node/src/spreader/mod.rs
@@ -12,13 +12,12 @@
 
 mod notes;
 mod registry;
+mod source;
 
 use std::{collections::HashMap, net::SocketAddr, sync::Arc, time::Duration};
 
 use board::{Board, Phase};
-use fleet::{
-    Action, Budget, Digests, Extension, History, HistoryError, Join, Lease, Snapshot, Spread,
-};
+use fleet::{Action, Budget, Digests, Extension, HistoryError, Join, Lease, Spread};
 use kameo::{
     actor::{ActorRef, Spawn, WeakActorRef},
     error::Infallible,
@@ -26,16 +25,17 @@
     message::{Context, Message},
 };
 use note::Digest;
-use platform::{Platform, Registry};
 use rand::{SeedableRng, rngs::SmallRng};
 use serde::Serialize;
 use tokio::time::timeout;
 use tonic::transport::Channel;
-use types::{Moment, Rate, Revision, Span};
+use types::{Moment, Revision, Span};
 use wire::peer::{PullRequest, View, peer_client::PeerClient};
 
 use crate::{alarm::Alarm, meter::Meter, peers};
 
+pub(crate) use source::{Plan, Source};
+
 /// Messages that may wait for the actor.
 const MAILBOX_MESSAGES: usize = 4_096;
 /// Longest time that a comparison may take.
@@ -45,59 +45,6 @@
 /// Largest view that a peer may send.
 const MOST_VIEW_BYTES: usize = 64 << 20;
 
-/// Where the view comes from, and what it is made of.
-pub(crate) enum Source {
-    /// A history of release notes.
-    Notes {
-        /// Who publishes them.
-        platform: Arc<dyn Platform>,
-        /// The notes so far.
-        history: History,
-    },
-    /// Newest values only.
-    Registry {
-        /// Who keeps them.
-        registry: Arc<dyn Registry>,
-        /// The newest values so far.
-        snapshot: Box<Snapshot>,
-        /// How far reading has come.
-        reading: registry::Reading,
-    },
-}
-
-impl Source {
-    /// A platform that publishes release notes.
-    pub(crate) fn notes(platform: Arc<dyn Platform>) -> Self {
-        Self::Notes {
-            platform,
-            history: History::default(),
-        }
-    }
-
-    /// A platform that keeps newest values.
-    pub(crate) fn registry(registry: Arc<dyn Registry>) -> Self {
-        Self::Registry {
-            registry,
-            snapshot: Box::default(),
-            reading: registry::Reading::default(),
-        }
-    }
-
-    fn digests(&self) -> Digests {
-        match self {
-            Self::Notes { .. } => Digests::default(),
-            Self::Registry { snapshot, .. } => snapshot.digests(),
-        }
-    }
-
-    fn view(&self) -> &Arc<note::View> {
-        match self {
-            Self::Notes { history, .. } => history.view(),
-            Self::Registry { snapshot, .. } => snapshot.view(),
-        }
-    }
-}
-
 /// A peer named its revision, and the digest of its view unless it spoke of other things.
 #[derive(Debug)]
 pub(crate) struct Heard {
@@ -168,17 +115,6 @@
     forks: u64,
 }
 
-/// What settings say about spreading.
-#[derive(Debug, Clone)]
-pub(crate) struct Plan {
-    /// Nodes to ask while no other is known.
-    pub(crate) seeds: Vec<SocketAddr>,
-    /// Reads of the platform that all nodes together may make.
-    pub(crate) reads: Rate,
-    /// Time after a comparison for which a view may be acted on.
-    pub(crate) lease: Span,
-}
-
 /// Starts the actor and its clock.
 pub(crate) fn spawn(
     board: &Arc<Board>,
--- a/crates/rig/benches/decisions.rs
+++ b/crates/rig/benches/decisions.rs
@@ -175,10 +175,7 @@
                 deadline: sent.deadline,
                 choosy: false,
                 misplaced: false,
-                objective: Moment::MAX,
-                expected: Span::default(),
-                priority: 0,
-                nested: false,
+                rank: gate::Rank::default(),
             };
             black_box(gate.offer(offer, now));
             black_box(gate.done(sent.id, Finish::Answered(Arc::clone(&answer)), now));
