Judge idle connections by the clock that runs on; test the template

Cause: found by reading. After a suspension of the host an idle connection to a backend server looked as fresh as before, though it had been closed meanwhile, and a caller that connects and says nothing was kept for good. Change: the pool's deadlines are moments of the process's clock; a silent connection ends after the idle time. Tests of the new settings and of the deployed template.

--- a/crates/node/src/backend/mod.rs
+++ b/crates/node/src/backend/mod.rs
@@ -12,6 +12,7 @@
 use std::{net::SocketAddr, sync::Arc, time::Duration};
 
 use axum::http::{HeaderMap, HeaderName, HeaderValue, Method, Request, Response, StatusCode, Uri};
+use board::Clock;
 use bytes::Bytes;
 use dialect::{Dialect, Facts, Outgoing, is_hop};
 use futures::{FutureExt, future::BoxFuture};
@@ -96,10 +97,10 @@
 
 impl HttpBackend {
     /// A client that sends each request once.
-    pub(crate) fn new(dialect: Arc<dyn Dialect>) -> Self {
+    pub(crate) fn new(dialect: Arc<dyn Dialect>, clock: Clock) -> Self {
         Self {
             dialect,
-            pool: Arc::default(),
+            pool: Arc::new(Pool::new(clock)),
         }
     }
 
--- a/crates/node/src/backend/pool.rs
+++ b/crates/node/src/backend/pool.rs
@@ -9,6 +9,7 @@
 };
 
 use axum::http::{Request, Response};
+use board::Clock;
 use bytes::Bytes;
 use http_body_util::Full;
 use hyper::{
@@ -16,12 +17,8 @@
     client::conn::http1::{SendRequest, handshake},
 };
 use hyper_util::rt::TokioIo;
-use tokio::{
-    net::TcpStream,
-    task::AbortHandle,
-    time::{Instant, timeout},
-};
-use types::Span;
+use tokio::{net::TcpStream, task::AbortHandle, time::timeout};
+use types::{Moment, Span};
 
 use crate::socket;
 
@@ -60,16 +57,24 @@
 #[derive(Debug)]
 struct Idle {
     connection: Connection,
-    until: Instant,
+    until: Moment,
 }
 
 /// Idle connections by backend server.
-#[derive(Debug, Default)]
+#[derive(Debug)]
 pub(super) struct Pool {
+    clock: Clock,
     idle: Mutex<HashMap<SocketAddr, VecDeque<Idle>>>,
 }
 
 impl Pool {
+    pub(super) fn new(clock: Clock) -> Self {
+        Self {
+            clock,
+            idle: Mutex::default(),
+        }
+    }
+
     fn idle(&self) -> MutexGuard<'_, HashMap<SocketAddr, VecDeque<Idle>>> {
         self.idle.lock().expect("no holder panics")
     }
@@ -103,7 +108,7 @@
     fn take(&self, address: SocketAddr) -> Option<Connection> {
         let mut idle = self.idle();
         let list = idle.get_mut(&address)?;
-        let now = Instant::now();
+        let now = self.clock.now();
         while let Some(first) = list.pop_front() {
             if first.until > now && first.connection.sender.is_ready() {
                 return Some(first.connection);
@@ -115,7 +120,7 @@
     /// Keeps a connection whose answer was read to its end.
     pub(super) fn put_back(&self, address: SocketAddr, connection: Connection, keep: Option<Span>) {
         let keep = keep.unwrap_or(DEFAULT_KEEP).0.saturating_sub(KEEP_MARGIN.0);
-        let until = Instant::now() + Span(keep).duration();
+        let until = self.clock.now() + Span(keep);
         let mut idle = self.idle();
         // A backend server that went leaves nothing behind: there is one address at a time.
         idle.retain(|kept, _| *kept == address);
--- a/crates/node/src/ingress/mod.rs
+++ b/crates/node/src/ingress/mod.rs
@@ -21,6 +21,7 @@
     collections::HashSet,
     net::SocketAddr,
     sync::{Arc, Mutex, MutexGuard},
+    time::Duration,
 };
 
 use axum::http::Response;
@@ -33,6 +34,7 @@
     net::{TcpListener, TcpStream},
     sync::watch,
     task::JoinSet,
+    time::sleep,
 };
 use types::{CallId, Moment, ServerId, ServiceId};
 
@@ -47,6 +49,9 @@
 pub(crate) use room::Room as BodyRoom;
 pub(crate) use services::{DumpedPeer, RetryPolicy, Services};
 
+/// Time before the next connection is taken after one could not be, as for want of descriptors: long
+/// enough for some to end, short against what callers wait for a connection.
+const ACCEPT_PAUSE: Duration = Duration::from_millis(20);
 /// First bytes of an HTTP/2 connection that no HTTP/1.1 request begins with.
 const HTTP2_PREFACE: &[u8] = b"PRI ";
 
@@ -143,7 +148,7 @@
                 }
                 Err(error) => {
                     log::warn!(error:% = error; "accept_failed");
-                    tokio::time::sleep(ACCEPT_PAUSE).await;
+                    sleep(ACCEPT_PAUSE).await;
                 }
             },
             Some(_) = connections.join_next(), if !connections.is_empty() => {}
@@ -154,18 +159,17 @@
     while connections.join_next().await.is_some() {}
 }
 
-/// Time before the next connection is taken after one could not be, as for want of descriptors.
-const ACCEPT_PAUSE: std::time::Duration = std::time::Duration::from_millis(20);
-
 /// Serves one connection in the protocol that its first bytes show.
 async fn connection(ingress: Arc<Ingress>, stream: TcpStream, mut closing: watch::Receiver<bool>) {
     if let Err(error) = socket::tune(&stream) {
         log::debug!(error:% = error; "caller_connection_untuned");
     }
     let mut first = [0; HTTP2_PREFACE.len()];
+    let idle = Duration::from_millis(ingress.board.view.borrow().state.callers.idle_ms);
     let peeked = tokio::select! {
         peeked = stream.peek(&mut first) => peeked.unwrap_or_default(),
         () = closed(&mut closing) => return,
+        () = sleep(idle) => return,
     };
     if &first[..peeked] == HTTP2_PREFACE {
         if let Err(error) = http2::serve(ingress, stream, closing).await {
--- a/crates/node/src/ops.rs
+++ b/crates/node/src/ops.rs
@@ -145,7 +145,7 @@
     });
     let meter = Arc::new(Meter::new());
     let (source, dialect) = conventions(settings)?;
-    let backend = HttpBackend::new(Arc::clone(&dialect));
+    let backend = HttpBackend::new(Arc::clone(&dialect), board.clock);
     let callers = listen(settings.listen).await?;
     let peers = listen(settings.node).await?;
     let admin = listen(settings.admin).await?;
--- a/crates/node/tests/settings.rs
+++ b/crates/node/tests/settings.rs
@@ -43,6 +43,22 @@
         ("policy", json!("best"), "policy"),
         ("log", json!("loud"), "log"),
         ("colour", json!("red"), "unknown field `colour`"),
+        ("conventions", json!("other"), "conventions"),
+        ("lease_ms", json!(0), "1 to 600000"),
+        ("linger_ms", json!(10_000), "less than stop_ms"),
+        ("threads", json!(0), "1 or more"),
+        ("repeats", json!(-1.0), "0 or more"),
+        ("service", json!("A B"), "service"),
+        (
+            "readiness",
+            json!({ "listen": "127.0.0.1:9", "path": "x" }),
+            "starts with /",
+        ),
+        (
+            "readiness",
+            json!({ "listen": "127.0.0.1:1", "path": "/x" }),
+            "an address of its own",
+        ),
     ];
     for (field, value, part) in cases {
         let text = refusal(field, value.clone());
@@ -80,3 +96,29 @@
     assert_eq!(daemon("{}".to_owned())?, Some(2));
     Ok(())
 }
+
+/// What a platform fills into the template, by placeholder.
+const FILLED: [(&str, &str); 10] = [
+    ("{{ip|json}}", "\"10.1.0.8\""),
+    ("{{zone|json}}", "\"lautoka\""),
+    ("{{service|json}}", "\"huvo11a\""),
+    ("{{bind.outbound|json}}", "\"10.1.0.8:8304\""),
+    ("{{bind.admin|json}}", "\"10.1.0.8:8305\""),
+    ("{{ip}}:{{port_range.1}}", "10.1.0.8:7635"),
+    ("{{bind.readiness|json}}", "\"10.1.0.8:8302\""),
+    ("{{platform.address}}", "10.200.1.7:8309"),
+    ("{{seeds|json}}", "[\"10.1.0.9:8305\"]"),
+    ("{{bounds.budget_slack|json}}", "56"),
+];
+
+#[test]
+fn the_deployed_template_makes_settings_in_order() {
+    let path = Path::new(env!("CARGO_MANIFEST_DIR")).join("../../deploy/settings.json");
+    let template = std::fs::read_to_string(path).expect("a template");
+    let fill = |text: String, (from, to): (&str, &str)| text.replace(from, to);
+    let text = FILLED.into_iter().fold(template, fill);
+    let settings = parse(&text).expect("settings in order");
+    assert_eq!(settings.seeds.len(), 1);
+    assert_eq!(settings.repeats, Some(56.0));
+    assert!(settings.linger() < settings.stop());
+}
