Let a caller that is still sending see its last answer

Cause: found by reading what the users' pages say of sockets. A connection that is closed with unread bytes is reset, which can take the answer on its way with it: a caller in the middle of a body too large got a broken pipe in place of the 413. Ruled out: reading whole bodies that are refused; they may be 64 MiB. Change: after its last answer a connection is shut down one way, and what still comes is dropped until the caller closes, for half a second at most. Test: rig/tests/closing.rs, which failed before with a broken pipe.

--- a/crates/node/src/ingress/http1.rs
+++ b/crates/node/src/ingress/http1.rs
@@ -39,6 +39,8 @@
 const MOST_ABREAST: usize = 32;
 /// Longest time that a caller may take to read an answer before its connection counts as dead.
 const WRITE_TIMEOUT: Duration = Duration::from_millis(10_000);
+/// Time for which what a caller still sends is read after its last answer: some round trips to it.
+const CLOSE_TIMEOUT: Duration = Duration::from_millis(500);
 /// Bytes that are read ahead of what can be carried.
 const MOST_AHEAD: usize = 64 << 10;
 /// Time that a body may take whose request was rejected already.
@@ -111,7 +113,7 @@
         loop {
             self.take_requests().await?;
             if self.is_done(*closing.borrow()) {
-                return self.stream.shutdown().await;
+                return self.close().await;
             }
             self.arm(timer.as_mut());
             let room = self.room();
@@ -119,7 +121,7 @@
                 biased;
                 Some(reply) = self.flights.next() => {
                     if !self.answer(reply, &closing).await? {
-                        return self.stream.shutdown().await;
+                        return self.close().await;
                     }
                 }
                 read = self.stream.read_buf(&mut self.buffer), if room => {
@@ -138,6 +140,24 @@
         }
     }
 
+    /// Closes the connection after its last answer.
+    ///
+    /// What the caller still sends is read and dropped until it has seen the end, as closing with
+    /// unread bytes resets the connection, and with it the answer on its way.
+    async fn close(mut self) -> io::Result<()> {
+        self.stream.shutdown().await?;
+        let dropped = async {
+            loop {
+                self.buffer.clear();
+                if self.stream.read_buf(&mut self.buffer).await? == 0 {
+                    return Ok(());
+                }
+            }
+        };
+        // A caller that goes on sending has had its time.
+        timeout(CLOSE_TIMEOUT, dropped).await.unwrap_or(Ok(()))
+    }
+
     fn now(&self) -> Moment {
         self.ingress.board.clock.now()
     }
