--- a/crates/fleet/src/snapshot.rs
+++ b/crates/fleet/src/snapshot.rs
@@ -21,7 +21,8 @@
 /// Time after the registry's return within which live backend servers are listed again. The platform
 /// promises two seconds.
 const HOLD: Span = Span::from_millis(2_000);
-/// Backend servers that are gone and remembered, so that a late entry doesn't bring them back.
+/// Backend servers that are gone and remembered, so that a late entry doesn't bring them back: several
+/// times the fleet of two years from now.
 const MOST_GONE: usize = 4_096;
 
 /// What a peer lacks, as nodes give it to each other.
--- a/crates/gate/src/probe.rs
+++ b/crates/gate/src/probe.rs
@@ -5,9 +5,11 @@
 
 use types::{Moment, Rate, Span};
 
-/// Time after the last request for which a backend server counts as having work.
+/// Time after the last request for which a backend server counts as having work: longer than the gaps
+/// between requests at the users' load.
 const WORKING: Span = Span::from_millis(500);
-/// Periods between two probes of a backend server that has none.
+/// Periods between two probes of a backend server that has none: four a second of the users' twenty, so
+/// that its word on coldness doesn't lapse in between.
 const IDLE_PERIODS: u64 = 5;
 
 /// Probes of one backend server, never more often than a rate allows.
--- a/crates/node/src/backend/pool.rs
+++ b/crates/node/src/backend/pool.rs
@@ -22,14 +22,15 @@
 
 use crate::socket;
 
-/// Longest time to make a connection to a backend server on the own host.
+/// Longest time to make a connection to a backend server on the own host, which takes about 1 ms.
 const CONNECT_TIMEOUT: Duration = Duration::from_millis(500);
-/// Time for which an idle connection is kept if the backend server doesn't say for how long it does.
+/// Time for which an idle connection is kept if the backend server doesn't say for how long it does:
+/// the shortest default among common servers is five seconds.
 const DEFAULT_KEEP: Span = Span::from_millis(4_000);
 /// Time by which an idle connection is given up before the backend server closes it, so that a request
 /// never crosses the close.
 const KEEP_MARGIN: Span = Span::from_millis(1_000);
-/// Idle connections with one backend server at most.
+/// Idle connections with one backend server at most: several times the slots that the users' have.
 const MOST_IDLE: usize = 32;
 
 /// Why a request got no answer.
--- a/crates/node/src/ingress/accept.rs
+++ b/crates/node/src/ingress/accept.rs
@@ -15,7 +15,7 @@
 const MOST_TIME: Span = Span::from_millis(3_600_000);
 /// Levels of nested calls at most.
 const MOST_DEPTH: u32 = 64;
-/// Backend servers that a call is sent to at most if no route says so.
+/// Backend servers that a call is sent to at most if no route says so: the first and two repeats.
 const DEFAULT_ATTEMPTS: u32 = 3;
 
 /// The head of a caller's request.
--- a/crates/node/src/ingress/frame.rs
+++ b/crates/node/src/ingress/frame.rs
@@ -11,9 +11,9 @@
 
 use super::accept::Head;
 
-/// Headers of one request at most.
+/// Headers of one request at most, as in common servers.
 const MOST_HEADERS: usize = 128;
-/// Longest line that gives a chunk's size, with its extensions.
+/// Longest line that gives a chunk's size, with its extensions, which hardly anybody sends.
 const MOST_CHUNK_LINE: usize = 256;
 
 /// A request's head and what follows it.
--- a/crates/node/src/ingress/http1.rs
+++ b/crates/node/src/ingress/http1.rs
@@ -35,15 +35,17 @@
     room::Held,
 };
 
-/// Requests of one connection that are carried at the same time.
+/// Requests of one connection that are carried at the same time: more than callers were seen to send.
 const MOST_ABREAST: usize = 32;
-/// Longest time that a caller may take to read an answer before its connection counts as dead.
+/// Longest time that a caller may take to read an answer before its connection counts as dead, beyond
+/// any deadline of the users' callers.
 const WRITE_TIMEOUT: Duration = Duration::from_millis(10_000);
 /// Time for which what a caller still sends is read after its last answer: some round trips to it.
 const CLOSE_TIMEOUT: Duration = Duration::from_millis(500);
-/// Bytes that are read ahead of what can be carried.
+/// Bytes that are read ahead of what can be carried: a few heads of the largest size that is usual.
 const MOST_AHEAD: usize = 64 << 10;
-/// Time that a body may take whose request was rejected already.
+/// Time that a body may take whose request was rejected already: its caller may be slow, but nothing
+/// depends on it any more.
 const REJECTED_TIME: Span = Span::from_millis(2_000);
 
 /// A request that is complete but for its body.
--- a/crates/node/src/spreader/registry.rs
+++ b/crates/node/src/spreader/registry.rs
@@ -16,9 +16,11 @@
 use super::{Heard, Source, Spreader, tell};
 use crate::meter::Meter;
 
-/// Time that a read waits for orders to change. A connection that went silent is noticed sooner.
+/// Time that a read waits for orders to change. Each renewal is a call that has a price; a connection
+/// that went silent is noticed sooner by its own tests.
 const WAIT: Span = Span::from_millis(15_000);
-/// Pause after a failed read of the orders, and its upper limit as it doubles.
+/// Pause after a failed read of the orders, and its upper limit as it doubles: an eighth of the two
+/// seconds in which the users want a change in force, and all of them.
 const LEAST_PAUSE: Duration = Duration::from_millis(250);
 const MOST_PAUSE: Duration = Duration::from_millis(2_000);
 
--- a/crates/platform/src/http.rs
+++ b/crates/platform/src/http.rs
@@ -10,15 +10,17 @@
 
 use crate::{HostList, Page, Platform, PlatformError};
 
-/// Longest time that one read may take, besides the time that it was asked to wait.
+/// Longest time that one read may take, besides the time that it was asked to wait: a slow platform
+/// still answers within some hundred milliseconds.
 const READ_TIMEOUT: Duration = Duration::from_millis(1_000);
 /// Longest time to make a connection. The platform answers within milliseconds.
 const CONNECT_TIMEOUT: Duration = Duration::from_millis(500);
-/// Silence after which an open connection is tested, and the time between two tests.
+/// Silence after which an open connection is tested, and the time between two tests: with the tests
+/// below, silence is noticed well within the two seconds in which a change must be in force.
 const TEST_PERIOD: Duration = Duration::from_millis(500);
 /// Tests without an answer after which a connection counts as broken.
 const MOST_TESTS: u32 = 2;
-/// Time after which unacknowledged bytes break a connection.
+/// Time after which unacknowledged bytes break a connection, for the same reason.
 const SENT_TIMEOUT: Duration = Duration::from_millis(1_500);
 
 /// The one HTTP client that a process reads its platform with.
