--- a/crates/cli/tests/explain.rs
+++ b/crates/cli/tests/explain.rs
@@ -1,10 +1,10 @@
 //! `explain`, on lines as two nodes log them.
 
-use std::{
-    fs, io,
-    path::{Path, PathBuf},
-    process::{Command, Output},
-};
+mod support;
+
+use std::io;
+
+use support::{stdout, tool, write};
 
 /// The node that took the request.
 const INGRESS: &str = "\
@@ -19,28 +19,11 @@
 node-2 ts=10.120 level=info event=run_ended call=abc attempt=1.2.3 server=i-1 outcome=busy age_us=10 note=\"a \\\"b\\\" c\" running=4 waiting=9 allowed=4 pace=400 view=7
 ";
 
-fn explain(arguments: &[&str]) -> io::Result<Output> {
-    Command::new(env!("CARGO_BIN_EXE_amaranthyoke"))
-        .arg("explain")
-        .args(arguments)
-        .output()
-}
-
-fn write(name: &str, text: &str) -> io::Result<PathBuf> {
-    let path = Path::new(env!("CARGO_TARGET_TMPDIR")).join(name);
-    fs::write(&path, text)?;
-    Ok(path)
-}
-
-fn stdout(output: &Output) -> String {
-    String::from_utf8_lossy(&output.stdout).into_owned()
-}
-
 #[test]
 fn lines_of_several_nodes_are_put_in_order_and_the_cause_is_named() -> io::Result<()> {
     let (ingress, gate) = (write("ingress.log", INGRESS)?, write("gate.log", GATE)?);
     let files = [&ingress, &gate].map(|path| path.to_string_lossy().into_owned());
-    let output = explain(&["abc", &files[0], &files[1]])?;
+    let output = tool(&["explain", "abc", &files[0], &files[1]])?;
     let text = stdout(&output);
     assert_eq!(output.status.code(), Some(0), "{text}");
     let order: Vec<usize> = ["attempt_sent", "run_ended", "attempt_heard", "call_ended"]
@@ -61,8 +44,11 @@
 fn what_can_not_be_explained_is_an_error() -> io::Result<()> {
     let ingress = write("ingress-alone.log", INGRESS)?;
     let file = ingress.to_string_lossy().into_owned();
-    for arguments in [["never-seen", &file], ["abc", "/nowhere/x.log"]] {
-        let output = explain(&arguments)?;
+    for arguments in [
+        ["explain", "never-seen", &file],
+        ["explain", "abc", "/nowhere/x.log"],
+    ] {
+        let output = tool(&arguments)?;
         assert_eq!(output.status.code(), Some(2), "{arguments:?}");
         assert!(String::from_utf8_lossy(&output.stderr).starts_with("error: "));
     }
--- a/crates/cli/tests/tool.rs
+++ b/crates/cli/tests/tool.rs
@@ -1,26 +1,10 @@
 //! The operators' tool, run as operators run it.
 
-use std::{
-    fs, io,
-    path::{Path, PathBuf},
-    process::{Command, Output},
-};
+mod support;
 
-fn tool(arguments: &[&str]) -> io::Result<Output> {
-    Command::new(env!("CARGO_BIN_EXE_amaranthyoke"))
-        .args(arguments)
-        .output()
-}
-
-fn write(name: &str, text: &str) -> io::Result<PathBuf> {
-    let path = Path::new(env!("CARGO_TARGET_TMPDIR")).join(name);
-    fs::write(&path, text)?;
-    Ok(path)
-}
+use std::io;
 
-fn stdout(output: &Output) -> String {
-    String::from_utf8_lossy(&output.stdout).into_owned()
-}
+use support::{stdout, tool, write};
 
 #[test]
 fn the_examples_are_in_order() -> io::Result<()> {
