call: usable latency estimates from the first sample

Cause: an ingress of the large deployment sees about three requests of a route in a second, and its estimates moved by at most a tenth per sample from 50 ms. Change: the first sample sets the estimate, and steps shrink with the number of samples.

--- a/crates/call/src/latency.rs
+++ b/crates/call/src/latency.rs
@@ -6,8 +6,13 @@
 const TAIL: f64 = 0.95;
 /// Quantile of the service times that is taken as the usual one.
 const MEDIAN: f64 = 0.5;
-/// Maximum relative change of an estimate by one sample.
+/// Maximum relative change of an estimate by one sample, once there are enough samples.
 const STEP: f64 = 0.1;
+/// Maximum relative change by the first sample after the initial one. It falls with the number of
+/// samples until it reaches [`STEP`].
+const FIRST_STEP: f64 = 0.5;
+/// Ratio of the tail of the answer times to the first sample, until there are more samples.
+const FIRST_TAIL_FACTOR: f64 = 2.0;
 /// Estimate before the first sample.
 const INITIAL_ESTIMATE: Span = Span::from_millis(50);
 /// Reply timeout as a multiple of the tail latency, and its bounds.
@@ -23,25 +28,38 @@
 ///
 /// The estimate moves up on a larger sample and down on a smaller one, with step sizes in the ratio
 /// of the quantile to its complement. The moves balance at the quantile (the stochastic
-/// approximation of Robbins and Monro).
+/// approximation of Robbins and Monro). The first sample sets the estimate, and the steps are larger
+/// at first: one of hundreds of ingresses sees few requests of a route in a second, and would
+/// otherwise work with the initial estimate for many seconds.
 #[derive(Debug, Clone, Copy)]
 struct Quantile {
     quantile: f64,
     estimate: f64,
+    samples: u32,
 }
 
 impl Quantile {
     fn new(quantile: f64) -> Self {
         let estimate = INITIAL_ESTIMATE.0 as f64;
-        Self { quantile, estimate }
+        Self {
+            quantile,
+            estimate,
+            samples: 0,
+        }
     }
 
-    fn record(&mut self, sample: Span) {
+    fn record(&mut self, sample: Span, first_factor: f64) {
+        self.samples = self.samples.saturating_add(1);
+        if self.samples == 1 {
+            self.estimate = (sample.0 as f64 * first_factor).max(1.0);
+            return;
+        }
+        let step = STEP.max(FIRST_STEP / f64::from(self.samples - 1));
         let direction = match sample.0 as f64 > self.estimate {
             true => self.quantile,
             false => self.quantile - 1.0,
         };
-        self.estimate = (self.estimate * (1.0 + STEP * direction)).max(1.0);
+        self.estimate = (self.estimate * (1.0 + step * direction)).max(1.0);
     }
 }
 
@@ -65,9 +83,9 @@
     /// Records an answer that took `latency`. `service_time` is the part spent at the backend
     /// server, zero if unknown.
     pub fn record(&mut self, latency: Span, service_time: Span) {
-        self.tail.record(latency);
+        self.tail.record(latency, FIRST_TAIL_FACTOR);
         if service_time > Span::default() {
-            self.service.record(service_time);
+            self.service.record(service_time, 1.0);
         }
     }
 
