gate: recognize nested requests by where they enter the fleet, and learn service times by route

Cause: the users' platform doesn't mark nested requests. Change: callers enter at all hosts, nested requests only at the hosts of the calling services. Gates compare the origins of a route's requests with the distribution of the hosts. RunRequest carries the name of the route; without it (older nodes) ranks stay as offered. Gates also learn the service time of each route from all ingresses.

--- a/crates/gate/src/lib.rs
+++ b/crates/gate/src/lib.rs
@@ -51,9 +51,11 @@
 mod event;
 mod probe;
 mod queue;
+mod route_profile;
 mod session;
 
 pub use concurrency::{ConcurrencyLimit, Feedback};
 pub use core::Gate;
 pub use event::{Action, Completion, Load, Offer, RetentionLimits};
 pub use queue::Rank;
+pub use route_profile::RouteProfiles;
--- a/crates/node/src/gate_actor/mod.rs
+++ b/crates/node/src/gate_actor/mod.rs
@@ -26,6 +26,7 @@
     message::{Context, Message},
 };
 use serde::Serialize;
+use smol_str::SmolStr;
 use tokio::sync::oneshot;
 use types::{AttemptId, Boot, Moment, Outcome, Revision, ServerId, SessionId, Span};
 
@@ -73,6 +74,8 @@
     pub(crate) offer: Offer,
     /// Backend server that the attempt is meant for.
     pub(crate) server: ServerId,
+    /// Name of the route, or of the service if there is no route. Empty if unknown.
+    pub(crate) route: SmolStr,
     pub(crate) idempotent: bool,
     pub(crate) request: ServerRequest,
     pub(crate) reply: oneshot::Sender<Reply>,
--- a/crates/node/src/gate_actor/state.rs
+++ b/crates/node/src/gate_actor/state.rs
@@ -1,15 +1,19 @@
 //! State of the gate actor, and how it executes the gate's actions.
 
-use std::{collections::HashMap, sync::Arc};
+use std::{
+    collections::{BTreeMap, HashMap},
+    sync::Arc,
+};
 
 use board::Board;
 use dialect::ResponseMetadata;
 use futures::future::BoxFuture;
-use gate::{Action, Completion, Gate, Offer, Rank, RetentionLimits};
+use gate::{Action, Completion, Gate, Offer, Rank, RetentionLimits, RouteProfiles};
 use kameo::actor::WeakActorRef;
 use note::{Limits, Server, Service, State};
+use smol_str::SmolStr;
 use tokio::sync::oneshot;
-use types::{AttemptId, Boot, CallId, Moment, Outcome, ServerId, Span};
+use types::{AttemptId, Boot, CallId, Moment, Outcome, Revision, ServerId, ServiceId, Span};
 
 use super::{
     GateDump, OpenedSession, ProbeFinished, QueryAttempt, Refresh, Reply, RunAttempt, RunFinished,
@@ -35,6 +39,7 @@
     /// When the attempt was sent to the backend server.
     started_at: Option<Moment>,
     rank: Rank,
+    route: SmolStr,
 }
 
 /// The actor that runs one gate.
@@ -43,6 +48,9 @@
     backend: Arc<dyn Backend>,
     metrics: Arc<Metrics>,
     gate: Gate,
+    routes: RouteProfiles,
+    /// Revision of the view that the hosts in `routes` were counted in.
+    hosts_revision: Revision,
     cold_factor: f64,
     server: Option<(Server, Service)>,
     attempts: HashMap<AttemptId, PendingAttempt>,
@@ -67,6 +75,8 @@
             backend,
             metrics,
             gate,
+            routes: RouteProfiles::default(),
+            hosts_revision: Revision::default(),
             cold_factor,
             server: None,
             attempts: HashMap::new(),
@@ -82,6 +92,10 @@
     /// Applies the current state of the board, and advances the gate to the current time.
     pub(super) fn refresh(&mut self) {
         let view = self.board.view();
+        if self.hosts_revision != view.revision {
+            self.hosts_revision = view.revision;
+            self.routes.set_hosts(&hosts_by_service(&view.state));
+        }
         let server = view.state.server_on(&self.board.identity.host).cloned();
         let current = server.and_then(|server| {
             let service = effective_service(&view.state, &server, self.cold_factor)?;
@@ -123,8 +137,12 @@
     pub(super) fn run(&mut self, msg: RunAttempt) {
         let id = msg.offer.id;
         let misdirected = self.server_id() != Some(&msg.server);
+        if let Some(origin) = &msg.request.caller_service {
+            self.routes.observe_origin(&msg.route, origin);
+        }
         let offer = Offer {
             misdirected,
+            rank: self.routes.refine(&msg.route, msg.offer.rank),
             ..msg.offer
         };
         let now = self.board.clock.now();
@@ -137,6 +155,7 @@
             cancel: None,
             started_at: None,
             rank: offer.rank,
+            route: msg.route,
         });
         attempt.waiters.push(msg.reply);
         let actions = self.gate.offer(offer, now);
@@ -160,6 +179,7 @@
                 cancel: None,
                 started_at: None,
                 rank: Rank::default(),
+                route: SmolStr::default(),
             });
         attempt.waiters.push(msg.reply);
         let actions = self.gate.query(msg.id, msg.cancel, now);
@@ -290,6 +310,14 @@
             return;
         };
         self.metrics.record_attempt(outcome_name(&outcome));
+        match (&outcome, attempt.started_at) {
+            (Outcome::Answer(answer), Some(started_at)) if !answer.is_failure() => {
+                let service_time = self.board.clock.now().since(started_at);
+                self.routes
+                    .record_service_time(&attempt.route, service_time);
+            }
+            _ => {}
+        }
         let reply = self.build_reply(outcome, attempt.started_at);
         for waiter in attempt.waiters {
             let _ = waiter.send(reply.clone());
@@ -380,6 +408,15 @@
     Some(service)
 }
 
+/// Counts the hosts by the service of their backend server.
+fn hosts_by_service(state: &State) -> BTreeMap<ServiceId, usize> {
+    let mut hosts = BTreeMap::new();
+    for entry in state.servers.values() {
+        *hosts.entry(entry.item.service.clone()).or_default() += 1;
+    }
+    hosts
+}
+
 /// Waits until a request ends or is cancelled, and reports to the actor how it ended.
 async fn await_run(
     actor: Option<WeakActorRef<GateActor>>,
--- a/crates/node/src/ingress/driver.rs
+++ b/crates/node/src/ingress/driver.rs
@@ -17,6 +17,7 @@
 };
 use gate::Rank;
 use route::ServerState;
+use smol_str::SmolStr;
 use tokio::time::{Sleep, sleep_until};
 use types::{Moment, Outcome, Refusal, ServerId, Span};
 
@@ -349,6 +350,7 @@
                 priority: self.routed.priority,
                 nested: self.routed.nested,
             },
+            route: self.routed.latency_key.clone(),
             request,
             registered: Arc::clone(&registered),
         };
@@ -457,6 +459,7 @@
     deadline: Moment,
     /// Queueing rank, with the objective on this node's clock.
     rank: Rank,
+    route: SmolStr,
     request: crate::backend::ServerRequest,
     registered: Arc<OnceLock<SessionAttempt>>,
 }
@@ -484,6 +487,7 @@
                 objective: registered.deadline - self.deadline.since(self.rank.objective),
                 ..self.rank
             },
+            route: self.route,
             request: self.request,
             revision: board.view.borrow().revision,
             node: board.identity.node,
--- a/crates/node/src/peers/convert.rs
+++ b/crates/node/src/peers/convert.rs
@@ -51,6 +51,7 @@
         idempotent,
         fail_fast,
         rank,
+        route,
         request,
         revision,
         node,
@@ -78,6 +79,7 @@
         priority: rank.priority,
         expected: rank.service_time.0,
         nested: rank.nested,
+        route: route.to_string(),
     }
 }
 
@@ -106,6 +108,7 @@
             priority: request.priority,
             nested: request.nested,
         },
+        route: request.route.into(),
         request: ServerRequest {
             call: request.call.parse().map_err(ConvertError::InvalidId)?,
             method: request.method.into(),
--- a/crates/node/src/peers/local.rs
+++ b/crates/node/src/peers/local.rs
@@ -35,6 +35,7 @@
                 rank: attempt.rank,
             },
             server: attempt.server,
+            route: attempt.route,
             idempotent: attempt.idempotent,
             request: attempt.request,
             reply,
--- a/crates/node/src/peers/mod.rs
+++ b/crates/node/src/peers/mod.rs
@@ -22,6 +22,7 @@
 use futures::future::BoxFuture;
 use gate::Rank;
 use kameo::actor::ActorRef;
+use smol_str::SmolStr;
 use types::{AttemptId, Boot, Moment, Outcome, Refusal, Revision, ServerId};
 
 use crate::{
@@ -65,6 +66,8 @@
     pub(crate) fail_fast: bool,
     /// Queueing rank, with the objective on the gate's clock.
     pub(crate) rank: Rank,
+    /// Name of the route, or of the service if there is no route. Empty if unknown.
+    pub(crate) route: SmolStr,
     pub(crate) request: ServerRequest,
     pub(crate) revision: Revision,
     /// Address of the node that sends the attempt.
