gate: refuse at once what will be late, rather than when it has become late

Cause: under overload a request was admitted to the queue while it could be answered in time if it started now, waited, and was refused once it had become late. Change: whether a request is late is judged at its expected start.

--- a/crates/gate/src/core/admission.rs
+++ b/crates/gate/src/core/admission.rs
@@ -13,6 +13,8 @@
 /// Time for which a gate counts as overloaded after a request that can still be answered within its
 /// objective has found no slot: half of the users' shortest objective of 150 ms.
 const OVERLOAD_PERIOD: Span = Span::from_millis(75);
+/// Time after which a slow period of the backend server has likely ended.
+const SLOW_PERIOD: Span = Span::from_millis(150);
 /// Late requests that may wait at an overloaded gate, as a share of the slots.
 const LATE_SHARE: f64 = 0.25;
 
@@ -63,13 +65,12 @@
         let (ahead, work) = self.queue.ahead(&queued, now, slowdown);
         let wait = self.expected_wait(ahead, work, now);
         let too_late = now + wait + queued.rank.service_time > offer.deadline;
-        let late = queued.is_late(now, slowdown);
-        let late_full = late
-            && now < self.overloaded_until
-            && self.queue.late_count(now, slowdown) >= self.max_late(now);
-        if !late {
+        if !queued.is_late(now, slowdown) {
             self.overloaded_until = now + OVERLOAD_PERIOD;
         }
+        let late_full = self.will_be_late(&queued, wait, now)
+            && now < self.overloaded_until
+            && self.expected_late(now).len() >= self.max_late(now);
         if offer.fail_fast || full || too_late || late_full {
             return self.refuse(offer.id, Refusal::Busy, self.queue_wait(now));
         }
@@ -83,18 +84,38 @@
         (self.concurrency.current(now) as f64 * LATE_SHARE).ceil() as usize
     }
 
+    /// Whether a request that starts after `wait` misses its objective.
+    fn will_be_late(&self, queued: &Queued, wait: Span, now: Moment) -> bool {
+        let slowdown = match wait < SLOW_PERIOD {
+            true => self.slowdown_factor(now),
+            false => 1.0,
+        };
+        queued.is_late(now + wait, slowdown)
+    }
+
+    /// The queued requests that will miss their objective, in the order in which they would start.
+    fn expected_late(&self, now: Moment) -> Vec<AttemptId> {
+        let (mut ahead, mut work) = (0, Span::default());
+        let mut late = Vec::new();
+        for queued in self.queue.sorted(now, self.slowdown_factor(now)) {
+            let wait = self.expected_wait(ahead, work, now);
+            if self.will_be_late(&queued, wait, now) {
+                late.push(queued.id);
+            }
+            (ahead, work) = (ahead + 1, work + queued.rank.service_time);
+        }
+        late
+    }
+
     /// Refuses the late requests that an overloaded gate is unlikely to start, so that their
     /// callers can go elsewhere or retry.
     fn refuse_excess_late(&mut self, now: Moment) -> Vec<Action> {
         if now >= self.overloaded_until || self.queue.len() <= self.max_late(now) {
             return Vec::new();
         }
-        let slowdown = self.slowdown_factor(now);
-        let sorted = self.queue.sorted(now, slowdown);
-        let late = sorted.iter().filter(|q| q.is_late(now, slowdown));
-        let excess: Vec<AttemptId> = late.skip(self.max_late(now)).map(|q| q.id).collect();
+        let late = self.expected_late(now);
         let mut actions = Vec::new();
-        for id in excess {
+        for id in late.into_iter().skip(self.max_late(now)) {
             self.queue.remove(id);
             let retry_after = self.queue_wait(now);
             actions.extend(self.refuse(id, Refusal::Busy, retry_after));
