fleet: order the registry's contents by era and revision

Cause: after a drill the store comes back from an older copy, and revisions go back. Change: a stamp of era and revision orders listing and zones; the version alone orders the rest of the configuration. What the copy lacks is kept until it is written again or for three seconds; a removed server returns only with a heartbeat after its first entry of the new era; zones out of service are held, and a node that starts meanwhile takes them from a peer. A missing era is the lowest, and digests are those of older nodes as long as nothing is held. Ruled out: forgetting all at a new era (drops live servers, uses left ones); holding all until it is written again (a server that left stays for good).

--- a/crates/fleet/src/lib.rs
+++ b/crates/fleet/src/lib.rs
@@ -29,4 +29,4 @@
 pub use history::{History, HistoryError, ViewUpdate};
 pub use lease::Lease;
 pub use readiness::Readiness;
-pub use snapshot::{Digests, Parts, Snapshot};
+pub use snapshot::{Digests, EraChange, HeldZones, Parts, Snapshot};
--- a/crates/fleet/src/snapshot.rs
+++ b/crates/fleet/src/snapshot.rs
@@ -1,8 +1,8 @@
 //! A view made from a registry, which stores only current values.
 //!
 //! A snapshot has two parts, the listing of backend servers and the operators' configuration. Nodes
-//! read them at different times and exchange them, so each part has the revision of the registry
-//! and replaces only an older one.
+//! read them at different times and exchange them, so each part has the stamp of the registry, its
+//! era and revision, and replaces only an older one.
 //!
 //! # Corrections to the listing
 //!
@@ -12,17 +12,39 @@
 //! - *Entries that disappear during an outage.* Entries expire while their owners can't reach the
 //!   registry. A node whose own read failed recently retains the entries, but only in its own view:
 //!   peers get the listing as it was read.
+//!
+//! # Changes of era
+//!
+//! The registry may come back from an older copy of its contents. It then lacks what it had
+//! acknowledged since, until operators and backend servers write it again, and it names a higher
+//! era. The copy says less than the nodes know, so what they know is kept until it is written again
+//! or the time for that has passed:
+//!
+//! - Entries that the copy lacks are retained as after an outage.
+//! - A removed backend server that the copy still lists returns only with a further heartbeat.
+//! - An older configuration doesn't replace a newer one. Versions order it, not stamps.
+//! - Zones that were out of service remain so, in addition to those that the copy names. A node that
+//!   starts meanwhile adopts them from its peers.
+//!
+//! An answer of an older era changes nothing but a configuration with a newer version, whichever
+//! way it comes.
 
-use std::{collections::BTreeMap, sync::Arc};
+use std::{
+    collections::{BTreeMap, BTreeSet},
+    sync::Arc,
+};
 
 use note::{Digest, ListedServer, Listing, OperatorConfig, ServerStatus, State, View};
 use serde::{Deserialize, Serialize};
-use types::{Boot, Moment, Revision, ServerId, Span};
+use types::{Boot, Era, Moment, Revision, ServerId, Span, Stamp, ZoneId};
 
 /// Time after a failed read during which entries that disappear are retained: up to one second
 /// until the registry recovers and is read again, and two seconds within which the platform
 /// guarantees that live backend servers are listed again.
 const RETENTION: Span = Span::from_millis(3_000);
+/// Time after a change of era during which zones that were out of service remain so, within which
+/// operators write again what the registry lost.
+const HOLD: Span = Span::from_millis(3_000);
 /// Maximum number of tombstones, which keep delayed entries from restoring removed backend servers:
 /// several times the fleet size that is expected in two years.
 const MAX_TOMBSTONES: usize = 4_096;
@@ -37,6 +59,20 @@
     /// The operators' configuration, unless the peer has the same one. It may be large.
     #[serde(rename = "orders")]
     pub config: Option<OperatorConfig>,
+    /// Availability zones that the sender keeps out of service after a change of era.
+    #[serde(default)]
+    pub held: Option<HeldZones>,
+}
+
+/// Availability zones that were out of service before a change of era.
+#[derive(Debug, Clone, Default, PartialEq, Serialize, Deserialize)]
+pub struct HeldZones {
+    /// The new era.
+    pub era: Era,
+    /// The zones.
+    pub zones: Vec<ZoneId>,
+    /// Time for which they are still kept out of service.
+    pub left: Span,
 }
 
 /// Digests of both parts, without the values that change with each heartbeat.
@@ -44,10 +80,33 @@
 pub struct Digests {
     /// Digest of the backend servers.
     pub listing: Digest,
-    /// Digest of the operators' configuration.
+    /// Digest of the operators' configuration, with the zones kept out of service.
     pub config: Digest,
 }
 
+/// A change of era: the registry came back from an older copy of its contents.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub struct EraChange {
+    /// Stamp of the last listing of the old era.
+    pub before: Stamp,
+    /// Stamp of the first listing of the new era.
+    pub after: Stamp,
+    /// Number of backend servers that the copy lacks and that are retained.
+    pub retained: usize,
+    /// Number of backend servers in the copy that weren't known.
+    pub added: usize,
+}
+
+/// What is known of a removed backend server.
+#[derive(Debug, Clone, Copy)]
+struct Tombstone {
+    boot: Boot,
+    /// Highest sequence number that doesn't show that it is alive.
+    seq: u64,
+    /// Era in which that is known.
+    era: Era,
+}
+
 /// The view in force and the parts from which it was made.
 #[derive(Debug, Clone, Default)]
 pub struct Snapshot {
@@ -56,11 +115,17 @@
     /// Entries that disappeared from the listing and are retained temporarily.
     retained: Vec<ListedServer>,
     config: OperatorConfig,
+    /// Zones that were out of service before the last change of era.
+    held_zones: Vec<ZoneId>,
+    /// Time until which they are kept out of service.
+    hold_until: Moment,
+    /// Latest era whose held zones are known.
+    held_era: Era,
     digests: Digests,
-    /// Incarnation and last sequence number of removed backend servers.
-    tombstones: BTreeMap<ServerId, (Boot, u64)>,
+    tombstones: BTreeMap<ServerId, Tombstone>,
     /// Time until which entries that disappear are retained.
     retain_until: Moment,
+    era_change: Option<EraChange>,
 }
 
 impl Snapshot {
@@ -74,19 +139,35 @@
         self.digests
     }
 
-    /// Returns the parts that a peer with the digests `theirs` lacks.
-    pub fn parts(&self, theirs: Digests) -> Parts {
+    /// Stamp of the listing.
+    pub fn stamp(&self) -> Stamp {
+        self.listing.stamp
+    }
+
+    /// Returns the last change of era, once.
+    pub fn take_era_change(&mut self) -> Option<EraChange> {
+        self.era_change.take()
+    }
+
+    /// Returns the parts that a peer with the digests `theirs` lacks at `now`.
+    pub fn parts(&self, theirs: Digests, now: Moment) -> Parts {
         let own = self.digests;
+        let held = HeldZones {
+            era: self.held_era,
+            zones: self.held_zones.clone(),
+            left: self.hold_until.since(now),
+        };
         Parts {
             revision: self.view.revision,
             listing: (own.listing != theirs.listing).then(|| self.listing.clone()),
             config: (own.config != theirs.config).then(|| self.config.clone()),
+            held: (!held.zones.is_empty()).then_some(held),
         }
     }
 
     /// Whether both parts have been received.
     pub fn is_complete(&self) -> bool {
-        self.config.version > 0 && self.listing.revision > Revision(0)
+        self.config.version > 0 && self.listing.stamp.revision > Revision(0)
     }
 
     /// Handles a read of the registry that failed at `now`.
@@ -96,9 +177,15 @@
 
     /// Replaces the listing if the new one is newer, and returns whether the view changed.
     pub fn update_listing(&mut self, mut listing: Listing, now: Moment) -> bool {
-        if listing.revision <= self.listing.revision {
+        if listing.stamp <= self.listing.stamp || !listing.stamp.is_valid() {
             return false;
         }
+        let before = self.listing.stamp;
+        let new_era = before.revision > Revision(0) && listing.stamp.era > before.era;
+        if new_era {
+            self.retain_until = self.retain_until.max(now + RETENTION);
+        }
+        self.raise_tombstones(&listing);
         let previous = std::mem::take(&mut self.listing.servers);
         let retained = std::mem::take(&mut self.retained);
         let known: BTreeMap<&ServerId, &ListedServer> = previous
@@ -132,6 +219,15 @@
                 .iter()
                 .zip(&listing.servers)
                 .all(|(a, b)| a.server == b.server);
+        if new_era {
+            let added = listing.servers.iter();
+            self.era_change = Some(EraChange {
+                before,
+                after: listing.stamp,
+                retained: missing.len(),
+                added: added.filter(|l| !known.contains_key(&l.server.id)).count(),
+            });
+        }
         self.listing = listing;
         let expired = match now < self.retain_until {
             true => {
@@ -148,66 +244,150 @@
             self.digests.listing = Digest::of(&servers);
         }
         if !unchanged || expired {
-            self.rebuild(self.listing.revision);
+            self.rebuild(self.listing.stamp.revision);
         }
         !unchanged || expired
     }
 
-    /// Removes entries whose retention has ended, and returns whether the view changed.
+    /// Removes entries whose retention has ended, and zones that are no longer held. Returns
+    /// whether the view changed.
     pub fn expire(&mut self, now: Moment) -> bool {
-        if self.retained.is_empty() || now < self.retain_until {
-            return false;
+        let servers = !self.retained.is_empty() && now >= self.retain_until;
+        let zones = !self.held_zones.is_empty() && now >= self.hold_until;
+        if servers {
+            let retained = std::mem::take(&mut self.retained);
+            self.add_tombstones(&retained);
         }
-        let retained = std::mem::take(&mut self.retained);
-        self.add_tombstones(&retained);
-        self.rebuild(self.listing.revision);
-        true
+        if zones {
+            self.held_zones.clear();
+            self.update_config_digest();
+        }
+        if servers || zones {
+            self.rebuild(self.listing.stamp.revision);
+        }
+        servers || zones
     }
 
-    /// Time at which [`expire`](Self::expire) must be called, if any entries are retained.
+    /// Time at which [`expire`](Self::expire) must be called, if anything is kept temporarily.
     pub fn next_expiry(&self) -> Option<Moment> {
-        (!self.retained.is_empty()).then_some(self.retain_until)
+        let servers = (!self.retained.is_empty()).then_some(self.retain_until);
+        let zones = (!self.held_zones.is_empty()).then_some(self.hold_until);
+        servers.into_iter().chain(zones).min()
     }
 
-    /// Replaces the operators' configuration if the new one is newer, and returns whether the view
-    /// changed.
-    pub fn update_config(&mut self, config: OperatorConfig) -> bool {
-        let own = &mut self.config;
-        if config.revision <= own.revision || config.version < own.version {
+    /// Replaces what is older than in the new configuration, and returns whether the view changed.
+    ///
+    /// Services, routes and limits are ordered by the version alone, which the operators assign,
+    /// and the zones out of service by the stamp.
+    pub fn update_config(&mut self, config: OperatorConfig, now: Moment) -> bool {
+        let own = &self.config;
+        let newer_stamp = config.stamp > own.stamp;
+        let newer_version = config.version > own.version;
+        let valid = config.stamp.is_valid() && Revision(config.version).is_valid();
+        if !valid || (!newer_stamp && !newer_version) {
             return false;
         }
-        own.revision = config.revision;
-        let unchanged = *own == config;
-        self.config = config;
-        if !unchanged {
-            self.digests.config = Digest::of(&OperatorConfig {
-                revision: Revision(0),
-                ..self.config.clone()
-            });
-            self.rebuild(self.config.revision);
+        if own.version > 0 && config.stamp.era > own.stamp.era {
+            self.hold_zones(config.stamp.era, now);
         }
-        !unchanged
+        let own = &self.config;
+        let mut merged = match newer_version || config.version == own.version {
+            true => config.clone(),
+            false => own.clone(),
+        };
+        (merged.stamp, merged.zones_out) = match newer_stamp {
+            true => (config.stamp, config.zones_out),
+            false => (own.stamp, own.zones_out.clone()),
+        };
+        self.config = merged;
+        self.apply_config()
     }
 
     /// Applies the newer parts of a peer, and returns whether the view changed.
     pub fn merge(&mut self, parts: Parts, now: Moment) -> bool {
-        let config = parts.config.is_some_and(|c| self.update_config(c));
+        let config = parts.config.is_some_and(|c| self.update_config(c, now));
         let listing = parts.listing.is_some_and(|l| self.update_listing(l, now));
-        config || listing
+        let held = parts.held.is_some_and(|h| self.adopt_held(h, now));
+        config || listing || held
     }
 
     /// Adopts a peer's revision of the same view if it is newer, and returns whether it was.
     pub fn raise_revision(&mut self, revision: Revision) -> bool {
-        let newer = revision > self.view.revision;
+        let newer = revision > self.view.revision && revision.is_valid();
         if newer {
             Arc::make_mut(&mut self.view).revision = revision;
         }
         newer
     }
 
+    /// Keeps the zones that are out of service at a change of era.
+    fn hold_zones(&mut self, era: Era, now: Moment) {
+        self.held_zones = self.zones_out();
+        self.held_era = era;
+        self.hold_until = now + HOLD;
+    }
+
+    /// Adopts the zones that a peer holds since a change of era which this node hasn't seen, because
+    /// it started later.
+    fn adopt_held(&mut self, held: HeldZones, now: Moment) -> bool {
+        if held.era <= self.held_era || held.era < self.config.stamp.era {
+            return false;
+        }
+        self.held_zones = held.zones;
+        self.held_era = held.era;
+        self.hold_until = now + held.left.min(HOLD);
+        self.apply_config()
+    }
+
+    /// Zones out of service: those in the registry, and those held after a change of era.
+    fn zones_out(&self) -> Vec<ZoneId> {
+        let all = self.config.zones_out.iter().chain(&self.held_zones);
+        let distinct: BTreeSet<&ZoneId> = all.collect();
+        distinct.into_iter().cloned().collect()
+    }
+
+    /// Rebuilds the view if the effective configuration changed, and returns whether it did.
+    fn apply_config(&mut self) -> bool {
+        let before = self.digests.config;
+        self.update_config_digest();
+        let changed = self.digests.config != before;
+        if changed {
+            self.rebuild(self.config.stamp.revision);
+        }
+        changed
+    }
+
+    fn update_config_digest(&mut self) {
+        self.digests.config = Digest::of(&OperatorConfig {
+            stamp: Stamp::default(),
+            zones_out: self.zones_out(),
+            ..self.config.clone()
+        });
+    }
+
+    /// Raises the tombstones of removed backend servers to the entries that are first seen in a new
+    /// era. They may come from the older copy, so they don't show that a backend server is alive.
+    /// The next heartbeat does.
+    fn raise_tombstones(&mut self, listing: &Listing) {
+        for listed in &listing.servers {
+            let tombstone = self.tombstones.get_mut(&listed.server.id);
+            if let Some(tombstone) = tombstone
+                && tombstone.boot == listed.server.boot
+                && tombstone.era < listing.stamp.era
+            {
+                tombstone.seq = listed.seq.max(tombstone.seq);
+                tombstone.era = listing.stamp.era;
+            }
+        }
+    }
+
     fn add_tombstones(&mut self, missing: &[ListedServer]) {
         for old in missing {
-            let tombstone = (old.server.boot, old.seq);
+            let tombstone = Tombstone {
+                boot: old.server.boot,
+                seq: old.seq,
+                era: self.listing.stamp.era,
+            };
             self.tombstones.insert(old.server.id.clone(), tombstone);
         }
         while self.tombstones.len() > MAX_TOMBSTONES {
@@ -223,20 +403,24 @@
             servers: [&self.listing.servers[..], &self.retained[..]].concat(),
             ..Listing::default()
         };
+        let config = OperatorConfig {
+            zones_out: self.zones_out(),
+            ..self.config.clone()
+        };
         self.view = Arc::new(View {
             revision,
             digest: Digest::of(&digests),
-            state: State::assemble(&listing, &self.config, revision),
+            state: State::assemble(&listing, &config, revision),
             ..View::default()
         });
     }
 }
 
 /// Whether an entry was written before its backend server was removed.
-fn is_removed(tombstones: &BTreeMap<ServerId, (Boot, u64)>, new: &ListedServer) -> bool {
+fn is_removed(tombstones: &BTreeMap<ServerId, Tombstone>, new: &ListedServer) -> bool {
     let tombstone = tombstones.get(&new.server.id);
-    tombstone.is_some_and(|(boot, seq)| {
-        new.server.boot < *boot || (new.server.boot == *boot && new.seq <= *seq)
+    tombstone.is_some_and(|t| {
+        new.server.boot < t.boot || (new.server.boot == t.boot && new.seq <= t.seq)
     })
 }
 
--- a/crates/fleet/tests/snapshot.rs
+++ b/crates/fleet/tests/snapshot.rs
@@ -4,7 +4,7 @@
 
 use fleet::Snapshot;
 use note::{ListedServer, Listing, OperatorConfig, Server, ServerStatus};
-use types::{Boot, Moment, Revision, Slots, Span};
+use types::{Boot, Moment, Revision, Slots, Span, Stamp};
 
 fn server(name: &str) -> Server {
     let port = 80 + u16::from(name.as_bytes()[0]);
@@ -31,7 +31,7 @@
 
 fn listing(revision: u64, servers: Vec<ListedServer>) -> Listing {
     Listing {
-        revision: Revision(revision),
+        stamp: Stamp::without_era(Revision(revision)),
         servers,
         ..Listing::default()
     }
@@ -39,7 +39,7 @@
 
 fn config(revision: u64, version: u64) -> OperatorConfig {
     OperatorConfig {
-        revision: Revision(revision),
+        stamp: Stamp::without_era(Revision(revision)),
         version,
         ..OperatorConfig::default()
     }
@@ -57,7 +57,7 @@
     let mut snapshot = Snapshot::default();
     assert!(snapshot.update_listing(listing(100, vec![listed("a", 1)]), NOW));
     let first = snapshot.view().revision;
-    assert!(snapshot.update_config(config(100, 7)));
+    assert!(snapshot.update_config(config(100, 7), NOW));
     assert!(snapshot.view().revision > first);
     assert!(snapshot.is_complete());
 }
@@ -73,9 +73,9 @@
 fn older_parts_are_ignored() {
     let mut snapshot = Snapshot::default();
     snapshot.update_listing(listing(100, vec![listed("a", 1)]), NOW);
-    snapshot.update_config(config(100, 7));
+    snapshot.update_config(config(100, 7), NOW);
     assert!(!snapshot.update_listing(listing(99, vec![]), NOW));
-    assert!(!snapshot.update_config(config(101, 6)));
+    assert!(!snapshot.update_config(config(101, 6), NOW));
     assert_eq!(names(&snapshot), ["a"]);
 }
 
@@ -144,7 +144,7 @@
     let mut right = left.clone();
     left.on_read_failure(NOW);
     left.update_listing(listing(101, vec![listed("b", 6)]), NOW);
-    assert!(right.merge(left.parts(right.digests()), NOW));
+    assert!(right.merge(left.parts(right.digests(), NOW), NOW));
     assert_eq!(names(&right), ["b"]);
     assert_eq!(left.digests(), right.digests());
 }
@@ -163,10 +163,10 @@
 fn a_peer_gets_only_the_part_that_it_lacks() {
     let mut sender = Snapshot::default();
     sender.update_listing(listing(100, vec![listed("a", 1)]), NOW);
-    sender.update_config(config(100, 7));
+    sender.update_config(config(100, 7), NOW);
     let mut receiver = sender.clone();
     sender.update_listing(listing(105, vec![listed("b", 1)]), NOW);
-    let parts = sender.parts(receiver.digests());
+    let parts = sender.parts(receiver.digests(), NOW);
     assert!(parts.config.is_none());
     assert!(receiver.merge(parts, NOW));
     assert_eq!(names(&receiver), ["b"]);
@@ -177,11 +177,14 @@
 fn nodes_that_read_different_parts_converge() {
     let mut left = Snapshot::default();
     left.update_listing(listing(100, vec![listed("a", 1)]), NOW);
-    left.update_config(config(90, 7));
+    left.update_config(config(90, 7), NOW);
     let mut right = left.clone();
     left.update_listing(listing(110, vec![listed("b", 1)]), NOW);
-    right.update_config(config(105, 8));
-    let (to_right, to_left) = (left.parts(right.digests()), right.parts(left.digests()));
+    right.update_config(config(105, 8), NOW);
+    let (to_right, to_left) = (
+        left.parts(right.digests(), NOW),
+        right.parts(left.digests(), NOW),
+    );
     assert!(left.merge(to_left, NOW));
     assert!(right.merge(to_right, NOW));
     assert_eq!(left.view().digest, right.view().digest);
--- a/crates/node/src/view_sync/exchange.rs
+++ b/crates/node/src/view_sync/exchange.rs
@@ -199,6 +199,7 @@
             (Source::Registry { snapshot, .. }, ViewUpdate::Parts(parts)) => {
                 let revision = parts.revision;
                 snapshot.merge(*parts, now);
+                self.log_era_change();
                 self.renew_lease(sent_at);
                 self.publish();
                 self.raise_revision(revision);
--- a/crates/node/src/view_sync/mod.rs
+++ b/crates/node/src/view_sync/mod.rs
@@ -30,7 +30,7 @@
 use rand::{SeedableRng, rngs::SmallRng};
 use serde::Serialize;
 use tonic::transport::Channel;
-use types::{Moment, Revision, Span};
+use types::{Moment, Revision, Span, Stamp};
 
 use crate::{metrics::Metrics, timer::WakeTimer};
 
@@ -88,6 +88,8 @@
     failed_reads: u64,
     stale_reads: u64,
     forks: u64,
+    /// Era and revision of the listing, if the platform stores only current values.
+    stamp: Option<Stamp>,
 }
 
 /// The timer fired.
@@ -195,7 +197,9 @@
         match &self.source {
             Source::Notes { history, .. } => history.since(msg.after),
             Source::Registry { snapshot, .. } => {
-                Some(ViewUpdate::Parts(Box::new(snapshot.parts(msg.digests))))
+                let now = self.board.clock.now();
+                let parts = snapshot.parts(msg.digests, now);
+                Some(ViewUpdate::Parts(Box::new(parts)))
             }
         }
     }
@@ -213,6 +217,7 @@
             failed_reads: self.failed_reads,
             stale_reads: self.stale_reads,
             forks: self.forks,
+            stamp: self.source.stamp(),
         }
     }
 }
--- a/crates/node/src/view_sync/registry.rs
+++ b/crates/node/src/view_sync/registry.rs
@@ -58,7 +58,7 @@
         if listing.unusable.len() != progress.unusable {
             progress.unusable = listing.unusable.len();
             log::warn!(
-                keys:? = listing.unusable, revision:% = listing.revision;
+                keys:? = listing.unusable, revision:% = listing.stamp.revision;
                 "entries_unusable"
             );
         }
@@ -67,7 +67,7 @@
             Ok(config) => {
                 let (version, out) = (config.version, config.zones_out.clone());
                 progress.complete = true;
-                if snapshot.update_config(config) {
+                if snapshot.update_config(config, now) {
                     log::info!(version, zones_out:? = out; "orders_read");
                 }
             }
@@ -76,6 +76,23 @@
                 log::error!(error:% = error, cause; "registry_unusable");
             }
         }
+        self.log_era_change();
+    }
+
+    /// Logs and counts a change of the registry's era, if one was just learned from a read or a
+    /// peer.
+    pub(super) fn log_era_change(&mut self) {
+        let Source::Registry { snapshot, .. } = &mut self.source else {
+            return;
+        };
+        if let Some(change) = snapshot.take_era_change() {
+            self.metrics.record_control_message("era_change");
+            log::warn!(
+                before:% = change.before, after:% = change.after, kept = change.retained,
+                added = change.added;
+                "era_risen"
+            );
+        }
     }
 
     /// Records a successful read.
--- a/crates/node/src/view_sync/source.rs
+++ b/crates/node/src/view_sync/source.rs
@@ -4,7 +4,7 @@
 
 use fleet::{Digests, History, Snapshot};
 use platform::{Platform, Registry};
-use types::{Moment, Rate, Span};
+use types::{Moment, Rate, Span, Stamp};
 
 use super::registry::ReadProgress;
 
@@ -61,6 +61,14 @@
         }
     }
 
+    /// Returns the stamp of the listing, `None` for a history of release notes.
+    pub(super) fn stamp(&self) -> Option<Stamp> {
+        match self {
+            Self::Notes { .. } => None,
+            Self::Registry { snapshot, .. } => Some(snapshot.stamp()),
+        }
+    }
+
     pub(super) fn view(&self) -> &Arc<note::View> {
         match self {
             Self::Notes { history, .. } => history.view(),
--- a/crates/note/src/registry.rs
+++ b/crates/note/src/registry.rs
@@ -4,7 +4,7 @@
 
 use serde::{Deserialize, Serialize};
 use smol_str::SmolStr;
-use types::{Boot, Rate, Revision, Size, Slots, ZoneId};
+use types::{Boot, Rate, Revision, Size, Slots, Stamp, ZoneId};
 
 use crate::state::{
     CallerLimits, Entry, HostRoute, Limits, Server, Service, State, Zone, ZoneStatus,
@@ -21,22 +21,24 @@
     pub seq: u64,
 }
 
-/// All backend servers in the registry at a revision.
+/// All backend servers in the registry at a stamp.
 #[derive(Debug, Clone, Default, PartialEq, Serialize, Deserialize)]
 pub struct Listing {
-    /// Registry revision.
-    pub revision: Revision,
+    /// Registry era and revision at which the listing was read.
+    #[serde(flatten)]
+    pub stamp: Stamp,
     /// The backend servers.
     pub servers: Vec<ListedServer>,
     /// Keys of entries that don't describe a usable backend server.
     pub unusable: Vec<SmolStr>,
 }
 
-/// The operators' configuration in the registry at a revision.
+/// The operators' configuration in the registry at a stamp.
 #[derive(Debug, Clone, Default, PartialEq, Serialize, Deserialize)]
 pub struct OperatorConfig {
-    /// Registry revision at which the configuration was read.
-    pub revision: Revision,
+    /// Registry era and revision at which the configuration was read.
+    #[serde(flatten)]
+    pub stamp: Stamp,
     /// Version of the configuration. It increases with each change, not always by one.
     pub version: u64,
     /// Services.
--- a/crates/platform/src/http.rs
+++ b/crates/platform/src/http.rs
@@ -3,7 +3,7 @@
 use std::time::Duration;
 
 use futures::{FutureExt, future::BoxFuture};
-use reqwest::Client;
+use reqwest::{Client, header::HeaderMap};
 use serde::de::DeserializeOwned;
 use smol_str::SmolStr;
 use types::Revision;
@@ -62,16 +62,32 @@
     /// [`PlatformError`] if the request fails, the status isn't 200, or the body can't be read or
     /// decoded.
     pub async fn read<T: DeserializeOwned>(&self, path: &str) -> Result<T, PlatformError> {
+        let (value, _) = self.read_with_headers(path).await?;
+        Ok(value)
+    }
+
+    /// Sends a GET request like [`read`](Self::read), and also returns the response's headers.
+    ///
+    /// # Errors
+    ///
+    /// As for [`read`](Self::read).
+    pub async fn read_with_headers<T: DeserializeOwned>(
+        &self,
+        path: &str,
+    ) -> Result<(T, HeaderMap), PlatformError> {
         let url = format!("{}{path}", self.base);
         let request = self.client.get(url).timeout(READ_TIMEOUT).send();
         let response = request.await.map_err(PlatformError::Unreachable)?;
         match response.status().as_u16() {
             200 => {
+                let headers = response.headers().clone();
                 let body = response.bytes().await.map_err(PlatformError::Truncated)?;
-                serde_json::from_slice(&body).map_err(|cause| PlatformError::Decode {
+                let value = serde_json::from_slice(&body);
+                let value = value.map_err(|cause| PlatformError::Decode {
                     item: SmolStr::new(path),
                     cause,
-                })
+                })?;
+                Ok((value, headers))
             }
             status => Err(PlatformError::ErrorStatus { status }),
         }
--- a/crates/platform/src/lib.rs
+++ b/crates/platform/src/lib.rs
@@ -61,6 +61,13 @@
         /// Decoding error.
         cause: serde_json::Error,
     },
+    /// A header of the response has an invalid value.
+    InvalidHeader {
+        /// Name of the header.
+        name: &'static str,
+    },
+    /// The registry came back from an older copy again and again while it was read.
+    EraChanged,
     /// The requested item doesn't exist.
     NotFound {
         /// Key of the item.
@@ -82,6 +89,8 @@
                 f.write_str("failed to read the configuration service's response")
             }
             Self::Decode { item, .. } => write!(f, "failed to decode {item}"),
+            Self::InvalidHeader { name } => write!(f, "invalid value in header {name}"),
+            Self::EraChanged => f.write_str("the era of the registry changed during the read"),
             Self::NotFound { item } => write!(f, "{item} not found"),
         }
     }
@@ -92,7 +101,10 @@
         match self {
             Self::Unreachable(cause) | Self::Truncated(cause) => Some(cause),
             Self::Decode { cause, .. } => Some(cause),
-            Self::ErrorStatus { .. } | Self::NotFound { .. } => None,
+            Self::ErrorStatus { .. }
+            | Self::InvalidHeader { .. }
+            | Self::EraChanged
+            | Self::NotFound { .. } => None,
         }
     }
 }
--- a/crates/types/src/id.rs
+++ b/crates/types/src/id.rs
@@ -148,6 +148,11 @@
     /// platform's order; zero precedes the first note.
     Revision
 }
+number_id! {
+    /// Number of times that the registry has come back from an older copy of its contents, which
+    /// loses what it had acknowledged since and assigns its revisions again. Zero if unknown.
+    Era
+}
 number_id! {
     /// Identifier of one incarnation of a process. A node draws its own at random when it starts.
     /// The platform or the backend server sets that of a backend server.
@@ -163,10 +168,67 @@
     Seq
 }
 
+/// Largest counter that is accepted from other processes. Counters never get that far, and the
+/// values above it leave room for the next ones.
+const MAX_COUNTER: u64 = 1 << 53;
+
 impl Revision {
+    /// Largest revision that is accepted from other processes.
+    pub const MAX_VALID: Self = Self(MAX_COUNTER);
+
     /// The next revision.
     pub fn next(self) -> Self {
-        Self(self.0 + 1)
+        Self(self.0.saturating_add(1))
+    }
+
+    /// Whether a correct process can have sent it.
+    pub fn is_valid(self) -> bool {
+        self <= Self::MAX_VALID
+    }
+}
+
+impl Era {
+    /// Largest era that is accepted from other processes.
+    pub const MAX_VALID: Self = Self(MAX_COUNTER);
+
+    /// Whether the registry names no era.
+    pub fn is_unknown(&self) -> bool {
+        self.0 == 0
+    }
+}
+
+/// Position in the history of a registry. Any position in a later era is newer, whatever its
+/// revision.
+#[derive(
+    Debug, Clone, Copy, Default, PartialEq, Eq, PartialOrd, Ord, Hash, Serialize, Deserialize,
+)]
+pub struct Stamp {
+    /// Era of the registry.
+    #[serde(default, skip_serializing_if = "Era::is_unknown")]
+    pub era: Era,
+    /// Revision within the era.
+    pub revision: Revision,
+}
+
+impl Stamp {
+    /// Whether a correct process can have sent it.
+    pub fn is_valid(self) -> bool {
+        self.era <= Era::MAX_VALID && self.revision.is_valid()
+    }
+
+    /// The position at `revision` of a registry whose era isn't known.
+    pub fn without_era(revision: Revision) -> Self {
+        Self {
+            era: Era::default(),
+            revision,
+        }
+    }
+}
+
+/// Formats as `ERA.REVISION`.
+impl fmt::Display for Stamp {
+    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        write!(f, "{}.{}", self.era, self.revision)
     }
 }
 
--- a/crates/types/src/lib.rs
+++ b/crates/types/src/lib.rs
@@ -9,8 +9,8 @@
 mod size;
 mod time;
 
-pub use id::{AttemptId, Boot, CallId, HostId, IdError, Revision, RouteId, Seq, ServerId};
-pub use id::{ServiceId, SessionId, ZoneId};
+pub use id::{AttemptId, Boot, CallId, Era, HostId, IdError, Revision, RouteId, Seq, ServerId};
+pub use id::{ServiceId, SessionId, Stamp, ZoneId};
 pub use outcome::{Answer, Header, Outcome, Refusal};
 pub use size::{ParseError, Rate, Size, Slots};
 pub use time::{Moment, Span};
