fleet: ignore revisions and clocks that no correct node sends

Cause: the fleet's clock is the most advanced one that any peer has sent, so one malformed message with a clock near the end of its range made the turn arithmetic overflow on every node: a panic in debug builds, and in release builds turns in the past, so that every node reads the platform at each tick. Revisions near the end of their range stop all further views. Change: counters above 2^53 from peers and the platform are ignored.

--- a/crates/fleet/src/gossip.rs
+++ b/crates/fleet/src/gossip.rs
@@ -152,7 +152,7 @@
     /// Handles the revision of a peer, and pulls from it if that is newer and no pull in progress
     /// will return it.
     pub fn on_peer_revision(&mut self, peer: SocketAddr, revision: Revision) -> Vec<Action> {
-        let newer = revision > self.revision && peer != self.own;
+        let newer = revision > self.revision && revision.is_valid() && peer != self.own;
         let pending = self.pulls.values().any(|announced| *announced >= revision);
         match newer && !pending {
             true => {
--- a/crates/fleet/src/history.rs
+++ b/crates/fleet/src/history.rs
@@ -35,6 +35,8 @@
 pub enum HistoryError {
     /// The update is not newer than the node's own view.
     Older,
+    /// The update names a revision that no correct node sends.
+    InvalidRevision,
     /// The update comes from a node whose platform publishes in another format.
     OtherFormat,
     /// The update doesn't follow from the node's own view: the histories have diverged.
@@ -47,6 +49,7 @@
 impl fmt::Display for HistoryError {
     fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
         match self {
+            Self::InvalidRevision => f.write_str("names an impossible revision"),
             Self::OtherFormat => f.write_str("is in another platform's format"),
             Self::Older => f.write_str("is not newer than the view in force"),
             Self::Forked { revision } => {
@@ -147,6 +150,9 @@
         if view.revision <= self.view.revision {
             return Err(HistoryError::Older);
         }
+        if !view.revision.is_valid() {
+            return Err(HistoryError::InvalidRevision);
+        }
         self.replace(Self {
             view,
             texts: VecDeque::new(),
--- a/crates/fleet/src/read_turns.rs
+++ b/crates/fleet/src/read_turns.rs
@@ -21,6 +21,9 @@
 /// Number of turns to search for the node's next one. Each turn costs one hash per member.
 const LOOKAHEAD_TURNS: u64 = 64;
 
+/// Latest time that the fleet's clock can show: 285 years after a host booted.
+const MAX_CLOCK: Moment = Moment(1 << 53);
+
 /// The next event in a node's schedule of reads.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
 pub(crate) enum NextRead {
@@ -54,8 +57,12 @@
         now + self.offset
     }
 
-    /// Adopts the fleet's time of a peer if it is ahead, and returns whether it was.
+    /// Adopts the fleet's time of a peer if it is ahead, and returns whether it was. A time that no
+    /// correct node sends is ignored, as the clock is never set back.
     pub(crate) fn merge(&mut self, theirs: Moment, now: Moment) -> bool {
+        if theirs > MAX_CLOCK {
+            return false;
+        }
         let offset = theirs.since(now);
         let moved = offset > self.offset;
         self.offset = self.offset.max(offset);
--- a/crates/fleet/tests/history.rs
+++ b/crates/fleet/tests/history.rs
@@ -83,3 +83,15 @@
         }
     }
 }
+
+#[test]
+fn a_view_with_an_impossible_revision_is_rejected() {
+    let mut own = history(2);
+    let view = View {
+        revision: Revision(u64::MAX),
+        ..View::default()
+    };
+    let applied = own.apply(ViewUpdate::View(Arc::new(view)));
+    assert_eq!(applied, Err(HistoryError::InvalidRevision));
+    assert_eq!(own.view().revision, Revision(2));
+}
