node: answers that name no call, or any call to a probe, belong to another request

Cause: a late second copy of an answer on a connection that a probe uses was taken as the probe's answer, and the probe's own answer, which names no call, would then have come to the next request. Change: an answer to a probe that names a call is dropped with its connection; where the dialect has servers name the call in all answers, an answer without it counts as incomplete. Test: node/src/backend/tests.rs.

--- a/crates/dialect/src/lib.rs
+++ b/crates/dialect/src/lib.rs
@@ -241,6 +241,11 @@
     /// (close-delimited, RFC 9112, section 6.3).
     fn allows_close_delimited(&self) -> bool;
 
+    /// Whether backend servers name the call id in all answers to requests, other than rejections.
+    fn echoes_call_id(&self) -> bool {
+        false
+    }
+
     /// Builds the error response for a failed call.
     fn error_response(&self, call: &CallId, failure: &CallFailure) -> ErrorResponse;
 
--- a/crates/node/src/backend/mod.rs
+++ b/crates/node/src/backend/mod.rs
@@ -7,7 +7,12 @@
 //! Idle connections are reused in FIFO order. A faulty backend server may send bytes after a
 //! complete answer: the longer a connection stays idle, the more likely they arrive before its next
 //! request, and unexpected bytes close an idle connection. An answer that arrives even later is
-//! recognized by the call id that it names.
+//! recognized by the call id that it names. A probe has no call id, so any answer to it that names
+//! one belongs to an earlier request, and where the dialect has backend servers name the call id in
+//! all answers, one without it doesn't belong to a request.
+
+#[cfg(test)]
+mod tests;
 
 mod pool;
 
@@ -128,7 +133,11 @@
             response.headers(),
             &target.shed_statuses,
         );
-        let wrong_call = metadata.call.as_ref().is_some_and(|id| *id != call);
+        let rejected = metadata.misdirected || metadata.shed;
+        let wrong_call = match &metadata.call {
+            Some(id) => *id != call,
+            None => self.dialect.echoes_call_id() && !rejected,
+        };
         let closes = has_close(response.headers());
         let completion = match () {
             () if wrong_call => Completion::Incomplete,
@@ -200,6 +209,10 @@
         let metadata = self
             .dialect
             .read_response(response.status(), response.headers(), &[]);
+        if metadata.call.is_some() {
+            log::warn!(address:% = target.address; "probe_answer_misplaced");
+            return None;
+        }
         let closes = has_close(response.headers());
         let body = Limited::new(response.into_body(), target.answer_limit as usize);
         body.collect().await.ok()?;
