ingress: avoid the gate of a host that is down within a call's time

A call that ended at its deadline told the balancer nothing, the reports of the silent gates faded so that these looked idle, the connection was given up after 2 s, and each connection attempt from then on took 500 ms, longer than a request has. Change: a gate that doesn't answer a cancellation within 150 ms is avoided like an unreachable one; connecting takes at most 150 ms; a silent connection is closed after 1 s. Ruled out: to count every call that ends at its deadline against its gate. Under overload the reply is a moment late, and good servers would be avoided.

--- a/crates/node/src/ingress/driver.rs
+++ b/crates/node/src/ingress/driver.rs
@@ -7,6 +7,7 @@
 use std::{
     pin::Pin,
     sync::{Arc, OnceLock},
+    time::Duration,
 };
 
 use call::{Action, AttemptIndex, Call, CallOutcome, CallRequest, SessionAttempt};
@@ -18,7 +19,7 @@
 use gate::Rank;
 use route::ServerState;
 use smol_str::SmolStr;
-use tokio::time::{Sleep, sleep_until};
+use tokio::time::{Sleep, sleep_until, timeout};
 use types::{Moment, Outcome, Refusal, ServerId, Span};
 
 use super::{
@@ -32,6 +33,9 @@
     view_sync::PeerReport,
 };
 
+/// Time for a gate to reply to a cancellation, many times the usual one.
+const CANCEL_TIMEOUT: Duration = Duration::from_millis(150);
+
 /// Runs a call to its end.
 pub(super) async fn run_call(ingress: &Arc<Ingress>, routed: RoutedCall) -> CallOutcome {
     let latency =
@@ -401,7 +405,8 @@
         Vec::new()
     }
 
-    /// Cancels an open attempt without waiting for the result.
+    /// Cancels an open attempt without waiting for the result. A gate that doesn't reply to that is
+    /// avoided: its host may be down, and nothing else shows it until the connection times out.
     fn cancel(&mut self, attempt: AttemptIndex) {
         let state = &mut self.attempts[attempt];
         state.abort_handle.abort();
@@ -415,8 +420,15 @@
             return;
         };
         let peer = Arc::clone(&state.peer);
+        let ingress = Arc::clone(&self.ingress);
+        let (service, server) = (self.routed.service.clone(), state.server.clone());
         tokio::spawn(async move {
-            let _ = peer.client.cancel(registered.id).await;
+            let cancelled = timeout(CANCEL_TIMEOUT, peer.client.cancel(registered.id)).await;
+            if !matches!(cancelled, Ok(Ok(_))) {
+                let now = ingress.board.clock.now();
+                log::warn!(server:% = server; "gate_silent");
+                ingress.services.record_no_reply(&service, &server, now);
+            }
             peer.settle(registered.id);
         });
     }
--- a/crates/node/src/peers/remote.rs
+++ b/crates/node/src/peers/remote.rs
@@ -18,14 +18,15 @@
 use super::{Attempt, GateClient, TransportError, convert};
 use crate::gate_actor::{OpenedSession, Reply};
 
-/// Timeout for establishing a connection.
-const CONNECT_TIMEOUT: Duration = Duration::from_millis(500);
+/// Timeout for establishing a connection. It is shorter than the users' shortest objective, so that
+/// a request whose first node is down can still be answered in time by another one.
+const CONNECT_TIMEOUT: Duration = Duration::from_millis(150);
 /// Timeout for opening a session.
 const OPEN_TIMEOUT: Duration = Duration::from_millis(1_000);
 /// Time without traffic after which an HTTP/2 ping is sent on a connection with open requests.
-const KEEPALIVE_INTERVAL: Duration = Duration::from_millis(1_000);
+const KEEPALIVE_INTERVAL: Duration = Duration::from_millis(500);
 /// Time without a reply to the ping after which the connection is closed.
-const KEEPALIVE_TIMEOUT: Duration = Duration::from_millis(1_000);
+const KEEPALIVE_TIMEOUT: Duration = Duration::from_millis(500);
 /// Largest message: the largest body that callers may send, plus headers.
 const MAX_MESSAGE_BYTES: usize = 68 << 20;
 
