ingress: keep waiting for a cancellation that is late, and test that a silent gate is found

Cause: the future of a cancellation that took over 150 ms was dropped, which may keep the message from arriving, so that the server works on after its caller has left. Change: the gate counts as silent after 150 ms, and the cancellation goes on. Test: node/src/peers/tests.rs.

--- a/crates/node/src/ingress/driver.rs
+++ b/crates/node/src/ingress/driver.rs
@@ -7,7 +7,6 @@
 use std::{
     pin::Pin,
     sync::{Arc, OnceLock},
-    time::Duration,
 };
 
 use call::{Action, AttemptIndex, Call, CallOutcome, CallRequest, SessionAttempt};
@@ -19,7 +18,7 @@
 use gate::Rank;
 use route::ServerState;
 use smol_str::SmolStr;
-use tokio::time::{Sleep, sleep_until, timeout};
+use tokio::time::{Sleep, sleep_until};
 use types::{Moment, Outcome, Refusal, ServerId, Span};
 
 use super::{
@@ -33,9 +32,6 @@
     view_sync::PeerReport,
 };
 
-/// Time for a gate to reply to a cancellation, many times the usual one.
-const CANCEL_TIMEOUT: Duration = Duration::from_millis(150);
-
 /// Runs a call to its end.
 pub(super) async fn run_call(ingress: &Arc<Ingress>, routed: RoutedCall) -> CallOutcome {
     let latency =
@@ -423,13 +419,12 @@
         let ingress = Arc::clone(&self.ingress);
         let (service, server) = (self.routed.service.clone(), state.server.clone());
         tokio::spawn(async move {
-            let cancelled = timeout(CANCEL_TIMEOUT, peer.client.cancel(registered.id)).await;
-            if !matches!(cancelled, Ok(Ok(_))) {
+            let on_silent = || {
                 let now = ingress.board.clock.now();
                 log::warn!(server:% = server; "gate_silent");
                 ingress.services.record_no_reply(&service, &server, now);
-            }
-            peer.settle(registered.id);
+            };
+            peer.cancel(registered.id, on_silent).await;
         });
     }
 
--- a/crates/node/src/peers/mod.rs
+++ b/crates/node/src/peers/mod.rs
@@ -15,6 +15,7 @@
     collections::{HashMap, HashSet},
     net::SocketAddr,
     sync::{Arc, Mutex, MutexGuard},
+    time::Duration,
 };
 
 use board::Board;
@@ -23,6 +24,7 @@
 use gate::Rank;
 use kameo::actor::ActorRef;
 use smol_str::SmolStr;
+use tokio::time::timeout;
 use types::{AttemptId, Boot, Moment, Outcome, Refusal, Revision, ServerId};
 
 use crate::{
@@ -33,6 +35,9 @@
 pub(crate) use local::LocalGate;
 pub(crate) use remote::{RemoteGate, endpoint};
 
+/// Time for a gate to reply to a cancellation, many times the usual one.
+const CANCEL_TIMEOUT: Duration = Duration::from_millis(150);
+
 /// Why no reply came from a gate.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
 pub(crate) enum TransportError {
@@ -178,6 +183,21 @@
         }
     }
 
+    /// Cancels an attempt that is queued or running, and settles it. Calls `on_silent` if the gate
+    /// doesn't reply in time, but goes on waiting, as the message must still arrive.
+    pub(crate) async fn cancel(&self, id: AttemptId, on_silent: impl FnOnce()) {
+        let mut cancelling = self.client.cancel(id);
+        match timeout(CANCEL_TIMEOUT, &mut cancelling).await {
+            Ok(Ok(_)) => {}
+            Ok(Err(_)) => on_silent(),
+            Err(_) => {
+                on_silent();
+                let _ = cancelling.await;
+            }
+        }
+        self.settle(id);
+    }
+
     /// Marks an attempt as settled: its outcome won't be queried any more.
     pub(crate) fn settle(&self, id: AttemptId) {
         if let Some(session) = self.session().as_mut() {
--- a/crates/node/src/peers/tests.rs
+++ b/crates/node/src/peers/tests.rs
@@ -2,12 +2,13 @@
 
 use std::sync::{
     Arc,
-    atomic::{AtomicU64, Ordering},
+    atomic::{AtomicBool, AtomicU64, Ordering},
 };
 
 use board::{Board, Identity};
 use futures::{FutureExt, future::BoxFuture};
 use gate::Load;
+use tokio::time::{Duration, timeout};
 use types::{AttemptId, Boot, Moment, Outcome, Refusal, Revision, SessionId, Span};
 
 use super::{Attempt, GateClient, Peer, TransportError};
@@ -17,6 +18,8 @@
 #[derive(Default)]
 struct FakeGate {
     opened: AtomicU64,
+    /// Whether its host is down, so that cancellations get no reply.
+    silent: bool,
 }
 
 impl GateClient for FakeGate {
@@ -37,7 +40,10 @@
     }
 
     fn cancel(&self, _: AttemptId) -> BoxFuture<'_, Result<Reply, TransportError>> {
-        async { Err(TransportError::ConnectionLost) }.boxed()
+        match self.silent {
+            true => futures::future::pending().boxed(),
+            false => async { Ok(reply(Outcome::Unknown, Boot(1))) }.boxed(),
+        }
     }
 
     fn query(&self, _: AttemptId) -> BoxFuture<'_, Result<Reply, TransportError>> {
@@ -107,3 +113,27 @@
     let (first, second) = sessions_around_reply(Outcome::refused(Refusal::Busy), Boot(1)).await;
     assert_eq!(first, second);
 }
+
+/// Whether a cancellation is found unanswered within 200 ms.
+async fn is_found_silent(silent: bool) -> bool {
+    let gate = FakeGate {
+        silent,
+        ..FakeGate::default()
+    };
+    let peer = Peer::new(
+        "127.0.0.1:2".parse().expect("a valid address"),
+        Arc::new(gate),
+    );
+    let registered = peer.register_attempt(&board(), Moment::MAX).await;
+    let id = registered.expect("a session was opened").id;
+    let found = AtomicBool::new(false);
+    let cancelling = peer.cancel(id, || found.store(true, Ordering::Relaxed));
+    let _ = timeout(Duration::from_millis(200), cancelling).await;
+    found.load(Ordering::Relaxed)
+}
+
+#[tokio::test]
+async fn a_gate_that_does_not_reply_to_a_cancellation_is_found_silent() {
+    assert!(is_found_silent(true).await);
+    assert!(!is_found_silent(false).await);
+}
