--- a/crates/fleet/tests/era.rs
+++ b/crates/fleet/tests/era.rs
@@ -318,7 +318,7 @@
         }
         let reader = world.rng.random_range(0..NODES);
         let cut_off = |node: usize| isolated && node == 1 && (155..200).contains(&step);
-        if !cut_off(reader) && (step < 150 || step > 162) {
+        if !cut_off(reader) && !(150..=162).contains(&step) {
             world.read(&mut nodes[reader], now);
         }
         for _ in 0..3 {
