--- a/crates/gate/src/queue.rs
+++ b/crates/gate/src/queue.rs
@@ -11,8 +11,9 @@
 //! 4. the earlier objective, or the earlier deadline among requests that can't meet their
 //!    objective.
 //!
-//! While requests of the first kind find no slot, one slot is reserved for them and only few of the
-//! others may wait: running a request that is late anyway would make another one late.
+//! While requests of the first kind find no slot, one slot is reserved for them, and only few may
+//! wait that are late or will be by the time at which they are expected to start: running a request
+//! that is late anyway would make another one late.
 //!
 //! A request that can't be answered by its deadline is refused as soon as that is known, so that
 //! its caller can go elsewhere or retry.
--- a/crates/gate/src/route_profile.rs
+++ b/crates/gate/src/route_profile.rs
@@ -76,17 +76,20 @@
 
     /// Records a request that entered the fleet at a host of the service `origin`.
     pub fn observe_origin(&mut self, route: &SmolStr, origin: &ServiceId) {
-        if !self.host_shares.contains_key(origin) {
+        let Self {
+            host_shares,
+            routes,
+        } = self;
+        if !host_shares.contains_key(origin) {
             return;
         }
-        let weight = 1.0 / (REQUESTS_PER_SERVICE * self.host_shares.len() as f64);
-        let initial = self.host_shares.clone();
-        let Some(profile) = self.profile(route) else {
+        let Some(profile) = profile(routes, route) else {
             return;
         };
         if profile.origins.is_empty() {
-            profile.origins = initial;
+            profile.origins = host_shares.clone();
         }
+        let weight = 1.0 / (REQUESTS_PER_SERVICE * host_shares.len() as f64);
         for (service, share) in &mut profile.origins {
             let sample = f64::from(u8::from(service == origin));
             *share += weight * (sample - *share);
@@ -95,7 +98,7 @@
 
     /// Records the service time of an answered request.
     pub fn record_service_time(&mut self, route: &SmolStr, service_time: Span) {
-        if let Some(profile) = self.profile(route) {
+        if let Some(profile) = profile(&mut self.routes, route) {
             profile.samples = profile.samples.saturating_add(1);
             let weight = SERVICE_TIME_WEIGHT.max(1.0 / f64::from(profile.samples));
             profile.service_time += weight * (service_time.0 as f64 - profile.service_time);
@@ -124,12 +127,16 @@
         let overlap: f64 = profile.origins.iter().map(overlap).sum();
         !profile.origins.is_empty() && overlap < NESTED_OVERLAP
     }
+}
 
-    fn profile(&mut self, route: &SmolStr) -> Option<&mut RouteProfile> {
-        let known = self.routes.contains_key(route);
-        match known || self.routes.len() < MAX_ROUTES {
-            true => Some(self.routes.entry(route.clone()).or_default()),
-            false => None,
-        }
+/// The profile of a route. `None` if the ingress named no route, or if there are too many.
+fn profile<'a>(
+    routes: &'a mut BTreeMap<SmolStr, RouteProfile>,
+    route: &SmolStr,
+) -> Option<&'a mut RouteProfile> {
+    let full = routes.len() >= MAX_ROUTES && !routes.contains_key(route);
+    match route.is_empty() || full {
+        true => None,
+        false => Some(routes.entry(route.clone()).or_default()),
     }
 }
--- a/crates/gate/tests/route_profile.rs
+++ b/crates/gate/tests/route_profile.rs
@@ -105,3 +105,15 @@
     profiles.record_service_time(&ROUTE, Span::from_millis(100));
     assert_eq!(service_time(&profiles), Span::from_millis(200));
 }
+
+#[test]
+fn requests_without_a_route_are_ranked_as_offered() {
+    let mut profiles = profiles(&[5, 4, 4, 4]);
+    let unnamed = SmolStr::default();
+    profiles.record_service_time(&unnamed, Span::from_millis(300));
+    for _ in 0..200 {
+        profiles.observe_origin(&unnamed, &service(0));
+    }
+    let rank = Rank::default();
+    assert_eq!(profiles.refine(&unnamed, rank), rank);
+}
