--- a/crates/rig/src/lib.rs
+++ b/crates/rig/src/lib.rs
@@ -11,12 +11,14 @@
 //! - [`process`]: starts, signals and ends node processes;
 //! - [`cluster`]: combines stubs, proxies and node processes into one small deployment;
 //! - [`capacity`]: measures the control-plane overhead of a node at several fleet sizes;
+//! - [`emulator`]: plays a load through calls, balancers and gates without processes or network;
 //! - [`experiment`]: compares policies and limits under the same load;
 //! - [`soak`]: injects random faults from a seed and checks invariants;
 //! - [`report`] and [`plot`]: tables and plots of measurements.
 
 pub mod capacity;
 pub mod cluster;
+pub mod emulator;
 pub mod experiment;
 pub mod load;
 pub mod platform;
--- a/crates/rig/src/main.rs
+++ b/crates/rig/src/main.rs
@@ -4,7 +4,7 @@
 
 use bpaf::Bpaf;
 use rig::{
-    capacity,
+    capacity, emulator,
     experiment::{self, Scenario},
     platform::Platform,
     server, soak,
@@ -49,6 +49,24 @@
         #[bpaf(positional("SCENARIO"), many)]
         scenarios: Vec<String>,
     },
+    /// Play an overload of two services that depend on each other, without processes or network
+    #[bpaf(command)]
+    Emulate {
+        /// Seed of all randomness
+        #[bpaf(long, argument("SEED"), fallback(1))]
+        seed: u64,
+        /// Seconds of load
+        #[bpaf(long, argument("SECONDS"), fallback(6))]
+        seconds: u64,
+        /// Orders per second, each with two nested checks
+        #[bpaf(long, argument("RATE"), fallback(260))]
+        orders: u64,
+        /// Lookups per second
+        #[bpaf(long, argument("RATE"), fallback(260))]
+        lookups: u64,
+        /// Gates learn nothing about routes
+        ordinary: bool,
+    },
     /// Inject random faults from a seed and check invariants of calls and backend servers
     #[bpaf(command)]
     Soak {
@@ -110,6 +128,23 @@
             variant,
             scenarios,
         } => run_experiments(seconds, runs, variant.as_deref(), &scenarios).await,
+        Command::Emulate {
+            seed,
+            seconds,
+            orders,
+            lookups,
+            ordinary,
+        } => {
+            let counts = emulator::play(&emulator::Options {
+                seed,
+                duration: types::Span::from_millis(seconds * 1_000),
+                orders,
+                lookups,
+                learns: !ordinary,
+            });
+            print!("{}", emulator::render(&counts));
+            Ok(())
+        }
         Command::Capacity { seconds, sizes } => {
             let sizes = if sizes.is_empty() {
                 vec![10, 30, 100]
