--- a/crates/node/src/peers/remote.rs
+++ b/crates/node/src/peers/remote.rs
@@ -24,9 +24,9 @@
 /// Timeout for opening a session.
 const OPEN_TIMEOUT: Duration = Duration::from_millis(1_000);
 /// Time without traffic after which an HTTP/2 ping is sent on a connection with open requests.
-const KEEPALIVE_INTERVAL: Duration = Duration::from_millis(500);
+const KEEPALIVE_INTERVAL: Duration = Duration::from_millis(1_000);
 /// Time without a reply to the ping after which the connection is closed.
-const KEEPALIVE_TIMEOUT: Duration = Duration::from_millis(500);
+const KEEPALIVE_TIMEOUT: Duration = Duration::from_millis(1_000);
 /// Largest message: the largest body that callers may send, plus headers.
 const MAX_MESSAGE_BYTES: usize = 68 << 20;
 
