--- a/crates/gate/src/core/mod.rs
+++ b/crates/gate/src/core/mod.rs
@@ -207,7 +207,9 @@
             Completion::Answered(answer) => (Feedback::Success(latency), Outcome::Answer(answer)),
             Completion::Expired => (Feedback::Overload, Outcome::Expired),
             Completion::Shed => (Feedback::Overload, self.not_run(Refusal::Shed, now)),
-            Completion::Misdirected => (Feedback::Restarted, self.not_run(Refusal::Misplaced, now)),
+            Completion::Misdirected => {
+                (Feedback::Restarted, self.not_run(Refusal::Misdirected, now))
+            }
             Completion::Unsent => (Feedback::Restarted, self.not_run(Refusal::Down, now)),
             Completion::Incomplete => (Feedback::Restarted, Outcome::Unknown),
             Completion::Cancelled => (Feedback::None, Outcome::Unknown),
--- a/crates/node/src/view_sync/registry.rs
+++ b/crates/node/src/view_sync/registry.rs
@@ -31,12 +31,12 @@
     async fn handle(&mut self, msg: RegistryRead, _ctx: &mut Context<Self, ()>) {
         match msg.contents {
             Ok(contents) => {
-                self.record_success();
+                self.record_success(msg.sent_at);
                 self.apply_contents(contents);
                 self.renew_lease(msg.sent_at);
                 self.publish();
             }
-            Err(error) => self.record_failure(&error),
+            Err(error) => self.record_failure(&error, msg.sent_at),
         }
         self.try_become_ready();
     }
@@ -95,8 +95,8 @@
         }
     }
 
-    /// Records a successful read.
-    fn record_success(&mut self) {
+    /// Records a successful read that started at `sent_at`.
+    fn record_success(&mut self, sent_at: Moment) {
         self.reads += 1;
         self.gossip.set_platform_reachable(true);
         if let Source::Registry { progress, .. } = &mut self.source
@@ -104,10 +104,12 @@
         {
             log::info!(reads = self.reads; "registry_regained");
         }
+        let took = self.board.clock.now().since(sent_at);
+        log::info!(took_us = took.0, revision:% = self.source.view().revision; "registry_read");
     }
 
     /// Records a failed read: the registry didn't answer, or its answer is malformed.
-    fn record_failure(&mut self, error: &PlatformError) {
+    fn record_failure(&mut self, error: &PlatformError, sent_at: Moment) {
         self.reads += 1;
         self.failed_reads += 1;
         self.gossip.set_platform_reachable(false);
@@ -119,8 +121,8 @@
         {
             snapshot.on_read_failure(now);
             if !std::mem::replace(&mut progress.failing, true) {
-                let cause = std::error::Error::source(error).map(ToString::to_string);
-                log::warn!(error:% = error, cause; "registry_lost");
+                let took = now.since(sent_at);
+                log::warn!(error:% = error, cause = cause_chain(error), took_us = took.0; "registry_lost");
             }
         }
     }
@@ -173,3 +175,12 @@
         });
     }
 }
+
+/// The causes of an error, the outermost first. A timeout is only named by an inner one.
+fn cause_chain(error: &PlatformError) -> String {
+    let causes = std::iter::successors(std::error::Error::source(error), |e| e.source());
+    causes
+        .map(ToString::to_string)
+        .collect::<Vec<_>>()
+        .join(": ")
+}
--- a/crates/types/src/outcome.rs
+++ b/crates/types/src/outcome.rs
@@ -37,6 +37,8 @@
     /// The request is misdirected: the named backend server is not the one behind this node's gate,
     /// or has left the view.
     Misplaced,
+    /// The backend server rejected the request as misdirected: another one is at its address.
+    Misdirected,
     /// The request could not be sent to the node or to its backend server.
     Down,
     /// The backend server rejected the request without running it.
@@ -69,6 +71,7 @@
             Self::Barred => "barred",
             Self::Session => "session",
             Self::Misplaced => "misplaced",
+            Self::Misdirected => "misdirected",
             Self::Down => "down",
             Self::Shed => "shed",
             Self::Cancelled => "cancelled",
