call: charge the retry budget for requests that the backend server rejected as misdirected

Callers saw nothing but slower answers; backend servers got 144 arrivals beyond the first of each request in ten seconds (142 allowed) and 170 (157) after seven of them had restarted under other ids while the registry was unreachable. 408 of the arrivals in seconds 9 to 15 were rejected with 421.

Cause: the class is a wrong accounting of cost. Such a rejection was recorded like a refusal by the gate, which costs the backend server nothing, so it counted as undelivered and its retry was free. Each request could reach as many replaced servers as its route allows.

Change: a refusal that comes from the backend server counts as delivered, and its retry draws on the budget. Looked for elsewhere: of the other refusals only `shed` comes from the server, and was charged already; `down` means that nothing was sent.

--- a/crates/call/src/core.rs
+++ b/crates/call/src/core.rs
@@ -7,7 +7,7 @@
 use crate::budget::Budget;
 
 /// Maximum attempts of one call that add load: the first one, hedges, and retries after a refusal
-/// for load or an unknown outcome.
+/// for load, a rejection by the backend server, or an unknown outcome.
 const MAX_LOAD_ATTEMPTS: u32 = 3;
 /// Maximum attempts of one call, whatever the reason for each.
 const MAX_ATTEMPTS: usize = 6;
@@ -212,7 +212,8 @@
                 let declined = fail_fast
                     && matches!(refusal, Refusal::Slow | Refusal::Failing | Refusal::Busy);
                 self.attempts[attempt].declined = declined;
-                let for_load = refusal.is_overload() && !declined;
+                let adds_load = refusal.is_overload() || refusal.is_from_server();
+                let for_load = adds_load && !declined;
                 actions.extend(self.retry_or_finish(for_load, now, selector, budget));
             }
             Outcome::Unknown => actions.extend(self.handle_unknown(now, selector, budget)),
--- a/crates/cli/src/explain.rs
+++ b/crates/cli/src/explain.rs
@@ -153,6 +153,9 @@
         "leaving" => "It was refused and not run: the backend servers take no new work",
         "stale" => "It was refused and not run: the gate's view was too old to be acted on",
         "misplaced" => "It was refused and not run: the backend servers that were named are gone",
+        "misdirected" => {
+            "It was rejected and not run: other backend servers have replaced those that were named"
+        }
         "down" => "It was refused and not run: no backend server could be reached",
         "joining" => "It was refused and not run: the node had no view yet",
         "no_route" => "No route takes it",
--- a/crates/types/src/outcome.rs
+++ b/crates/types/src/outcome.rs
@@ -55,7 +55,7 @@
 
     /// Whether the backend server itself refused, which means that it received the request.
     pub fn is_from_server(self) -> bool {
-        self == Self::Shed
+        matches!(self, Self::Shed | Self::Misdirected)
     }
 
     /// The name that logs and callers see.
