gate: send nothing to a backend server that isn't the listed one

Cause: the class is evidence that isn't kept. A gate learned nothing from a rejection, and ignored the id that the server names in its health response, so each request found out again.

Change: a rejection as misdirected, or a probe that names another id, closes the gate for a second and refuses what is queued; a probe that names the listed id, or a new entry, opens it. A rejection of what was sent before the entry changed doesn't count. Logged as identity_changed.

a_gate_stops_sending_to_a_replaced_backend_server_that_rejects_requests failed before: the queued request was started on the server that had just rejected one.

--- a/crates/dialect/src/lib.rs
+++ b/crates/dialect/src/lib.rs
@@ -97,6 +97,8 @@
     pub misdirected: bool,
     /// Identifier of the call that the response belongs to, if present.
     pub call: Option<CallId>,
+    /// The backend server that sent the response, if it names itself.
+    pub server: Option<ServerId>,
     /// Incarnation of the backend server, if present.
     pub boot: Option<Boot>,
     /// Load of the backend server, if reported.
--- a/crates/gate/src/core/mod.rs
+++ b/crates/gate/src/core/mod.rs
@@ -29,6 +29,9 @@
 /// twenty probes a second.
 const SLOWDOWN_TTL: Span = Span::from_millis(150);
 
+/// Time for which nothing is sent to a backend server that isn't the listed one. If its probes name no
+/// backend server, a request finds out afterwards.
+const REPLACED_PERIOD: Span = Span::from_millis(1_000);
 /// Shortest time assumed until a backend server stops running a cancelled request.
 const MIN_CANCEL_DELAY: Span = Span::from_millis(10);
 /// Longest time assumed until a backend server stops running a cancelled request.
@@ -62,6 +65,10 @@
     lease_end: Moment,
     /// Incarnation that the backend server last named.
     server_boot: Option<Boot>,
+    /// When the listed backend server last changed.
+    listed_at: Moment,
+    /// Until when another backend server than the listed one is assumed to be at the address.
+    replaced_until: Moment,
     /// Service time in percent of the usual one, as last reported, and the time of the report.
     slowdown_report: (u32, Moment),
     /// Until when the gate counts as overloaded.
@@ -92,6 +99,8 @@
             stopping: false,
             lease_end: Moment(0),
             server_boot: None,
+            listed_at: Moment(0),
+            replaced_until: Moment(0),
             slowdown_report: (NO_SLOWDOWN_PERCENT, Moment(0)),
             overloaded_until: Moment(0),
         }
@@ -134,6 +143,11 @@
         self.lease_end = self.lease_end.max(until);
     }
 
+    /// Whether another backend server than the listed one is assumed to be at the address.
+    pub fn is_replaced(&self, now: Moment) -> bool {
+        now < self.replaced_until
+    }
+
     /// Begins a graceful shutdown: refuses new attempts, and finishes the queued and running ones.
     pub fn stop(&mut self) {
         self.stopping = true;
@@ -225,11 +239,36 @@
             self.concurrency.set_idle();
         }
         self.sessions.record(id, state_after(&outcome));
+        let misdirected = matches!(
+            outcome,
+            Outcome::NotRun {
+                refusal: Refusal::Misdirected,
+                ..
+            }
+        );
         let mut actions = reply(id, outcome);
+        if misdirected && run.began >= self.listed_at {
+            actions.extend(self.observe_identity(false, now));
+        }
         actions.extend(self.start_queued(now));
         actions
     }
 
+    /// Records whether the backend server at the address says that it is the listed one. If it isn't,
+    /// nothing is sent to it, and the queued requests are refused.
+    pub fn observe_identity(&mut self, is_listed: bool, now: Moment) -> Vec<Action> {
+        match is_listed {
+            true => {
+                self.replaced_until = Moment(0);
+                Vec::new()
+            }
+            false => {
+                self.replaced_until = now + REPLACED_PERIOD;
+                self.refuse_queued(Refusal::Misplaced)
+            }
+        }
+    }
+
     /// Records the incarnation that the backend server named. A new incarnation is cold.
     pub fn observe_boot(&mut self, server: Boot, now: Moment) {
         let before = self.server_boot.replace(server);
@@ -274,6 +313,8 @@
     /// Starts over for another backend server, which has no history. Refuses the queued requests:
     /// they were addressed to the former one, which may have belonged to another service.
     pub fn replace_server(&mut self, now: Moment) -> Vec<Action> {
+        self.listed_at = now;
+        self.replaced_until = Moment(0);
         self.slowdown_report = (NO_SLOWDOWN_PERCENT, Moment(0));
         self.breaker.reset();
         self.server_boot = None;
@@ -360,6 +401,7 @@
 
     fn closed_reason(&self, deadline: Moment, now: Moment) -> Option<Refusal> {
         match () {
+            () if self.is_replaced(now) => Some(Refusal::Misplaced),
             () if self.stopping => Some(Refusal::Stopping),
             () if !self.open => Some(Refusal::Leaving),
             () if now > self.lease_end => Some(Refusal::Stale),
--- a/crates/node/src/gate_actor/mod.rs
+++ b/crates/node/src/gate_actor/mod.rs
@@ -106,6 +106,8 @@
 /// Notice that a probe ended.
 #[derive(Debug)]
 struct ProbeFinished {
+    /// The backend server that was listed when the probe was sent.
+    server: ServerId,
     sent_at: Moment,
     /// Metadata of the health endpoint's answer, if it answered.
     metadata: Option<ResponseMetadata>,
@@ -231,7 +233,7 @@
     type Reply = ();
 
     async fn handle(&mut self, msg: ProbeFinished, _ctx: &mut Context<Self, ()>) {
-        self.probe_finished(msg.sent_at, msg.metadata);
+        self.probe_finished(msg);
     }
 }
 
--- a/crates/node/src/gate_actor/state.rs
+++ b/crates/node/src/gate_actor/state.rs
@@ -213,10 +213,23 @@
         if let Some(load) = metadata.load {
             self.gate.observe_slowdown(load.slowdown_percent, now);
         }
+        let was_replaced = self.gate.is_replaced(now);
         let actions = self.gate.complete(id, completion, now);
+        self.log_identity(was_replaced, None);
         self.execute(actions);
     }
 
+    /// Logs that the backend server at the address was found to be the listed one or another, unless
+    /// the gate knew it.
+    fn log_identity(&self, was_replaced: bool, named: Option<&ServerId>) {
+        let replaced = self.gate.is_replaced(self.board.clock.now());
+        if replaced != was_replaced {
+            let server = self.server_id().map(ToString::to_string);
+            let named = named.map(ToString::to_string);
+            log::warn!(server, replaced, named; "identity_changed");
+        }
+    }
+
     pub(super) fn dump(&self) -> GateDump {
         let (sessions, fates, answer_bytes) = self.gate.sizes();
         GateDump {
@@ -347,19 +360,39 @@
             return;
         };
         self.metrics.record_control_message("probe");
+        let server = target.server.clone();
         let probing = self.backend.probe(target);
         let actor = self.actor.clone();
         let sent_at = self.board.clock.now();
         tokio::spawn(async move {
             let metadata = probing.await;
             if let Some(actor) = actor.and_then(|a| a.upgrade()) {
-                let _ = actor.tell(ProbeFinished { sent_at, metadata }).await;
+                let finished = ProbeFinished {
+                    server,
+                    sent_at,
+                    metadata,
+                };
+                let _ = actor.tell(finished).await;
             }
         });
     }
 
-    pub(super) fn probe_finished(&mut self, sent_at: Moment, metadata: Option<ResponseMetadata>) {
+    pub(super) fn probe_finished(&mut self, probe: ProbeFinished) {
+        let ProbeFinished {
+            server,
+            sent_at,
+            metadata,
+        } = probe;
         let now = self.board.clock.now();
+        let named = metadata.as_ref().and_then(|m| m.server.as_ref());
+        if let Some(named) = named
+            && self.server_id() == Some(&server)
+        {
+            let was_replaced = self.gate.is_replaced(now);
+            let actions = self.gate.observe_identity(*named == server, now);
+            self.log_identity(was_replaced, Some(named));
+            self.execute(actions);
+        }
         let was_cold = self.gate.is_cold(now);
         self.gate
             .probed(metadata.as_ref().and_then(|m| m.boot), now);
