node: answers' bodies share the memory limit of callers' bodies

Backend servers that send bodies without end had up to 64 MB read on each connection: twelve at once took 876 MB, and a node with 160 MB of memory ends after two or three.

Cause: the class is memory that isn't accounted. Callers' bodies reserve memory before they are read, answers had a limit each and none together.

Change: an answer's body reserves its memory from the same budget as it grows. If others have it, the answer is given up and its outcome is unknown, as for one that broke off.

bodies_without_end_on_many_connections_stay_within_the_memory_for_bodies failed before: 870,933,441 bytes.

--- a/crates/node/src/backend/mod.rs
+++ b/crates/node/src/backend/mod.rs
@@ -24,7 +24,7 @@
 use dialect::{AttemptMetadata, Dialect, ResponseMetadata, is_hop_by_hop};
 use futures::{FutureExt, future::BoxFuture};
 use gate::Completion;
-use http_body_util::{BodyExt, Full, LengthLimitError, Limited};
+use http_body_util::{BodyExt, Full, Limited};
 use hyper::body::Incoming;
 use smol_str::SmolStr;
 use tokio::time::{Instant, timeout, timeout_at};
@@ -32,6 +32,8 @@
 
 use pool::{Pool, SendError};
 
+use crate::body_budget::{BodyBudget, BodyReservation};
+
 /// Timeout of a probe: the interval between probes at the usual rate of four a second.
 const PROBE_TIMEOUT: Duration = Duration::from_millis(250);
 
@@ -105,14 +107,16 @@
 pub(crate) struct HttpBackend {
     dialect: Arc<dyn Dialect>,
     pool: Arc<Pool>,
+    body_budget: BodyBudget,
 }
 
 impl HttpBackend {
     /// Creates a client with an empty connection pool.
-    pub(crate) fn new(dialect: Arc<dyn Dialect>, clock: Clock) -> Self {
+    pub(crate) fn new(dialect: Arc<dyn Dialect>, clock: Clock, body_budget: BodyBudget) -> Self {
         Self {
             dialect,
             pool: Arc::new(Pool::new(clock)),
+            body_budget,
         }
     }
 
@@ -147,7 +151,10 @@
             () if metadata.misdirected => Completion::Misdirected,
             () if metadata.shed => Completion::Shed,
             () if !self.is_delimited(&response, &method) => Completion::Incomplete,
-            () => read_answer(response, target.answer_limit, &method).await,
+            () => {
+                self.read_answer(response, target.answer_limit, &method)
+                    .await
+            }
         };
         // A connection is reused only if its answer was read to the end.
         if matches!(completion, Completion::Answered(_)) && !closes {
@@ -200,6 +207,39 @@
         Some(http)
     }
 
+    async fn read_answer(
+        &self,
+        response: Response<Incoming>,
+        limit: u64,
+        method: &Method,
+    ) -> Completion {
+        let (parts, body) = response.into_parts();
+        let mut headers = end_to_end_headers(&parts.headers);
+        // An answer to HEAD has no body to take the length from, so the header is kept.
+        if let (&Method::HEAD, Some(length)) = (method, parts.headers.get("content-length")) {
+            headers.push(Header {
+                name: SmolStr::new_static("content-length"),
+                value: Bytes::copy_from_slice(length.as_bytes()),
+            });
+        }
+        match collect_body(body, limit, &self.body_budget).await {
+            Ok(body) => Completion::Answered(Arc::new(Answer {
+                status: parts.status.as_u16(),
+                headers,
+                body,
+            })),
+            Err(BodyError::TooLarge) => Completion::Answered(Arc::new(answer_too_large())),
+            Err(BodyError::NoBufferSpace) => {
+                log::warn!(limit; "answer_given_up");
+                Completion::Incomplete
+            }
+            Err(BodyError::Cut(error)) => {
+                log::debug!(cause:% = error; "answer_cut");
+                Completion::Incomplete
+            }
+        }
+    }
+
     async fn probe_once(self, target: Target) -> Option<ResponseMetadata> {
         let path = match target.health_path.as_str() {
             "" => self.dialect.probe_path(),
@@ -302,29 +342,40 @@
     .collect()
 }
 
-async fn read_answer(response: Response<Incoming>, limit: u64, method: &Method) -> Completion {
-    let (parts, body) = response.into_parts();
-    let mut headers = end_to_end_headers(&parts.headers);
-    // An answer to HEAD has no body to take the length from, so the header is kept.
-    if let (&Method::HEAD, Some(length)) = (method, parts.headers.get("content-length")) {
-        headers.push(Header {
-            name: SmolStr::new_static("content-length"),
-            value: Bytes::copy_from_slice(length.as_bytes()),
-        });
-    }
-    match Limited::new(body, limit as usize).collect().await {
-        Ok(whole) => Completion::Answered(Arc::new(Answer {
-            status: parts.status.as_u16(),
-            headers,
-            body: whole.to_bytes(),
-        })),
-        Err(error) if error.is::<LengthLimitError>() => {
-            Completion::Answered(Arc::new(answer_too_large()))
-        }
-        Err(error) => {
-            log::debug!(cause:% = error; "answer_cut");
-            Completion::Incomplete
+/// Why the body of an answer was not read to its end.
+enum BodyError {
+    /// It exceeds the size limit.
+    TooLarge,
+    /// Other bodies use the memory that it needs.
+    NoBufferSpace,
+    /// The connection broke, or what came was no body.
+    Cut(hyper::Error),
+}
+
+/// Reads a body of at most `limit` bytes, whose memory is reserved while it is read.
+async fn collect_body(
+    mut body: Incoming,
+    limit: u64,
+    budget: &BodyBudget,
+) -> Result<Bytes, BodyError> {
+    let mut reservation = BodyReservation::default();
+    let mut chunks: Vec<Bytes> = Vec::new();
+    let mut size = 0;
+    while let Some(frame) = body.frame().await {
+        let Ok(chunk) = frame.map_err(BodyError::Cut)?.into_data() else {
+            continue;
+        };
+        size += chunk.len() as u64;
+        if size > limit {
+            return Err(BodyError::TooLarge);
         }
+        let reserved = budget.reserve(size, &mut reservation);
+        reserved.map_err(|_| BodyError::NoBufferSpace)?;
+        chunks.push(chunk);
+    }
+    match chunks.len() {
+        1 => Ok(chunks.remove(0)),
+        _ => Ok(chunks.concat().into()),
     }
 }
 
--- a/crates/node/src/backend/tests.rs
+++ b/crates/node/src/backend/tests.rs
@@ -12,6 +12,7 @@
 use adapter::SiteDialect;
 use board::Clock;
 use bytes::Bytes;
+use futures::future::join_all;
 use gate::Completion;
 use tokio::{
     io::{AsyncReadExt, AsyncWriteExt},
@@ -20,6 +21,7 @@
 };
 
 use super::{Backend, HttpBackend, ServerRequest, Target};
+use crate::body_budget::BodyBudget;
 
 /// Answers the requests of each connection in turn with the texts in `answers`, each given 20 ms
 /// after its request. An empty text is no answer.
@@ -90,7 +92,7 @@
         answer(None, "healthy"),
     ];
     let address = serve(answers).await;
-    let backend = HttpBackend::new(Arc::new(SiteDialect), Clock::start());
+    let backend = backend();
     let completion = run(&backend, address, "first").await;
     assert!(matches!(completion, Completion::Answered(_)));
     assert!(backend.probe(target(address)).await.is_none());
@@ -105,7 +107,7 @@
 async fn a_late_copy_is_not_the_answer_to_the_next_request() {
     let answers = vec![answer(Some("first"), "1"), answer(Some("first"), "1")];
     let address = serve(answers).await;
-    let backend = HttpBackend::new(Arc::new(SiteDialect), Clock::start());
+    let backend = backend();
     run(&backend, address, "first").await;
     let completion = run(&backend, address, "second").await;
     assert!(
@@ -117,7 +119,7 @@
 #[tokio::test]
 async fn the_answer_to_a_probe_is_not_the_answer_to_a_request() {
     let address = serve(vec![answer(None, "healthy")]).await;
-    let backend = HttpBackend::new(Arc::new(SiteDialect), Clock::start());
+    let backend = backend();
     let completion = run(&backend, address, "first").await;
     assert!(
         matches!(completion, Completion::Incomplete),
@@ -181,7 +183,7 @@
 }
 
 fn backend() -> HttpBackend {
-    HttpBackend::new(Arc::new(SiteDialect), Clock::start())
+    HttpBackend::new(Arc::new(SiteDialect), Clock::start(), BodyBudget::default())
 }
 
 #[tokio::test]
@@ -241,6 +243,30 @@
     }
 }
 
+#[tokio::test]
+async fn bodies_without_end_on_many_connections_stay_within_the_memory_for_bodies() {
+    const ANSWERS: usize = 12;
+    const LIMIT: usize = 64 << 20;
+    // One body may be as large as its limit if it is alone.
+    const MAX_HELD: usize = 2 * LIMIT;
+    let server = EndlessServer::start(CLOSE_DELIMITED_HEAD, "aaaaaaaaaaaaaaaa").await;
+    let backend = backend();
+    let runs = (0..ANSWERS).map(|_| {
+        let target = Target {
+            answer_limit: LIMIT as u64,
+            ..target(server.address)
+        };
+        let deadline = Instant::now() + Duration::from_secs(10);
+        backend.run(request("first"), target, deadline)
+    });
+    for result in join_all(runs).await {
+        let whole = matches!(&result.completion, Completion::Answered(a) if a.status == 200);
+        assert!(!whole, "{:?}", result.completion);
+    }
+    let sent = server.sent_until_closed().await;
+    assert!(sent < MAX_HELD + ANSWERS * SOCKET_BUFFERS, "{sent} bytes");
+}
+
 #[tokio::test]
 async fn the_answer_to_a_probe_has_a_small_size_limit() {
     let head = "HTTP/1.1 200 OK\r\nx-instance-id: a\r\n\r\n";
--- a/crates/node/src/ingress/body_budget.rs
+++ b/crates/node/src/body_budget.rs
@@ -1,8 +1,10 @@
-//! Limit on the memory that callers' bodies use in the whole process.
+//! Limit on the memory that bodies use in the whole process while they are read: those of callers'
+//! requests, and of the backend server's answers.
 //!
 //! A single body may take a large part of a node's memory, and many may arrive at once. Memory for
-//! a body is reserved before the body is read. If too little is left, the request is refused at
-//! once and not run. Small bodies need no reservation, as the number of connections limits them.
+//! a body is reserved before the body is read. If too little is left, a request is refused at once
+//! and not run, and an answer is given up. Small bodies need no reservation, as the number of
+//! connections limits them.
 
 use std::sync::Arc;
 
@@ -23,9 +25,9 @@
     available: Arc<Semaphore>,
 }
 
-/// Memory reserved for the body of one request, released on drop.
+/// Memory reserved for one body, released on drop.
 #[derive(Debug, Default)]
-pub(super) struct BodyReservation {
+pub(crate) struct BodyReservation {
     permit: Option<OwnedSemaphorePermit>,
     units: u64,
 }
@@ -46,7 +48,7 @@
     /// # Errors
     ///
     /// [`Rejection::NoBufferSpace`] if other reservations leave too little.
-    pub(super) fn reserve(
+    pub(crate) fn reserve(
         &self,
         bytes: u64,
         reservation: &mut BodyReservation,
--- a/crates/node/src/ingress/http1.rs
+++ b/crates/node/src/ingress/http1.rs
@@ -30,10 +30,10 @@
 
 use super::{
     Ingress,
-    body_budget::BodyReservation,
     framing::{self, BodyDecoder, Message},
     routing::{self, RoutedCall},
 };
+use crate::body_budget::BodyReservation;
 
 /// Maximum requests in flight on one connection: more than callers pipeline in practice.
 const MAX_IN_FLIGHT: usize = 32;
--- a/crates/node/src/ingress/http2.rs
+++ b/crates/node/src/ingress/http2.rs
@@ -17,9 +17,9 @@
 
 use super::{
     Ingress,
-    body_budget::BodyReservation,
     routing::{self, RequestHead},
 };
+use crate::body_budget::BodyReservation;
 
 /// Serves a connection until either side closes it.
 pub(super) async fn serve(
--- a/crates/node/src/ingress/mod.rs
+++ b/crates/node/src/ingress/mod.rs
@@ -8,7 +8,6 @@
 #[cfg(test)]
 mod tests;
 
-mod body_budget;
 mod driver;
 mod framing;
 mod http1;
@@ -40,13 +39,13 @@
 use types::{CallId, Moment, ServerId, ServiceId};
 
 use crate::{
+    body_budget::BodyBudget,
     metrics::Metrics,
     peers::{Peer, Peers},
     socket,
     view_sync::ViewSync,
 };
 
-pub(crate) use body_budget::BodyBudget;
 use routing::RoutedCall;
 pub(crate) use services::{RetryPolicy, ServerDump, Services};
 
--- a/crates/node/src/ingress/tests.rs
+++ b/crates/node/src/ingress/tests.rs
@@ -4,7 +4,8 @@
 use dialect::Rejection;
 use proptest::prelude::*;
 
-use super::{BodyBudget, body_budget::BodyReservation, framing::take_head};
+use super::framing::take_head;
+use crate::body_budget::{BodyBudget, BodyReservation};
 
 const MAX_HEAD_BYTES: u64 = 4_096;
 const MAX_BODY_BYTES: u64 = 1_024;
--- a/crates/node/src/lib.rs
+++ b/crates/node/src/lib.rs
@@ -21,6 +21,7 @@
 
 mod admin;
 mod backend;
+mod body_budget;
 mod gate_actor;
 mod ingress;
 pub mod lifecycle;
--- a/crates/node/src/lifecycle.rs
+++ b/crates/node/src/lifecycle.rs
@@ -29,8 +29,9 @@
 use crate::{
     admin::{self, Admin},
     backend::HttpBackend,
+    body_budget::BodyBudget,
     gate_actor::{self, GateActor},
-    ingress::{self, BodyBudget, Ingress, RetryPolicy, Services},
+    ingress::{self, Ingress, RetryPolicy, Services},
     metrics::Metrics,
     peers::{Peers, server::PeerService},
     reload::Reload,
@@ -146,7 +147,8 @@
     });
     let metrics = Arc::new(Metrics::new());
     let (source, dialect) = platform_adapters(settings)?;
-    let backend = HttpBackend::new(Arc::clone(&dialect), board.clock);
+    let body_budget = BodyBudget::default();
+    let backend = HttpBackend::new(Arc::clone(&dialect), board.clock, body_budget.clone());
     let caller_listener = listen(settings.listen).await?;
     let peer_listener = listen(settings.node).await?;
     let admin_listener = listen(settings.admin).await?;
@@ -170,7 +172,7 @@
         route_table: Mutex::default(),
         metrics,
         view_sync: view_sync.clone(),
-        body_budget: BodyBudget::default(),
+        body_budget,
     });
     tokio::spawn(Arc::clone(&ingress).watch_board());
     let readiness = match &settings.readiness {
