view_sync: a view may take ten seconds to arrive from a peer

On a link of 10 Mbit/s that is 2.5 MB, and several peers pull at once from one that has a new view. A pull that was cut started again from the first byte.

A peer that stops answering is detected by the pings on its connection within two seconds, and another pull starts after 200 ms.

a_view_that_takes_seconds_to_arrive_from_a_peer_is_taken failed before: no view after five seconds, with a transfer of 2.5 s.

--- a/crates/node/src/view_sync/exchange.rs
+++ b/crates/node/src/view_sync/exchange.rs
@@ -20,8 +20,9 @@
 
 /// Timeout of a comparison.
 const COMPARE_TIMEOUT: Duration = Duration::from_millis(500);
-/// Timeout of a pull.
-const PULL_TIMEOUT: Duration = Duration::from_millis(2_000);
+/// Timeout of a pull. A large view takes seconds on a slow link; a peer that no longer answers is
+/// detected earlier, by the pings on its connection.
+const PULL_TIMEOUT: Duration = Duration::from_millis(10_000);
 /// Largest update of the view that is accepted from a peer.
 const MAX_UPDATE_BYTES: usize = 64 << 20;
 
--- a/crates/node/src/view_sync/tests.rs
+++ b/crates/node/src/view_sync/tests.rs
@@ -1,4 +1,4 @@
-//! Tests of the read budget with a faulty platform.
+//! Tests of the read budget with a faulty platform, and of a view that takes long to receive.
 
 use std::{
     sync::{
@@ -9,9 +9,22 @@
 };
 
 use board::{Board, Identity};
+use fleet::{Snapshot, ViewUpdate};
 use futures::{FutureExt, future::BoxFuture};
-use platform::{HostList, NotePage, Platform, PlatformError};
-use types::{Boot, Rate, Revision, Span};
+use note::{Listing, OperatorConfig};
+use platform::{
+    ConfigRead, HostList, NotePage, Platform, PlatformError, Registry, RegistryEntries,
+};
+use tokio::{net::TcpListener, time::timeout};
+use tonic::{
+    Request, Response, Status,
+    transport::{Server, server::TcpIncoming},
+};
+use types::{Boot, Moment, Rate, Revision, Span, Stamp};
+use wire::peer::{
+    AskRequest, OpenReply, OpenRequest, Outcome, PullReply, PullRequest, RunRequest, View,
+    peer_server::{Peer, PeerServer},
+};
 
 use super::{Source, SyncOptions, spawn};
 use crate::metrics::Metrics;
@@ -49,14 +62,18 @@
     }
 }
 
-#[tokio::test]
-async fn platform_without_its_newest_note_is_read_within_the_budget() {
-    let board = Board::new(Identity {
+fn board() -> Arc<Board> {
+    Board::new(Identity {
         host: "host".parse().expect("a valid id"),
         zone: "zone".parse().expect("a valid id"),
         node: "127.0.0.1:1".parse().expect("a valid address"),
         boot: Boot(1),
-    });
+    })
+}
+
+#[tokio::test]
+async fn platform_without_its_newest_note_is_read_within_the_budget() {
+    let board = board();
     let platform = Arc::new(MissingNotePlatform::default());
     let budget = Rate::new(READS_PER_SECOND as f64).expect("a valid rate");
     let metrics = Arc::new(Metrics::new());
@@ -75,3 +92,104 @@
     let reads = platform.reads.load(Ordering::Relaxed);
     assert!(reads <= READS_PER_SECOND * seconds, "{reads} reads");
 }
+
+/// A registry that answers no read.
+struct UnreachableRegistry;
+
+impl Registry for UnreachableRegistry {
+    fn entries(&self) -> BoxFuture<'_, Result<RegistryEntries, PlatformError>> {
+        async { Err(PlatformError::EraChanged) }.boxed()
+    }
+
+    fn config(&self, _: Option<Stamp>) -> BoxFuture<'_, Result<ConfigRead, PlatformError>> {
+        async { Err(PlatformError::EraChanged) }.boxed()
+    }
+}
+
+/// Time that the peer's view takes to arrive: 3 MB on a link of 10 Mbit/s.
+const TRANSFER_TIME: Duration = Duration::from_millis(2_500);
+
+/// A peer whose view takes [`TRANSFER_TIME`] to arrive.
+struct SlowPeer {
+    snapshot: Snapshot,
+    address: String,
+}
+
+#[tonic::async_trait]
+impl Peer for SlowPeer {
+    async fn open(&self, _: Request<OpenRequest>) -> Result<Response<OpenReply>, Status> {
+        Err(Status::unimplemented("not used"))
+    }
+
+    async fn run(&self, _: Request<RunRequest>) -> Result<Response<Outcome>, Status> {
+        Err(Status::unimplemented("not used"))
+    }
+
+    async fn ask(&self, _: Request<AskRequest>) -> Result<Response<Outcome>, Status> {
+        Err(Status::unimplemented("not used"))
+    }
+
+    async fn compare(&self, _: Request<View>) -> Result<Response<View>, Status> {
+        let view = self.snapshot.view();
+        Ok(Response::new(View {
+            revision: view.revision.0,
+            digest: view.digest.0.to_vec().into(),
+            node: self.address.clone(),
+            ready: true,
+            ..View::default()
+        }))
+    }
+
+    async fn pull(&self, _: Request<PullRequest>) -> Result<Response<PullReply>, Status> {
+        tokio::time::sleep(TRANSFER_TIME).await;
+        let parts = self.snapshot.parts(fleet::Digests::default(), Moment(0));
+        let update = ViewUpdate::Parts(Box::new(parts));
+        let view = serde_json::to_vec(&update).unwrap_or_default().into();
+        Ok(Response::new(PullReply { view }))
+    }
+}
+
+fn snapshot() -> Snapshot {
+    let stamp = Stamp::without_era(Revision(5));
+    let mut snapshot = Snapshot::default();
+    snapshot.update_listing(
+        Listing {
+            stamp,
+            ..Listing::default()
+        },
+        Moment(0),
+    );
+    let config = OperatorConfig {
+        stamp,
+        version: 7,
+        ..OperatorConfig::default()
+    };
+    snapshot.update_config(config, Moment(0));
+    snapshot
+}
+
+#[tokio::test]
+async fn a_view_that_takes_seconds_to_arrive_from_a_peer_is_taken() {
+    let listener = TcpListener::bind("127.0.0.1:0").await.expect("a free port");
+    let address = listener.local_addr().expect("a bound address");
+    let peer = SlowPeer {
+        snapshot: snapshot(),
+        address: address.to_string(),
+    };
+    let server = Server::builder().add_service(PeerServer::new(peer));
+    tokio::spawn(server.serve_with_incoming(TcpIncoming::from(listener)));
+    let board = board();
+    let mut views = board.view.subscribe();
+    let _view_sync = spawn(
+        &board,
+        Source::registry(Arc::new(UnreachableRegistry)),
+        &Arc::new(Metrics::new()),
+        SyncOptions {
+            seeds: vec![address],
+            reads: Rate::new(3.0).expect("a valid rate"),
+            lease: Span::from_millis(3_000),
+        },
+    );
+    let changed = timeout(TRANSFER_TIME * 2, views.changed()).await;
+    changed.expect("the peer's view in time").expect("a view");
+}
