soak: persistent clients, and bursts of signals, restarts and changes that overlap

Clients of each node now keep using one connection until the node closes it, beside the load that opens connections as it needs them. Bursts of SIGHUP, SIGTERM, SIGKILL, of operators' changes and of backend servers that send a body without end run over successive nodes and overlap with all other faults; a node's process has one fault at a time, as before. They are drawn apart, so that earlier seeds keep their faults.

Trace: Kill(2) and Kill(3) were planned for 27.3 and 27.4 s; both nodes' calls from 27.48 s on end together at 27.89 s, and neither node logs a stop before it starts again. The check now uses the times at which the faults really were; its bounds are the same.

--- a/crates/rig/src/load.rs
+++ b/crates/rig/src/load.rs
@@ -8,10 +8,14 @@
     time::{Duration, Instant},
 };
 
+use futures::future::join_all;
 use hdrhistogram::Histogram;
 use rand::{RngExt, SeedableRng, rngs::SmallRng};
 use reqwest::{Client, Method};
-use tokio::{sync::mpsc, time::sleep_until};
+use tokio::{
+    sync::mpsc,
+    time::{sleep, sleep_until},
+};
 
 use crate::server::Echo;
 
@@ -124,6 +128,50 @@
     measurements
 }
 
+/// Sends requests from `clients` clients for each target, which each keep one connection in use until
+/// the target closes it, and waits for their ends. All of them together send about the workload's rate.
+///
+/// Attempts to connect to a target that doesn't listen aren't recorded.
+pub async fn run_persistent(workload: &Workload, clients: usize) -> Measurements {
+    let count = workload.targets.len() * clients;
+    let mean_pause = Duration::from_secs_f64(count as f64 / workload.rate);
+    let start = Instant::now();
+    let tasks = (0..count).map(|index| {
+        let target = workload.targets[index % workload.targets.len()];
+        let rng = SmallRng::seed_from_u64(workload.seed ^ (index as u64 + 1) << 32);
+        send_persistently(workload, target, mean_pause, start, rng)
+    });
+    let mut samples: Vec<Sample> = join_all(tasks).await.into_iter().flatten().collect();
+    samples.sort_by_key(|s| s.scheduled);
+    Measurements { samples }
+}
+
+async fn send_persistently(
+    workload: &Workload,
+    target: SocketAddr,
+    mean_pause: Duration,
+    start: Instant,
+    mut rng: SmallRng,
+) -> Vec<Sample> {
+    let client = Client::builder()
+        .no_proxy()
+        .tcp_nodelay(true)
+        .pool_max_idle_per_host(1)
+        .build()
+        .expect("HTTP client can be built");
+    let mut samples = Vec::new();
+    while start.elapsed() < workload.duration {
+        let index = samples.len();
+        let request = ScheduledRequest::to(workload, target, index, start.elapsed(), &mut rng);
+        let sample = request.measure(&client, start).await;
+        if sample.result != "no_connection" {
+            samples.push(sample);
+        }
+        sleep(mean_pause.mul_f64(rng.random_range(0.0..2.0))).await;
+    }
+    samples
+}
+
 struct ScheduledRequest {
     url: String,
     target: SocketAddr,
@@ -136,6 +184,16 @@
 impl ScheduledRequest {
     fn new(workload: &Workload, index: usize, scheduled: Duration, rng: &mut SmallRng) -> Self {
         let target = workload.targets[rng.random_range(0..workload.targets.len())];
+        Self::to(workload, target, index, scheduled, rng)
+    }
+
+    fn to(
+        workload: &Workload,
+        target: SocketAddr,
+        index: usize,
+        scheduled: Duration,
+        rng: &mut SmallRng,
+    ) -> Self {
         let service = &workload.services[index % workload.services.len()];
         Self {
             url: format!("http://{target}/{service}/item"),
--- a/crates/rig/src/server.rs
+++ b/crates/rig/src/server.rs
@@ -29,6 +29,9 @@
 /// Time for which all requests fail after a breach while cold.
 const FAILURE_DURATION: Duration = Duration::from_millis(500);
 const MAX_BODY_BYTES: usize = 32 << 20;
+/// Bytes of a body without end that are sent in each interval.
+const ENDLESS_CHUNK: usize = 64 << 10;
+const ENDLESS_INTERVAL: Duration = Duration::from_millis(10);
 
 /// How the server responds.
 #[derive(Debug, Clone, Copy, Default, PartialEq, Eq, Serialize, Deserialize)]
@@ -41,6 +44,8 @@
     Truncated,
     /// Closes the connection without a response.
     Cut,
+    /// Sends the head of a response, and a body without end.
+    Endless,
     /// Keeps the connection open and never responds.
     Silent,
     /// Responds with 503 at once and doesn't run the request.
@@ -375,6 +380,7 @@
             .header("content-length", text.len())
             .body(Body::from_stream(stream::iter([Ok(half), reset()]))),
         ResponseMode::Cut => builder.body(Body::from_stream(stream::iter([reset()]))),
+        ResponseMode::Endless => builder.body(Body::from_stream(endless_stream())),
         ResponseMode::Silent => std::future::pending().await,
         _ => builder
             .header("content-type", "application/json")
@@ -383,6 +389,14 @@
     response.unwrap_or_else(|_| empty_response(StatusCode::INTERNAL_SERVER_ERROR))
 }
 
+/// Yields a chunk of a body in each interval, for ever.
+fn endless_stream() -> impl stream::Stream<Item = io::Result<Bytes>> {
+    stream::unfold((), |()| async {
+        sleep(ENDLESS_INTERVAL).await;
+        Some((Ok(Bytes::from_static(&[b'x'; ENDLESS_CHUNK])), ()))
+    })
+}
+
 fn empty_response(status: StatusCode) -> Response {
     let mut response = Response::new(Body::empty());
     *response.status_mut() = status;
--- a/crates/rig/src/soak/check.rs
+++ b/crates/rig/src/soak/check.rs
@@ -97,7 +97,7 @@
         let end = call.scheduled + call.latency + KILL_SLACK;
         self.process_faults(call.target).any(|f| {
             matches!(f.kind, FaultKind::Kill(_))
-                && call.scheduled <= f.start + KILL_SLACK
+                && call.scheduled <= f.injected + KILL_SLACK
                 && f.start <= end
         })
     }
--- a/crates/rig/src/soak/mod.rs
+++ b/crates/rig/src/soak/mod.rs
@@ -1,10 +1,10 @@
 //! Soak test: injects random faults from a seed into node processes under load and checks invariants.
 //!
-//! Node processes are killed, terminated, paused and started again. Connections between nodes are
+//! Node processes are killed, terminated, reloaded, paused and started again. Connections between nodes are
 //! delayed, refused, stalled or dropped in one direction. Backend servers restart, become slow and send
 //! faulty responses. The platform becomes unavailable or throttles reads, and operators take backend
-//! servers and zones out and back. Faults overlap and come in series. The load goes on throughout and
-//! reuses its connections. No fault affects the wall clock or a disk, which nodes use only for logs and
+//! servers and zones out and back. Faults overlap and come in series. The load goes on throughout: some
+//! clients keep using their connection to a node until its process is gone. No fault affects the wall clock or a disk, which nodes use only for logs and
 //! settings.
 //!
 //! [`run`] returns the violated invariants, as callers and backend servers observed them.
@@ -46,6 +46,8 @@
 const COLD_LIMIT: usize = 1;
 /// Time from its start until a backend server is warm.
 const WARM_MS: u64 = 1_500;
+/// Clients of each node that keep using one connection until the node closes it.
+const CLIENTS_PER_NODE: usize = 2;
 /// Mean service time of backend servers.
 const SERVICE_MS: f64 = 30.0;
 /// Deadline of the calls.
@@ -108,17 +110,23 @@
     let _ = fs::remove_dir_all(builder.output_dir());
     let cluster = builder.start().await?;
     let targets = cluster.targets();
-    let faults = draw_faults(options.seed, options.duration, options.nodes, ZONES.len());
+    let mut faults = draw_faults(options.seed, options.duration, options.nodes, ZONES.len());
     let start = Instant::now();
     let workload = workload(options.seed, options, &targets, options.duration);
     let mut soak = Soak {
         cluster,
         start,
         violations: Vec::new(),
-        drained: None,
+        drained: Vec::new(),
     };
-    let (calls, injected) = tokio::join!(load::run(&workload), soak.run_schedule(&faults));
+    let persistent = workload_of_clients(options, &targets);
+    let (mut calls, persistent, injected) = tokio::join!(
+        load::run(&workload),
+        load::run_persistent(&persistent, CLIENTS_PER_NODE),
+        soak.run_schedule(&mut faults)
+    );
     injected?;
+    calls.samples.extend(persistent.samples);
     sleep(RECOVERY_TIME).await;
     let observations = Observations {
         samples: &calls.samples,
@@ -149,8 +157,20 @@
     }
 }
 
+/// Workload of the clients that keep using their connections, with other request ids.
+fn workload_of_clients(options: &Options, targets: &[SocketAddr]) -> Workload {
+    workload(
+        options.seed.rotate_left(32),
+        options,
+        targets,
+        options.duration,
+    )
+}
+
 /// Backend servers that were taken out and must get no more requests.
 struct Drained {
+    /// The change that took them out.
+    cause: FaultKind,
     servers: Vec<usize>,
     /// Number of their runs when the change had to be in effect.
     runs: u64,
@@ -160,7 +180,7 @@
     cluster: Cluster,
     start: Instant,
     violations: Vec<String>,
-    drained: Option<Drained>,
+    drained: Vec<Drained>,
 }
 
 #[derive(Debug, Clone, Copy, PartialEq, Eq, PartialOrd, Ord)]
@@ -171,7 +191,8 @@
 }
 
 impl Soak {
-    async fn run_schedule(&mut self, faults: &[Fault]) -> io::Result<()> {
+    /// Injects the faults, and replaces their planned times by the actual ones.
+    async fn run_schedule(&mut self, faults: &mut [Fault]) -> io::Result<()> {
         let mut steps: Vec<(Duration, Step, usize)> = Vec::new();
         for (index, fault) in faults.iter().enumerate() {
             steps.push((fault.start, Step::Inject, index));
@@ -186,11 +207,18 @@
         steps.sort();
         for (time, step, index) in steps {
             sleep_until((self.start + time).into()).await;
-            let fault = &faults[index];
+            let fault = faults[index];
+            let began = self.start.elapsed();
             match step {
                 Step::Inject => self.inject(fault.kind).await?,
-                Step::Watch => self.watch_drained(fault, faults),
-                Step::Recover => self.recover(fault).await?,
+                Step::Watch => self.watch_drained(&fault, faults),
+                Step::Recover => self.recover(&fault).await?,
+            }
+            let ended = self.start.elapsed();
+            match step {
+                Step::Inject => (faults[index].start, faults[index].injected) = (began, ended),
+                Step::Watch => {}
+                Step::Recover => faults[index].end = ended,
             }
         }
         Ok(())
@@ -200,6 +228,11 @@
         match kind {
             FaultKind::Kill(node) => self.cluster.nodes[node].kill().await,
             FaultKind::Terminate(node) => self.signal(node, "TERM").await,
+            FaultKind::Reload(node) => {
+                if !self.cluster.nodes[node].has_exited() {
+                    self.cluster.nodes[node].signal("HUP").await;
+                }
+            }
             FaultKind::Pause(node) => self.signal(node, "STOP").await,
             FaultKind::DropInbound(node) => {
                 self.cluster.proxies[node].configure(|faults| faults.drop_inbound = true)
@@ -269,7 +302,7 @@
             FaultKind::PlatformDown | FaultKind::PlatformThrottled => {
                 self.set_platform_faults(Faults::default())
             }
-            FaultKind::StallOpen(_) | FaultKind::RestartServer(_) => {}
+            FaultKind::Reload(_) | FaultKind::StallOpen(_) | FaultKind::RestartServer(_) => {}
             FaultKind::ServerLeaving(_) | FaultKind::ZoneOut(_) => {
                 self.check_drained(fault);
                 self.publish_status(fault.kind, "in");
@@ -329,13 +362,18 @@
             _ => return,
         };
         let runs = self.run_count(&servers);
-        self.drained = Some(Drained { servers, runs });
+        self.drained.push(Drained {
+            cause: fault.kind,
+            servers,
+            runs,
+        });
     }
 
     fn check_drained(&mut self, fault: &Fault) {
-        let Some(drained) = self.drained.take() else {
+        let Some(index) = self.drained.iter().position(|d| d.cause == fault.kind) else {
             return;
         };
+        let drained = self.drained.swap_remove(index);
         let runs = self.run_count(&drained.servers);
         if runs > drained.runs {
             let extra_runs = runs - drained.runs;
--- a/crates/rig/src/soak/schedule.rs
+++ b/crates/rig/src/soak/schedule.rs
@@ -14,6 +14,10 @@
 const SERIES_PROBABILITY: f64 = 0.25;
 /// Time between the starts of two faults of a series.
 const SERIES_INTERVAL_S: f64 = 0.3;
+/// Mean time between the starts of two bursts.
+const MEAN_BURST_INTERVAL_S: f64 = 3.0;
+/// Time between the starts of two faults of a burst.
+const BURST_INTERVAL_S: f64 = 0.15;
 /// Minimum time between two faults that conflict.
 const MIN_PAUSE: Duration = Duration::from_millis(500);
 
@@ -24,6 +28,8 @@
     Kill(usize),
     /// The node gets SIGTERM and is started again at the end.
     Terminate(usize),
+    /// The node gets SIGHUP, unless it is down.
+    Reload(usize),
     /// The node gets SIGSTOP, and SIGCONT at the end.
     Pause(usize),
     /// The node receives nothing on connections that its peers opened.
@@ -52,11 +58,14 @@
     ZoneOut(usize),
 }
 
-/// A fault with its start and end, since the start of the soak.
+/// A fault with its times since the start of the soak, as planned or, once it is over, as they were.
 #[derive(Debug, Clone, Copy, PartialEq)]
 pub(crate) struct Fault {
     pub(crate) kind: FaultKind,
     pub(crate) start: Duration,
+    /// When the injection was complete: a killed process holds its connections until it has exited,
+    /// which takes a while on a busy machine.
+    pub(crate) injected: Duration,
     pub(crate) end: Duration,
 }
 
@@ -68,6 +77,15 @@
 }
 
 impl Fault {
+    fn new(kind: FaultKind, start: Duration, end: Duration) -> Self {
+        Self {
+            kind,
+            start,
+            injected: start,
+            end,
+        }
+    }
+
     /// Node whose process the fault kills, terminates or pauses.
     pub(crate) fn node_process(&self) -> Option<usize> {
         match self.kind {
@@ -92,7 +110,20 @@
             (a, b) if discriminant(a) == discriminant(b) => affected(a) == affected(b),
             _ => self.node_process().is_some() && self.node_process() == other.node_process(),
         };
-        same && self.start < other.end + MIN_PAUSE && other.start < self.end + MIN_PAUSE
+        same && self.is_close_to(other)
+    }
+
+    /// Whether both faults affect the same process, or are of one kind and affect the same thing, at
+    /// overlapping times.
+    fn excludes(&self, other: &Self) -> bool {
+        let process = self.node_process();
+        let same = discriminant(self.kind) == discriminant(other.kind)
+            && affected(self.kind) == affected(other.kind);
+        (same || (process.is_some() && process == other.node_process())) && self.is_close_to(other)
+    }
+
+    fn is_close_to(&self, other: &Self) -> bool {
+        self.start < other.end + MIN_PAUSE && other.start < self.end + MIN_PAUSE
     }
 }
 
@@ -104,6 +135,7 @@
     match kind {
         FaultKind::Kill(index)
         | FaultKind::Terminate(index)
+        | FaultKind::Reload(index)
         | FaultKind::Pause(index)
         | FaultKind::DropInbound(index)
         | FaultKind::DropOutbound(index) => Some(index),
@@ -121,6 +153,51 @@
 
 /// Draws the faults of a soak, in the order of their starts. All of them end before `duration`.
 pub(crate) fn draw_faults(seed: u64, duration: Duration, nodes: usize, zones: usize) -> Vec<Fault> {
+    let mut faults = draw_separate(seed, duration, nodes, zones);
+    add_overlapping(&mut faults, seed, duration, nodes, zones);
+    faults.sort_by_key(|f| f.start);
+    faults
+}
+
+/// Adds bursts of signals, restarts and operators' changes on successive nodes. They overlap with each
+/// other and with `faults`, except that a node's process has one fault at a time.
+fn add_overlapping(
+    faults: &mut Vec<Fault>,
+    seed: u64,
+    duration: Duration,
+    nodes: usize,
+    zones: usize,
+) {
+    // Draws of their own keep the faults of earlier seeds as they were.
+    let mut rng = SmallRng::seed_from_u64(!seed);
+    let mut start = INITIAL_DELAY;
+    while start < duration {
+        let first = rng.random_range(0..nodes);
+        let count = rng.random_range(1..=nodes.div_ceil(2));
+        let draw = rng.random_range(0..10);
+        for index in 0..count {
+            let node = (first + index) % nodes;
+            let kind = match draw {
+                0..4 => FaultKind::Reload(node),
+                4 | 5 => FaultKind::Terminate(node),
+                6 => FaultKind::Kill(node),
+                7 => FaultKind::FaultyResponse(node, ResponseMode::Endless),
+                8 if index < zones => FaultKind::ZoneOut(index),
+                _ => FaultKind::ServerLeaving(node),
+            };
+            let start = start + Duration::from_secs_f64(BURST_INTERVAL_S * index as f64);
+            let end = start + draw_duration(kind, &mut rng);
+            let fault = Fault::new(kind, start, end);
+            if end < duration && !faults.iter().any(|f| f.excludes(&fault)) {
+                faults.push(fault);
+            }
+        }
+        start += Duration::from_secs_f64(MEAN_BURST_INTERVAL_S * rng.random_range(0.5..1.5));
+    }
+}
+
+/// Draws faults of which only those of different nodes overlap.
+fn draw_separate(seed: u64, duration: Duration, nodes: usize, zones: usize) -> Vec<Fault> {
     let mut rng = SmallRng::seed_from_u64(seed);
     let mut faults: Vec<Fault> = Vec::new();
     let mut start = INITIAL_DELAY;
@@ -138,7 +215,7 @@
             };
             let start = start + Duration::from_secs_f64(SERIES_INTERVAL_S * index as f64);
             let end = start + draw_duration(kind, &mut rng);
-            let fault = Fault { kind, start, end };
+            let fault = Fault::new(kind, start, end);
             if end < duration && !faults.iter().any(|f| f.conflicts_with(&fault)) {
                 faults.push(fault);
             }
@@ -146,7 +223,6 @@
         let interval = -(1.0 - rng.random::<f64>()).ln() * MEAN_INTERVAL_S;
         start += Duration::from_secs_f64(interval);
     }
-    faults.sort_by_key(|f| f.start);
     faults
 }
 
