--- a/crates/platform/src/http.rs
+++ b/crates/platform/src/http.rs
@@ -17,7 +17,7 @@
 /// several seconds if the link has other traffic.
 const READ_TIMEOUT: Duration = Duration::from_millis(10_000);
 /// Maximum size of a response, several times that of the largest page or item.
-const MAX_RESPONSE_BYTES: usize = 16 << 20;
+pub const MAX_RESPONSE_BYTES: usize = 16 << 20;
 /// Timeout of the TCP handshake, which the platform normally completes within milliseconds.
 const CONNECT_TIMEOUT: Duration = Duration::from_millis(500);
 /// Idle time before the first TCP keepalive probe, and time between two probes. With
@@ -69,7 +69,7 @@
     /// [`PlatformError`] if the request fails, the status isn't 200, or the body can't be read or
     /// decoded.
     pub async fn read<T: DeserializeOwned>(&self, path: &str) -> Result<T, PlatformError> {
-        let (value, _) = self.read_with_headers(path).await?;
+        let (value, _) = self.read_with_headers(path, MAX_RESPONSE_BYTES).await?;
         Ok(value)
     }
 
@@ -77,10 +77,12 @@
     ///
     /// # Errors
     ///
-    /// As for [`read`](Self::read).
+    /// As for [`read`](Self::read), and [`PlatformError::TooLarge`] if the body exceeds `limit` bytes.
+    /// It isn't received if the response names its length.
     pub async fn read_with_headers<T: DeserializeOwned>(
         &self,
         path: &str,
+        limit: usize,
     ) -> Result<(T, HeaderMap), PlatformError> {
         let url = format!("{}{path}", self.base);
         let request = self.client.get(url).timeout(READ_TIMEOUT).send();
@@ -88,13 +90,15 @@
         match response.status().as_u16() {
             200 => {
                 let headers = response.headers().clone();
+                let length = response.content_length().unwrap_or_default();
+                if length > limit as u64 {
+                    return Err(PlatformError::TooLarge { limit });
+                }
                 let mut body = Vec::new();
                 while let Some(chunk) = response.chunk().await.map_err(PlatformError::Truncated)? {
                     body.extend_from_slice(&chunk);
-                    if body.len() > MAX_RESPONSE_BYTES {
-                        return Err(PlatformError::TooLarge {
-                            limit: MAX_RESPONSE_BYTES,
-                        });
+                    if body.len() > limit {
+                        return Err(PlatformError::TooLarge { limit });
                     }
                 }
                 let value = serde_json::from_slice(&body);
--- a/crates/platform/src/lib.rs
+++ b/crates/platform/src/lib.rs
@@ -17,7 +17,7 @@
 use smol_str::SmolStr;
 use types::{HostId, Revision};
 
-pub use http::{HttpClient, HttpPlatform};
+pub use http::{HttpClient, HttpPlatform, MAX_RESPONSE_BYTES};
 pub use registry::{ConfigRead, Registry, RegistryEntries};
 
 /// Page of notes after a revision, limited by the service's maximum value size.
