--- a/crates/node/src/backend/tests.rs
+++ b/crates/node/src/backend/tests.rs
@@ -269,8 +269,7 @@
 
 #[tokio::test]
 async fn the_answer_to_a_probe_has_a_small_size_limit() {
-    let head = "HTTP/1.1 200 OK\r\nx-instance-id: a\r\n\r\n";
-    let server = EndlessServer::start(head, "aaaaaaaaaaaaaaaa").await;
+    let server = EndlessServer::start("HTTP/1.1 200 OK\r\n\r\n", "aaaaaaaaaaaaaaaa").await;
     let target = Target {
         answer_limit: 64 << 20,
         ..target(server.address)
