dialect, gate: read and log the limit and the leaving that a backend server names

Responses now have a limit (a rate, absent or malformed) and say whether the server leaves, and the gate logs a change of either as server_statement_changed. Nothing acts on it yet.

--- a/crates/dialect/src/lib.rs
+++ b/crates/dialect/src/lib.rs
@@ -11,8 +11,8 @@
 use std::{error::Error, fmt};
 
 use bytes::Bytes;
-use http::{HeaderMap, HeaderName, StatusCode};
-use types::{Boot, CallId, Refusal, ServerId, ServiceId, Span};
+use http::{HeaderMap, HeaderName, HeaderValue, StatusCode};
+use types::{Boot, CallId, NamedLimit, Rate, Refusal, ServerId, ServiceId, Span};
 
 pub use native::NativeDialect;
 
@@ -88,7 +88,7 @@
 }
 
 /// Metadata of a response, from its status and headers.
-#[derive(Debug, Clone, Default, PartialEq, Eq)]
+#[derive(Debug, Clone, Default, PartialEq)]
 pub struct ResponseMetadata {
     /// The backend server guarantees that it did not run the request.
     pub shed: bool,
@@ -107,6 +107,10 @@
     pub warmup_left: Option<Span>,
     /// Time that the backend server keeps an idle connection open, if reported.
     pub keep_alive: Option<Span>,
+    /// Request rate that the backend server accepts.
+    pub limit: NamedLimit,
+    /// Whether the backend server says that it is leaving.
+    pub leaving: bool,
 }
 
 /// Reason why a node rejects a request before it becomes a call.
@@ -209,6 +213,16 @@
     pub body: Bytes,
 }
 
+/// Parses the value of a header in which a backend server names the request rate that it accepts.
+pub fn parse_limit(value: Option<&HeaderValue>) -> NamedLimit {
+    let Some(value) = value else {
+        return NamedLimit::Absent;
+    };
+    let text = value.to_str().unwrap_or_default().trim();
+    let rate = text.parse().ok().and_then(|rate| Rate::new(rate).ok());
+    rate.map_or(NamedLimit::Malformed, NamedLimit::Rate)
+}
+
 /// Conventions for the headers and statuses that carry call metadata.
 pub trait Dialect: fmt::Debug + Send + Sync {
     /// Identifier of the call from its request or response headers, if present and valid.
--- a/crates/dialect/src/native.rs
+++ b/crates/dialect/src/native.rs
@@ -7,7 +7,7 @@
 
 use crate::{
     AttemptMetadata, CallFailure, Dialect, ErrorResponse, InvalidHeader, RequestMetadata,
-    ResponseMetadata,
+    ResponseMetadata, parse_limit,
 };
 
 const REQUEST_ID: &str = "x-request-id";
@@ -16,6 +16,10 @@
 const RETRY: &str = "x-repeat";
 const OUTCOME: &str = "x-outcome";
 const BOOT: &str = "x-boot";
+/// Requests a second that the backend server accepts, a decimal number.
+const LIMIT: &str = "x-limit";
+/// `1` if the backend server is leaving.
+const LEAVING: &str = "x-leaving";
 /// Length of a call identifier in hexadecimal digits.
 const CALL_ID_DIGITS: usize = 32;
 
@@ -70,6 +74,8 @@
         ResponseMetadata {
             shed: shed_statuses.contains(&status.as_u16()),
             boot: boot.and_then(|text| text.parse().ok()),
+            limit: parse_limit(headers.get(LIMIT)),
+            leaving: headers.get(LEAVING).is_some_and(|v| v == "1"),
             ..ResponseMetadata::default()
         }
     }
--- a/crates/node/src/gate_actor/state.rs
+++ b/crates/node/src/gate_actor/state.rs
@@ -13,7 +13,9 @@
 use note::{Limits, Server, Service, State};
 use smol_str::SmolStr;
 use tokio::sync::oneshot;
-use types::{AttemptId, Boot, CallId, Moment, Outcome, Revision, ServerId, ServiceId, Span};
+use types::{
+    AttemptId, Boot, CallId, Moment, NamedLimit, Outcome, Revision, ServerId, ServiceId, Span,
+};
 
 use super::{
     GateDump, OpenedSession, ProbeFinished, QueryAttempt, Refresh, Reply, RunAttempt, RunFinished,
@@ -54,6 +56,8 @@
     cold_factor: f64,
     server: Option<(Server, Service)>,
     attempts: HashMap<AttemptId, PendingAttempt>,
+    /// The limit that the last answer named, and whether it said that the server leaves.
+    named: (NamedLimit, bool),
     actor: Option<WeakActorRef<Self>>,
     timer: WakeTimer,
 }
@@ -80,6 +84,7 @@
             cold_factor,
             server: None,
             attempts: HashMap::new(),
+            named: (NamedLimit::Absent, false),
             actor: None,
             timer: WakeTimer::default(),
         }
@@ -213,6 +218,11 @@
         if let Some(load) = metadata.load {
             self.gate.observe_slowdown(load.slowdown_percent, now);
         }
+        let named = (metadata.limit, metadata.leaving);
+        if std::mem::replace(&mut self.named, named) != named {
+            let server = self.server_id().map(ToString::to_string);
+            log::info!(server, limit:? = named.0, leaving = named.1; "server_statement_changed");
+        }
         let was_replaced = self.gate.is_replaced(now);
         let actions = self.gate.complete(id, completion, now);
         self.log_identity(was_replaced, None);
--- a/crates/types/src/lib.rs
+++ b/crates/types/src/lib.rs
@@ -12,5 +12,5 @@
 pub use id::{AttemptId, Boot, CallId, Era, HostId, IdError, Revision, RouteId, Seq, ServerId};
 pub use id::{ServiceId, SessionId, Stamp, ZoneId};
 pub use outcome::{Answer, Header, Outcome, Refusal};
-pub use size::{ParseError, Rate, Size, Slots};
+pub use size::{NamedLimit, ParseError, Rate, Size, Slots};
 pub use time::{Moment, Span};
--- a/crates/types/src/size.rs
+++ b/crates/types/src/size.rs
@@ -114,6 +114,18 @@
     }
 }
 
+/// The request rate that a backend server names in a response as the most that it accepts.
+#[derive(Debug, Clone, Copy, Default, PartialEq)]
+pub enum NamedLimit {
+    /// The response names none.
+    #[default]
+    Absent,
+    /// The backend server accepts this rate of requests from all nodes together.
+    Rate(Rate),
+    /// The response names a limit that is not a rate.
+    Malformed,
+}
+
 impl TryFrom<f64> for Rate {
     type Error = ParseError;
 
