--- a/crates/rig/src/server.rs
+++ b/crates/rig/src/server.rs
@@ -17,7 +17,8 @@
     Json, Router,
     body::{Body, Bytes, to_bytes},
     extract::{Request, State},
-    http::{HeaderMap, StatusCode},
+    http::{HeaderMap, HeaderValue, StatusCode},
+    middleware::{Next, from_fn_with_state},
     response::Response,
     routing::{get, post},
 };
@@ -72,6 +73,10 @@
     pub answering: ResponseMode,
     /// Address of the node on the same host, which takes the nested requests.
     pub node: Option<SocketAddr>,
+    /// Requests a second that responses name as the limit.
+    pub limit: Option<f64>,
+    /// Whether responses say that the server is leaving.
+    pub leaving: bool,
 }
 
 impl Default for Behavior {
@@ -84,6 +89,8 @@
             slow: 1.0,
             answering: ResponseMode::Whole,
             node: None,
+            limit: None,
+            leaving: false,
         }
     }
 }
@@ -113,6 +120,8 @@
     failing_until: Option<Instant>,
     running: usize,
     runs: HashMap<String, u64>,
+    /// When requests and probes arrived.
+    arrivals: Vec<Instant>,
     counts: Counts,
 }
 
@@ -135,6 +144,7 @@
             failing_until: None,
             running: 0,
             runs: HashMap::new(),
+            arrivals: Vec::new(),
             counts: Counts::default(),
         };
         let client = reqwest::Client::builder()
@@ -183,6 +193,11 @@
         self.inner().runs.get(id).copied().unwrap_or_default()
     }
 
+    /// When requests and probes arrived, in order.
+    pub fn arrivals(&self) -> Vec<Instant> {
+        self.inner().arrivals.clone()
+    }
+
     /// Ids of all requests that were started.
     pub fn request_ids(&self) -> Vec<String> {
         self.inner().runs.keys().cloned().collect()
@@ -208,11 +223,11 @@
     }
 
     fn router(&self) -> Router {
+        let served = Router::new().route("/load", get(load)).fallback(run);
         Router::new()
-            .route("/load", get(load))
             .route("/control/counts", get(counts))
             .route("/control/conduct", post(set_behavior))
-            .fallback(run)
+            .merge(served.layer(from_fn_with_state(self.clone(), record_and_name)))
             .with_state(self.clone())
     }
 
@@ -307,6 +322,22 @@
     pub nested: u32,
 }
 
+/// Records the arrival of a request or probe, and adds to its response what the server names.
+async fn record_and_name(State(server): State<Server>, request: Request, next: Next) -> Response {
+    server.inner().arrivals.push(Instant::now());
+    let mut response = next.run(request).await;
+    let behavior = server.inner().behavior.clone();
+    let headers = response.headers_mut();
+    if let Some(limit) = behavior.limit {
+        let value = HeaderValue::from_str(&limit.to_string()).expect("a number is visible ASCII");
+        headers.insert("x-limit", value);
+    }
+    if behavior.leaving {
+        headers.insert("x-leaving", HeaderValue::from_static("1"));
+    }
+    response
+}
+
 async fn run(State(server): State<Server>, request: Request) -> Response {
     let (parts, body) = request.into_parts();
     let id = header(&parts.headers, "x-request-id").to_owned();
