gate, fleet: send nothing new to a backend server that says it is leaving

Callers' requests went on reaching a server that had said in its responses that it leaves, for as long as the platform didn't list it as leaving.

Cause: the header was read by no component. The gate now marks the incarnation as leaving on the board, closes at once, refuses what is queued as not run and finishes what runs. Replies carry it to the ingress, and comparisons of views to all nodes, which push it to their neighbours at once. The set only grows, so merging needs no order, and a node that starts learns it with its first comparison.

--- a/crates/board/src/lib.rs
+++ b/crates/board/src/lib.rs
@@ -1,6 +1,6 @@
 //! State that the components of one node share, published over watch channels.
 //!
-//! Each channel has one writer, except `phase`, and any number of components read it or wait for it
+//! Each channel has one writer, except `leaving` and `phase`, and any number of components read it or wait for it
 //! to change. Components depend on the board and not on each other:
 //!
 //! | channel | writer | readers |
@@ -8,14 +8,15 @@
 //! | `view` | `ViewSync` | `GateActor`, ingress, peer server, admin API |
 //! | `lease` | `ViewSync` | `GateActor`, admin API |
 //! | `hosts` | `ViewSync` | `GateActor`, ingress |
+//! | `leaving` | any, through [`Board::mark_leaving`] | `GateActor`, ingress, `ViewSync` |
 //! | `phase` | `ViewSync` (ready), lifecycle (leaving, stopping) | all |
 
 mod clock;
 
 use std::{net::SocketAddr, sync::Arc};
 
-use fleet::Lease;
-use note::{Server, View};
+use fleet::{Lease, LeavingServers};
+use note::{Server, State, View};
 use platform::{HostList, HostStatus};
 use serde::Serialize;
 use tokio::sync::watch;
@@ -68,6 +69,8 @@
     pub lease: watch::Sender<Lease>,
     /// The platform's list of hosts and their status.
     pub hosts: watch::Sender<Arc<HostList>>,
+    /// Backend servers that have said in a response that they are leaving.
+    pub leaving: watch::Sender<LeavingServers>,
     /// Phase of the node's lifecycle.
     pub phase: watch::Sender<Phase>,
 }
@@ -82,6 +85,7 @@
             checked: watch::Sender::default(),
             lease: watch::Sender::default(),
             hosts: watch::Sender::default(),
+            leaving: watch::Sender::default(),
             phase: watch::Sender::new(Phase::Joining),
         })
     }
@@ -115,6 +119,23 @@
     pub fn accepts_requests(&self, id: &ServerId) -> bool {
         let view = self.view.borrow();
         let server = view.state.server(id);
-        server.is_some_and(|s| view.state.is_in_service(s) && !self.is_leaving(&s.host))
+        server.is_some_and(|s| {
+            view.state.is_in_service(s)
+                && !self.is_leaving(&s.host)
+                && !self.has_said_leaving(&view.state, id)
+        })
+    }
+
+    /// Returns whether the current incarnation of a backend server has said that it is leaving.
+    pub fn has_said_leaving(&self, state: &State, id: &ServerId) -> bool {
+        let incarnation = state.incarnation_of(id);
+        incarnation.is_some_and(|incarnation| self.leaving.borrow().contains(id, incarnation))
+    }
+
+    /// Records that an incarnation of a backend server has said that it is leaving. Returns whether
+    /// that is new.
+    pub fn mark_leaving(&self, id: &ServerId, incarnation: Boot) -> bool {
+        let mark = |servers: &mut LeavingServers| servers.insert(id.clone(), incarnation);
+        self.leaving.send_if_modified(mark)
     }
 }
--- a/crates/fleet/src/gossip.rs
+++ b/crates/fleet/src/gossip.rs
@@ -145,6 +145,11 @@
         }
         self.revision = revision;
         self.pulls.retain(|_, announced| *announced > revision);
+        self.push()
+    }
+
+    /// Compares with some neighbours at once, as this node has something to tell them.
+    pub fn push(&mut self) -> Vec<Action> {
         let targets = self.neighbours.sample(&mut self.rng, PUSH_FANOUT);
         targets.copied().map(Action::Compare).collect()
     }
--- a/crates/fleet/src/lib.rs
+++ b/crates/fleet/src/lib.rs
@@ -21,6 +21,7 @@
 mod gossip;
 mod history;
 mod lease;
+mod leaving;
 mod read_turns;
 mod readiness;
 mod snapshot;
@@ -28,5 +29,6 @@
 pub use gossip::{Action, Gossip, ReadBudget};
 pub use history::{History, HistoryError, ViewUpdate};
 pub use lease::Lease;
+pub use leaving::LeavingServers;
 pub use readiness::Readiness;
 pub use snapshot::{Digests, EraChange, HeldZones, Parts, Snapshot};
--- a/crates/gate/src/core/mod.rs
+++ b/crates/gate/src/core/mod.rs
@@ -294,6 +294,12 @@
         self.slowdown_report = (percent, now);
     }
 
+    /// Whether another backend server has been listed since `sent_at`, so that the response to a request
+    /// of that time says nothing of the present one.
+    pub fn was_replaced_since(&self, sent_at: Moment) -> bool {
+        sent_at < self.listed_at
+    }
+
     /// Records the limit that a response named, to a request or a probe sent at `sent_at`.
     pub fn observe_limit(
         &mut self,
@@ -302,7 +308,7 @@
         sent_at: Moment,
         now: Moment,
     ) -> Vec<Action> {
-        if sent_at < self.listed_at {
+        if self.was_replaced_since(sent_at) {
             return Vec::new();
         }
         self.rate.observe(named, source, sent_at, now);
--- a/crates/node/src/gate_actor/mod.rs
+++ b/crates/node/src/gate_actor/mod.rs
@@ -54,6 +54,8 @@
     pub(crate) service_time: Span,
     /// Incarnation of the gate's backend server.
     pub(crate) incarnation: Boot,
+    /// Whether it has said that it is leaving.
+    pub(crate) leaving: bool,
 }
 
 impl Reply {
@@ -139,6 +141,8 @@
     load: Load,
     /// Limit that the backend server has named, and the room left under it.
     limit: Option<LimitState>,
+    /// Whether the backend server has said that it is leaving.
+    leaving: bool,
     sessions: usize,
     /// Attempts whose outcome is remembered.
     fates: usize,
@@ -172,12 +176,14 @@
     let mut view = board.view.subscribe();
     let mut lease = board.lease.subscribe();
     let mut hosts = board.hosts.subscribe();
+    let mut leaving = board.leaving.subscribe();
     let mut phase = board.phase.subscribe();
     loop {
         let changed = tokio::select! {
             changed = view.changed() => changed,
             changed = lease.changed() => changed,
             changed = hosts.changed() => changed,
+            changed = leaving.changed() => changed,
             changed = phase.changed() => changed,
         };
         let Some(actor) = actor.upgrade() else { return };
--- a/crates/node/src/gate_actor/state.rs
+++ b/crates/node/src/gate_actor/state.rs
@@ -232,6 +232,10 @@
         if let (Some(started_at), Some(limit)) = (started_at, named_limit(&completion, metadata)) {
             self.observe_limit(limit, LimitSource::Response, started_at);
         }
+        let is_from_server = !matches!(completion, Completion::Misdirected);
+        if let Some(started_at) = started_at.filter(|_| metadata.leaving && is_from_server) {
+            self.observe_leaving(LimitSource::Response, started_at);
+        }
         let was_replaced = self.gate.is_replaced(now);
         let actions = self.gate.complete(id, completion, now);
         self.log_identity(was_replaced, None);
@@ -254,6 +258,22 @@
         self.execute(actions);
     }
 
+    /// Records that the backend server said that it is leaving, in response to a request or a probe
+    /// sent at `sent_at`. It gets no new requests from now on.
+    fn observe_leaving(&mut self, source: LimitSource, sent_at: Moment) {
+        let Some(server) = self.server_id().cloned() else {
+            return;
+        };
+        if self.gate.was_replaced_since(sent_at)
+            || !self.board.mark_leaving(&server, self.incarnation())
+        {
+            return;
+        }
+        log::info!(server:% = server, source = source.name(); "server_leaving");
+        let actions = apply_board(&self.board, &mut self.gate, Some(&server));
+        self.execute(actions);
+    }
+
     /// Logs a change of the limit from what it was `before`.
     fn log_limit(&self, before: Option<LimitState>) {
         let now = self.board.clock.now();
@@ -290,6 +310,7 @@
             server: self.server_id().cloned(),
             load: self.gate.load(self.board.clock.now()),
             limit: self.gate.named_limit(self.board.clock.now()),
+            leaving: self.is_leaving(),
             sessions,
             fates,
             answer_bytes,
@@ -304,6 +325,13 @@
         self.server.as_ref().map(|(server, _)| &server.id)
     }
 
+    /// Whether the backend server has said that it is leaving.
+    fn is_leaving(&self) -> bool {
+        let view = self.board.view.borrow();
+        let leaving = |id| self.board.has_said_leaving(&view.state, id);
+        self.server_id().is_some_and(leaving)
+    }
+
     /// Incarnation of the backend server, zero if there is none.
     fn incarnation(&self) -> Boot {
         let view = self.board.view.borrow();
@@ -324,6 +352,7 @@
             service_time: started_at
                 .map_or(Span::default(), |started_at| gate_time.since(started_at)),
             incarnation: self.incarnation(),
+            leaving: self.is_leaving(),
         }
     }
 
@@ -463,6 +492,9 @@
             && named.is_none_or(|named| *named == server)
         {
             self.observe_limit(metadata.limit, LimitSource::Probe, sent_at);
+            if metadata.leaving {
+                self.observe_leaving(LimitSource::Probe, sent_at);
+            }
         }
         let was_cold = self.gate.is_cold(now);
         self.gate
--- a/crates/node/src/ingress/driver.rs
+++ b/crates/node/src/ingress/driver.rs
@@ -287,6 +287,10 @@
             took,
             now,
         );
+        if reply.leaving {
+            let board = &self.ingress.board;
+            board.mark_leaving(&state.server, reply.incarnation);
+        }
         if reply.revision > self.ingress.board.view.borrow().revision {
             let report = PeerReport::revision_only(state.peer.address, reply.revision);
             let _ = self.ingress.view_sync.tell(report).try_send();
--- a/crates/node/src/ingress/mod.rs
+++ b/crates/node/src/ingress/mod.rs
@@ -75,10 +75,11 @@
 }
 
 impl Ingress {
-    /// Applies each new view and each change of the hosts' status, until the board is dropped.
+    /// Applies each new view and each change of the hosts' or servers' status, until the board is dropped.
     pub(crate) async fn watch_board(self: Arc<Self>) {
         let mut view = self.board.view.subscribe();
         let mut hosts = self.board.hosts.subscribe();
+        let mut leaving = self.board.leaving.subscribe();
         loop {
             self.route_table().set_routes(&self.board.view().state);
             self.services.refresh(&self.board);
@@ -86,6 +87,7 @@
             let changed = tokio::select! {
                 changed = view.changed() => changed,
                 changed = hosts.changed() => changed,
+                changed = leaving.changed() => changed,
             };
             if changed.is_err() {
                 return;
--- a/crates/node/src/ingress/services.rs
+++ b/crates/node/src/ingress/services.rs
@@ -280,7 +280,11 @@
         .values()
         .map(|e| &e.item)
         .filter(|s| s.service == *service);
-    let usable = servers.filter(|s| state.is_in_service(s) && !board.is_leaving(&s.host));
+    let usable = servers.filter(|s| {
+        state.is_in_service(s)
+            && !board.is_leaving(&s.host)
+            && !board.has_said_leaving(state, &s.id)
+    });
     let member = |s: &note::Server| Member {
         id: s.id.clone(),
         local: s.zone == board.identity.zone,
--- a/crates/node/src/peers/convert.rs
+++ b/crates/node/src/peers/convert.rs
@@ -2,10 +2,12 @@
 
 use std::{fmt, net::SocketAddr, sync::Arc};
 
+use board::Board;
 use call::SessionAttempt;
 use gate::{Load, Rank};
 use types::{
-    Answer, Boot, Header, IdError, Moment, Outcome, Rate, Refusal, Revision, Seq, SessionId, Span,
+    Answer, Boot, Header, IdError, Moment, Outcome, Rate, Refusal, Revision, Seq, ServerId,
+    SessionId, Span,
 };
 use wire::peer;
 
@@ -15,6 +17,9 @@
     gate_actor::{OpenedSession, Reply},
 };
 
+/// Maximum number of leaving backend servers that a message names: the latest ones.
+const MAX_LEAVING: usize = 128;
+
 /// Why a message from another node is invalid.
 #[derive(Debug)]
 pub(crate) enum ConvertError {
@@ -167,7 +172,7 @@
         clock: reply.gate_time.0,
         ran: reply.service_time.0,
         incarnation: reply.incarnation.0,
-        leaving: false,
+        leaving: reply.leaving,
     }
 }
 
@@ -211,6 +216,33 @@
         gate_time: Moment(message.clock),
         service_time: Span(message.ran),
         incarnation: Boot(message.incarnation),
+        leaving: message.leaving,
+    }
+}
+
+/// The backend servers in the view that have said that they are leaving, as many as a message may name.
+pub(crate) fn to_leaving(board: &Board) -> Vec<peer::LeavingServer> {
+    let view = board.view();
+    let leaving = board.leaving.borrow();
+    let listed = leaving
+        .latest()
+        .filter(|(id, incarnation)| view.state.incarnation_of(id) == Some(*incarnation));
+    let message = |(id, incarnation): &(ServerId, Boot)| peer::LeavingServer {
+        server: id.to_string(),
+        incarnation: incarnation.0,
+    };
+    listed.take(MAX_LEAVING).map(message).collect()
+}
+
+/// Records the backend servers that a peer knows to be leaving.
+pub(crate) fn merge_leaving(board: &Board, leaving: &[peer::LeavingServer]) {
+    for message in leaving.iter().take(MAX_LEAVING) {
+        let Ok(server) = message.server.parse() else {
+            continue;
+        };
+        if board.mark_leaving(&server, Boot(message.incarnation)) {
+            log::info!(server:% = server, source = "peer"; "server_leaving");
+        }
     }
 }
 
--- a/crates/node/src/peers/mod.rs
+++ b/crates/node/src/peers/mod.rs
@@ -32,6 +32,7 @@
     gate_actor::{GateActor, OpenedSession, Reply},
 };
 
+pub(crate) use convert::{merge_leaving, to_leaving};
 pub(crate) use local::LocalGate;
 pub(crate) use remote::{RemoteGate, endpoint};
 
--- a/crates/node/src/peers/server.rs
+++ b/crates/node/src/peers/server.rs
@@ -49,6 +49,7 @@
             ready: self.board.phase() != Phase::Joining,
             checked_era: checked.era.0,
             checked_revision: checked.revision.0,
+            leaving: convert::to_leaving(&self.board),
             ..View::default()
         }
     }
@@ -94,6 +95,7 @@
 
     async fn compare(&self, request: Request<View>) -> Result<Response<View>, Status> {
         let peer_view = request.into_inner();
+        convert::merge_leaving(&self.board, &peer_view.leaving);
         match peer_view.node.parse() {
             Ok(peer) => {
                 let report = PeerReport {
--- a/crates/node/src/peers/tests.rs
+++ b/crates/node/src/peers/tests.rs
@@ -70,6 +70,7 @@
         gate_time: Moment(0),
         service_time: Span::default(),
         incarnation: Boot(0),
+        leaving: false,
     }
 }
 
--- a/crates/node/src/view_sync/exchange.rs
+++ b/crates/node/src/view_sync/exchange.rs
@@ -102,7 +102,7 @@
             read_hops,
             checked_era: checked.era.0,
             checked_revision: checked.revision.0,
-            ..View::default()
+            leaving: peers::to_leaving(&self.board),
         };
         tokio::spawn(async move {
             let view = timeout(COMPARE_TIMEOUT, compare(channel, own))
@@ -167,6 +167,7 @@
     }
 
     fn apply_comparison(&mut self, peer: SocketAddr, sent_at: Moment, peer_view: &View) {
+        peers::merge_leaving(&self.board, &peer_view.leaving);
         let own = self.source.view();
         let revision = Revision(peer_view.revision);
         let digest = view_digest(peer_view);
--- a/crates/node/src/view_sync/mod.rs
+++ b/crates/node/src/view_sync/mod.rs
@@ -100,6 +100,10 @@
 #[derive(Debug)]
 struct Tick;
 
+/// A backend server has said that it is leaving.
+#[derive(Debug)]
+struct LeavingChanged;
+
 /// The actor that synchronizes the view.
 pub(crate) struct ViewSync {
     board: Arc<Board>,
@@ -159,6 +163,10 @@
 
     async fn on_start(mut view_sync: Self, actor: ActorRef<Self>) -> Result<Self, Infallible> {
         view_sync.actor = Some(actor.downgrade());
+        tokio::spawn(watch_leaving(
+            Arc::clone(&view_sync.board),
+            view_sync.actor.clone(),
+        ));
         view_sync.tick();
         Ok(view_sync)
     }
@@ -172,6 +180,15 @@
     }
 }
 
+impl Message<LeavingChanged> for ViewSync {
+    type Reply = ();
+
+    async fn handle(&mut self, _msg: LeavingChanged, _ctx: &mut Context<Self, ()>) {
+        let actions = self.gossip.push();
+        self.execute(actions);
+    }
+}
+
 impl Message<PeerReport> for ViewSync {
     type Reply = ();
 
@@ -342,6 +359,14 @@
     }
 }
 
+/// Sends the actor a [`LeavingChanged`] whenever another backend server says that it is leaving.
+async fn watch_leaving(board: Arc<Board>, actor: Option<WeakActorRef<ViewSync>>) {
+    let mut leaving = board.leaving.subscribe();
+    while leaving.changed().await.is_ok() {
+        tell(actor.clone(), LeavingChanged).await;
+    }
+}
+
 /// Sends a message to the actor if it still runs.
 async fn tell<M: Send + 'static>(actor: Option<WeakActorRef<ViewSync>>, message: M)
 where
