--- a/crates/rig/src/server.rs
+++ b/crates/rig/src/server.rs
@@ -29,6 +29,8 @@
 
 /// Time for which all requests fail after a breach while cold.
 const FAILURE_DURATION: Duration = Duration::from_millis(500);
+/// Time for which a server that a deadly request has ended accepts no connection.
+const DOWN_DURATION: Duration = Duration::from_millis(800);
 const MAX_BODY_BYTES: usize = 32 << 20;
 /// Bytes of a body without end that are sent in each interval.
 const ENDLESS_CHUNK: usize = 64 << 10;
@@ -77,6 +79,8 @@
     pub limit: Option<f64>,
     /// Whether responses say that the server is leaving.
     pub leaving: bool,
+    /// Path segment of requests that end the server.
+    pub deadly: Option<String>,
 }
 
 impl Default for Behavior {
@@ -91,6 +95,7 @@
             node: None,
             limit: None,
             leaving: false,
+            deadly: None,
         }
     }
 }
@@ -110,6 +115,8 @@
     pub breaches: u64,
     /// Load probes answered.
     pub probes: u64,
+    /// Ends of the server by a deadly request.
+    pub ends: u64,
 }
 
 #[derive(Debug)]
@@ -183,6 +190,25 @@
         self.listening.send_replace(listening);
     }
 
+    /// Ends the server if the request is deadly, and starts it again after [`DOWN_DURATION`].
+    fn end_if_deadly(&self, path: &str) -> bool {
+        let mut inner = self.inner();
+        let deadly = inner.behavior.deadly.clone();
+        let ends = deadly.is_some_and(|segment| path.split('/').any(|s| s == segment));
+        if ends {
+            inner.counts.ends += 1;
+            drop(inner);
+            self.set_listening(false);
+            self.restart();
+            let server = self.clone();
+            tokio::spawn(async move {
+                sleep(DOWN_DURATION).await;
+                server.set_listening(true);
+            });
+        }
+        ends
+    }
+
     /// Current counters.
     pub fn counts(&self) -> Counts {
         self.inner().counts.clone()
@@ -345,6 +371,9 @@
         Ok(guard) => guard,
         Err(status) => return empty_response(status),
     };
+    if server.end_if_deadly(parts.uri.path()) {
+        return respond(ResponseMode::Cut, 0, None).await;
+    }
     let received = to_bytes(body, MAX_BODY_BYTES)
         .await
         .map_or(0, |body| body.len());
--- /dev/null
+++ b/crates/rig/tests/deadly_request.rs
@@ -0,0 +1,65 @@
+//! A request that ends each backend server that runs it.
+
+use std::{io, time::Duration};
+
+use rig::{
+    cluster::{Cluster, cluster},
+    load::{self, Workload},
+    process::client,
+};
+use serde_json::json;
+use tokio::time::sleep;
+
+/// Number of times that callers send the deadly request, and the time between.
+const REQUESTS: usize = 30;
+const INTERVAL: Duration = Duration::from_millis(250);
+/// Ends after which the users' rule counts each further one.
+const MAX_ENDS: u64 = 3;
+/// Share of the other requests that is answered although servers are away for a while.
+const MIN_ANSWERED: f64 = 0.95;
+
+/// Sends the deadly request through one node after the other, and returns the statuses.
+async fn send_deadly(cluster: &Cluster) -> Vec<u16> {
+    let mut statuses = Vec::new();
+    for index in 0..REQUESTS {
+        let target = cluster.target(index % cluster.nodes.len());
+        let url = format!("http://{target}/draws/deadly");
+        let request = client().get(url).header("x-deadline-ms", 1_000);
+        let response = request.send().await.expect("no response");
+        statuses.push(response.status().as_u16());
+        sleep(INTERVAL).await;
+    }
+    statuses
+}
+
+#[tokio::test]
+async fn a_request_that_ends_its_backend_servers_is_held_back() -> io::Result<()> {
+    let limits = json!({ "cold": 10, "warm_ms": 0, "timeout_ms": 1000, "probes": 20.0 });
+    let cluster = cluster("deadly-request", 92)
+        .service_with_limits("draws", 4, limits.clone())
+        .service_with_limits("fees", 2, limits)
+        .server_behavior(|behavior| behavior.deadly = Some("deadly".into()))
+        .start()
+        .await?;
+    let others = Workload {
+        targets: cluster.targets(),
+        services: vec!["draws".into()],
+        rate: 60.0,
+        duration: INTERVAL * REQUESTS as u32,
+        post_ratio: 0.0,
+        deadline_ms: 1_000,
+        seed: 27,
+    };
+    let (statuses, others) = tokio::join!(send_deadly(&cluster), load::run(&others));
+    let ends: u64 = cluster.servers.iter().map(|s| s.counts().ends).sum();
+    assert!(ends <= MAX_ENDS, "{ends} servers ended: {statuses:?}");
+    let rejected = statuses.iter().filter(|status| **status == 503).count();
+    assert!(rejected > REQUESTS / 2, "{statuses:?}");
+    let answered = others.ok_count() as f64 / others.samples.len() as f64;
+    assert!(
+        answered >= MIN_ANSWERED,
+        "{answered} {:?}",
+        others.result_counts()
+    );
+    Ok(())
+}
