--- a/crates/board/src/lib.rs
+++ b/crates/board/src/lib.rs
@@ -1,6 +1,6 @@
 //! State that the components of one node share, published over watch channels.
 //!
-//! Each channel has one writer, except `leaving` and `phase`, and any number of components read it or wait for it
+//! Each channel has one writer, except `leaving`, `quarantine` and `phase`, and any number of components read it or wait for it
 //! to change. Components depend on the board and not on each other:
 //!
 //! | channel | writer | readers |
@@ -9,13 +9,14 @@
 //! | `lease` | `ViewSync` | `GateActor`, admin API |
 //! | `hosts` | `ViewSync` | `GateActor`, ingress |
 //! | `leaving` | any, through [`Board::mark_leaving`] | `GateActor`, ingress, `ViewSync` |
+//! | `quarantine` | any, by merging | `GateActor`, ingress, `ViewSync` |
 //! | `phase` | `ViewSync` (ready), lifecycle (leaving, stopping) | all |
 
 mod clock;
 
 use std::{net::SocketAddr, sync::Arc};
 
-use fleet::{Lease, LeavingServers};
+use fleet::{Lease, LeavingServers, Quarantine};
 use note::{Server, State, View};
 use platform::{HostList, HostStatus};
 use serde::Serialize;
@@ -71,6 +72,8 @@
     pub hosts: watch::Sender<Arc<HostList>>,
     /// Backend servers that have said in a response that they are leaving.
     pub leaving: watch::Sender<LeavingServers>,
+    /// Evidence about requests under which backend servers ended.
+    pub quarantine: watch::Sender<Quarantine>,
     /// Phase of the node's lifecycle.
     pub phase: watch::Sender<Phase>,
 }
@@ -86,6 +89,7 @@
             lease: watch::Sender::default(),
             hosts: watch::Sender::default(),
             leaving: watch::Sender::default(),
+            quarantine: watch::Sender::default(),
             phase: watch::Sender::new(Phase::Joining),
         })
     }
--- a/crates/call/src/core.rs
+++ b/crates/call/src/core.rs
@@ -15,6 +15,9 @@
 /// longer fail-fast. The remaining gates likely see the same failures, so further declined attempts
 /// would only add latency.
 const MAX_FAILING_REFUSALS: u32 = 2;
+/// Number of attempts with an unknown outcome after which a call isn't retried. Its request may be what
+/// ends the backend servers.
+const MAX_UNKNOWN_ATTEMPTS: u32 = 2;
 /// Delay suggested to the caller if the gate suggested none.
 const DEFAULT_RETRY_AFTER: Span = Span::from_millis(1_000);
 
@@ -144,6 +147,8 @@
     load_retries: u32,
     /// Number of [`Refusal::Failing`] received.
     failing_refusals: u32,
+    /// Number of attempts that ended with an unknown outcome.
+    unknown_attempts: u32,
     hedge_at: Moment,
     /// The reason and the suggested delay of the last refusal.
     last_refusal: (Refusal, Span),
@@ -159,6 +164,7 @@
             attempts: Vec::new(),
             load_retries: 0,
             failing_refusals: 0,
+            unknown_attempts: 0,
             hedge_at: Moment::MAX,
             last_refusal: (Refusal::Down, DEFAULT_RETRY_AFTER),
             finished: false,
@@ -215,6 +221,11 @@
                         Refusal::Slow | Refusal::Failing | Refusal::Busy | Refusal::Limited
                     );
                 self.attempts[attempt].declined = declined;
+                // An equal request is on trial, and no other server may run this one meanwhile.
+                if refusal == Refusal::Quarantined {
+                    actions.extend(self.give_up(false));
+                    return actions;
+                }
                 let adds_load = refusal.is_overload() || refusal.is_from_server();
                 let for_load = adds_load && !declined;
                 actions.extend(self.retry_or_finish(for_load, now, selector, budget));
@@ -389,9 +400,13 @@
         selector: &mut dyn ServerSelector,
         budget: &mut dyn Budget,
     ) -> Vec<Action> {
+        self.unknown_attempts += 1;
         match self.request.idempotent {
-            true => self.retry_or_finish(true, now, selector, budget),
-            false => self.give_up(false),
+            true if self.unknown_attempts < MAX_UNKNOWN_ATTEMPTS => {
+                self.retry_or_finish(true, now, selector, budget)
+            }
+            true if self.open_count() > 0 => Vec::new(),
+            _ => self.give_up(false),
         }
     }
 
--- a/crates/call/tests/misdirected.rs
+++ b/crates/call/tests/misdirected.rs
@@ -71,7 +71,7 @@
             floor: Seq(self.next_seq),
             deadline: now + Span::from_millis(1_000),
             fail_fast,
-            misdirected: false,
+            refusal: None,
             rank: Rank::default(),
         };
         let mut actions = VecDeque::from(gate.offer(offer, now));
--- a/crates/call/tests/support/mod.rs
+++ b/crates/call/tests/support/mod.rs
@@ -264,7 +264,7 @@
             floor: sent.floor,
             deadline: sent.deadline,
             fail_fast: false,
-            misdirected: false,
+            refusal: None,
             rank: gate::Rank::default(),
         };
         let boot = process.gate.boot();
--- /dev/null
+++ b/crates/fleet/tests/quarantine.rs
@@ -0,0 +1,121 @@
+//! Verdicts on requests under which backend servers end.
+
+use fleet::{Evidence, Quarantine, ServerEnd, Verdict};
+use proptest::{collection::vec, prelude::*};
+use types::{Fingerprint, Moment, Span};
+
+const START: Moment = Moment(1_000_000_000);
+const REQUEST: Fingerprint = Fingerprint(7);
+const HOLD_TIME: Span = Span::from_millis(30_000);
+
+fn end(id: u64, ms: u64, trial: bool) -> ServerEnd {
+    ServerEnd {
+        id,
+        at: START + Span::from_millis(ms),
+        trial,
+    }
+}
+
+fn quarantine(ends: &[ServerEnd]) -> Quarantine {
+    let mut quarantine = Quarantine::default();
+    for end in ends {
+        quarantine.record_end(REQUEST, *end);
+    }
+    quarantine
+}
+
+fn at(ms: u64) -> Moment {
+    START + Span::from_millis(ms)
+}
+
+#[test]
+fn a_popular_request_on_servers_that_are_stopped_together_is_not_held_back() {
+    let ends: Vec<ServerEnd> = (0..8).map(|id| end(id, 0, false)).collect();
+    let mut quarantine = quarantine(&ends);
+    assert_eq!(quarantine.verdict(REQUEST, at(10)), Verdict::Suspect);
+    assert!(quarantine.record_answer(REQUEST, at(20)));
+    assert_eq!(quarantine.verdict(REQUEST, at(20)), Verdict::Clear);
+}
+
+#[test]
+fn a_request_whose_trial_ends_another_server_is_held_back_for_longer_each_time() {
+    let mut quarantine = quarantine(&[end(1, 0, false), end(2, 100, true)]);
+    let release = at(100) + HOLD_TIME;
+    assert_eq!(quarantine.verdict(REQUEST, at(200)), Verdict::Held(release));
+    assert_eq!(quarantine.verdict(REQUEST, release), Verdict::Suspect);
+    quarantine.record_end(REQUEST, end(3, 40_000, true));
+    let release = at(40_000) + HOLD_TIME + HOLD_TIME;
+    let held = quarantine.verdict(REQUEST, at(50_000));
+    assert_eq!(held, Verdict::Held(release));
+}
+
+#[test]
+fn an_answer_clears_a_request_until_the_next_end() {
+    let mut quarantine = quarantine(&[end(1, 0, false), end(2, 100, true)]);
+    assert!(quarantine.record_answer(REQUEST, at(200)));
+    assert_eq!(quarantine.verdict(REQUEST, at(300)), Verdict::Clear);
+    assert!(!quarantine.record_answer(REQUEST, at(300)), "already clear");
+    quarantine.record_end(REQUEST, end(3, 400, false));
+    assert_eq!(quarantine.verdict(REQUEST, at(500)), Verdict::Suspect);
+}
+
+#[test]
+fn suspicion_without_a_trial_expires() {
+    let quarantine = quarantine(&[end(1, 0, false)]);
+    assert_eq!(quarantine.verdict(REQUEST, at(59_000)), Verdict::Suspect);
+    assert_eq!(quarantine.verdict(REQUEST, at(61_000)), Verdict::Clear);
+}
+
+#[test]
+fn other_requests_are_clear() {
+    let quarantine = quarantine(&[end(1, 0, true)]);
+    let other = Fingerprint(8);
+    assert_eq!(quarantine.verdict(other, at(10)), Verdict::Clear);
+}
+
+#[test]
+fn the_number_of_requests_with_evidence_is_bounded() {
+    let mut quarantine = Quarantine::default();
+    for request in 0..5_000_u64 {
+        let end = end(request, request, false);
+        quarantine.record_end(Fingerprint(request.into()), end);
+    }
+    assert_eq!(quarantine.latest().len(), 1_024);
+    let newest = Fingerprint(4_999);
+    assert_eq!(quarantine.verdict(newest, at(5_000)), Verdict::Suspect);
+}
+
+/// One piece of evidence about [`REQUEST`].
+fn evidence() -> impl Strategy<Value = Evidence> {
+    let ends = vec((0..6_u64).prop_map(end_of), 0..3);
+    (ends, 0..10_000_u64).prop_map(|(ends, answered)| Evidence {
+        ends,
+        answered_at: at(answered),
+    })
+}
+
+/// An end has one time and one kind, whichever node names it.
+fn end_of(id: u64) -> ServerEnd {
+    end(id, id * 1_700, id.is_multiple_of(2))
+}
+
+proptest! {
+    #[test]
+    fn evidence_in_any_order_leads_to_the_same_verdict(
+        list in vec(evidence(), 1..8),
+        now in 0..100_000_u64,
+    ) {
+        let merged = |list: Vec<&Evidence>| {
+            let mut quarantine = Quarantine::default();
+            for evidence in list {
+                quarantine.merge(REQUEST, evidence, START);
+            }
+            quarantine.verdict(REQUEST, at(now))
+        };
+        let forwards = merged(list.iter().collect());
+        let backwards = merged(list.iter().rev().collect());
+        let twice = merged(list.iter().chain(&list).collect());
+        prop_assert_eq!(forwards, backwards);
+        prop_assert_eq!(forwards, twice);
+    }
+}
--- a/crates/gate/src/core/mod.rs
+++ b/crates/gate/src/core/mod.rs
@@ -378,6 +378,11 @@
         }
     }
 
+    /// Makes a probe due as soon as their maximum rate allows.
+    pub fn expedite_probe(&mut self) {
+        self.probes.expedite();
+    }
+
     /// Number of probes sent.
     pub fn probes_sent(&self) -> u64 {
         self.probes.sent()
@@ -432,8 +437,10 @@
     }
 
     fn admit(&mut self, offer: Offer, now: Moment) -> Vec<Action> {
+        if let Some(refusal) = offer.refusal {
+            return self.refuse(offer.id, refusal, Span::default());
+        }
         match self.closed_reason(offer.deadline, now) {
-            _ if offer.misdirected => self.refuse(offer.id, Refusal::Misplaced, Span::default()),
             Some(refusal) => self.refuse(offer.id, refusal, self.queue_wait(now)),
             None if offer.fail_fast && self.breaker.refuses(now) => {
                 self.refuse(offer.id, Refusal::Failing, Span::default())
--- a/crates/gate/src/event.rs
+++ b/crates/gate/src/event.rs
@@ -3,7 +3,7 @@
 use std::sync::Arc;
 
 use serde::Serialize;
-use types::{Answer, AttemptId, Moment, Outcome, Rate, Seq, Span};
+use types::{Answer, AttemptId, Moment, Outcome, Rate, Refusal, Seq, Span};
 
 use crate::queue::Rank;
 
@@ -40,8 +40,9 @@
     /// Whether the attempt is refused rather than queued or run slowly, since the ingress can try
     /// other backend servers.
     pub fail_fast: bool,
-    /// Whether the attempt is addressed to a backend server other than this gate's.
-    pub misdirected: bool,
+    /// Why the attempt is refused whatever the state of the gate, if it is: it is addressed to another
+    /// backend server, or held back.
+    pub refusal: Option<Refusal>,
     /// Position in the queue if it has to wait.
     pub rank: Rank,
 }
--- a/crates/gate/src/probe.rs
+++ b/crates/gate/src/probe.rs
@@ -60,6 +60,11 @@
         self.last_offer = Some(now);
     }
 
+    /// Makes the next probe due as soon as the maximum rate allows.
+    pub(crate) fn expedite(&mut self) {
+        (self.last_response, self.last_offer) = (Moment(0), None);
+    }
+
     /// Time of the next probe.
     pub(crate) fn next(&self) -> Option<Moment> {
         let last = self.last.unwrap_or_default().max(self.last_response);
--- a/crates/gate/tests/invariants.rs
+++ b/crates/gate/tests/invariants.rs
@@ -111,7 +111,7 @@
                         floor: Seq(0),
                         deadline,
                         fail_fast: false,
-                        misdirected: false,
+                        refusal: None,
                         rank: gate::Rank::default(),
                     },
                     self.now,
@@ -308,7 +308,7 @@
         floor: Seq(0),
         deadline: now + Span::from_millis(100),
         fail_fast: false,
-        misdirected: false,
+        refusal: None,
         rank: gate::Rank::default(),
     };
     let actions = (1..=6).flat_map(|seq| gate.offer(offer(seq), now));
@@ -351,28 +351,32 @@
     };
     let (first, second) = (id(1), id(2));
     let deadline = harness.now + Span::from_millis(100);
-    let offer = |id, misdirected| Offer {
+    let offer = |id, refusal| Offer {
         id,
         floor: Seq(0),
         deadline,
         fail_fast: false,
-        misdirected,
+        refusal,
         rank: gate::Rank::default(),
     };
 
-    let refused = harness.gate.offer(offer(first, true), harness.now);
+    let refused = harness
+        .gate
+        .offer(offer(first, Some(Refusal::Misplaced)), harness.now);
     assert!(matches!(
         refused[0],
         Action::Reply(_, Outcome::NotRun { .. })
     ));
-    let again = harness.gate.offer(offer(first, false), harness.now);
+    let again = harness.gate.offer(offer(first, None), harness.now);
     assert!(
         matches!(again[0], Action::Reply(_, Outcome::NotRun { .. })),
         "it never starts"
     );
 
-    let started = harness.gate.offer(offer(second, false), harness.now);
+    let started = harness.gate.offer(offer(second, None), harness.now);
     assert!(matches!(started[0], Action::Start(..)));
-    let repeated = harness.gate.offer(offer(second, true), harness.now);
+    let repeated = harness
+        .gate
+        .offer(offer(second, Some(Refusal::Misplaced)), harness.now);
     assert_eq!(repeated, vec![], "it is running, and its reply follows");
 }
--- a/crates/gate/tests/support/mod.rs
+++ b/crates/gate/tests/support/mod.rs
@@ -37,7 +37,7 @@
             floor: Seq(0),
             deadline,
             fail_fast: false,
-            misdirected: false,
+            refusal: None,
             rank: Rank::default(),
         }
     }
--- a/crates/node/src/admin.rs
+++ b/crates/node/src/admin.rs
@@ -3,11 +3,12 @@
 use std::{collections::HashMap, net::SocketAddr, sync::Arc};
 
 use axum::{Json, Router, extract::State, http::StatusCode, routing::get};
-use board::{Identity, Phase};
+use board::{Board, Identity, Phase};
+use fleet::{Evidence, Verdict};
 use kameo::actor::ActorRef;
 use note::View;
 use serde::Serialize;
-use types::{Revision, ServiceId};
+use types::{Fingerprint, Moment, Revision, ServiceId};
 
 use crate::{
     gate_actor::{self, GateActor},
@@ -34,6 +35,17 @@
     spread: Option<view_sync::SyncDump>,
     services: HashMap<ServiceId, Vec<ServerDump>>,
     peers: Vec<PeerDump>,
+    suspects: Vec<SuspectDump>,
+}
+
+/// A request under which backend servers have ended.
+#[derive(Debug, Serialize)]
+struct SuspectDump {
+    request: String,
+    /// Times of the ends since the latest answer, as ages in milliseconds.
+    ends_ms: Vec<u64>,
+    /// Time in milliseconds for which it is still held back.
+    held_ms: u64,
 }
 
 #[derive(Debug, Serialize)]
@@ -86,9 +98,26 @@
         spread,
         services: admin.ingress.services.dump(now),
         peers: peer_dumps(&admin.ingress),
+        suspects: suspect_dumps(board, now),
     })
 }
 
+fn suspect_dumps(board: &Board, now: Moment) -> Vec<SuspectDump> {
+    let quarantine = board.quarantine.borrow();
+    let dump = |(request, evidence): (Fingerprint, &Evidence)| SuspectDump {
+        request: request.to_string(),
+        ends_ms: evidence
+            .unanswered()
+            .map(|end| now.since(end.at).as_millis())
+            .collect(),
+        held_ms: match quarantine.verdict(request, now) {
+            Verdict::Held(until) => until.since(now).as_millis(),
+            Verdict::Clear | Verdict::Suspect => 0,
+        },
+    };
+    quarantine.latest().into_iter().map(dump).collect()
+}
+
 fn peer_dumps(ingress: &Ingress) -> Vec<PeerDump> {
     let peers = ingress.peers.all().into_iter();
     peers
--- a/crates/node/src/backend/mod.rs
+++ b/crates/node/src/backend/mod.rs
@@ -70,11 +70,22 @@
     pub(crate) answer_limit: u64,
 }
 
+/// Why a probe has no result.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub(crate) enum ProbeError {
+    /// The connection was refused: nobody listens at the address.
+    Refused,
+    /// No complete answer arrived.
+    NoAnswer,
+}
+
 /// How a request ended, and the metadata of its answer.
 #[derive(Debug)]
 pub(crate) struct RequestResult {
     pub(crate) completion: Completion,
     pub(crate) metadata: ResponseMetadata,
+    /// Whether the connection was refused.
+    pub(crate) refused: bool,
 }
 
 impl From<Completion> for RequestResult {
@@ -82,6 +93,7 @@
         Self {
             completion,
             metadata: ResponseMetadata::default(),
+            refused: false,
         }
     }
 }
@@ -98,8 +110,8 @@
         deadline: Instant,
     ) -> BoxFuture<'static, RequestResult>;
 
-    /// Requests the health endpoint once. Returns `None` if no complete answer arrived.
-    fn probe(&self, target: Target) -> BoxFuture<'static, Option<ResponseMetadata>>;
+    /// Requests the health endpoint once.
+    fn probe(&self, target: Target) -> BoxFuture<'static, Result<ResponseMetadata, ProbeError>>;
 }
 
 /// A backend server that is reached over HTTP/1.1.
@@ -129,6 +141,12 @@
         let method = http.method().clone();
         let (response, connection) = match self.pool.send(target.address, http).await {
             Ok(sent) => sent,
+            Err(SendError::Refused) => {
+                return RequestResult {
+                    refused: true,
+                    ..Completion::Unsent.into()
+                };
+            }
             Err(SendError::NotSent) => return Completion::Unsent.into(),
             Err(SendError::MaybeSent) => {
                 self.pool.remove_idle(target.address);
@@ -164,6 +182,7 @@
         RequestResult {
             completion,
             metadata,
+            refused: false,
         }
     }
 
@@ -240,30 +259,34 @@
         }
     }
 
-    async fn probe_once(self, target: Target) -> Option<ResponseMetadata> {
+    async fn probe_once(self, target: Target) -> Result<ResponseMetadata, ProbeError> {
         let path = match target.health_path.as_str() {
             "" => self.dialect.probe_path(),
             path => path,
         };
         let mut http = Request::new(Full::new(Bytes::new()));
-        *http.uri_mut() = path.parse().ok()?;
+        *http.uri_mut() = path.parse().map_err(|_| ProbeError::NoAnswer)?;
         add_host(http.headers_mut(), target.address);
-        let (response, connection) = self.pool.send(target.address, http).await.ok()?;
+        let (response, connection) = match self.pool.send(target.address, http).await {
+            Ok(sent) => sent,
+            Err(SendError::Refused) => return Err(ProbeError::Refused),
+            Err(SendError::NotSent | SendError::MaybeSent) => return Err(ProbeError::NoAnswer),
+        };
         let metadata = self
             .dialect
             .read_response(response.status(), response.headers(), &[]);
         if metadata.call.is_some() {
             log::warn!(address:% = target.address; "probe_answer_misplaced");
-            return None;
+            return Err(ProbeError::NoAnswer);
         }
         let closes = has_close(response.headers());
         let body = Limited::new(response.into_body(), MAX_PROBE_BODY);
-        body.collect().await.ok()?;
+        body.collect().await.map_err(|_| ProbeError::NoAnswer)?;
         if !closes {
             self.pool
                 .release(target.address, connection, metadata.keep_alive);
         }
-        Some(metadata)
+        Ok(metadata)
     }
 }
 
@@ -288,9 +311,13 @@
         .boxed()
     }
 
-    fn probe(&self, target: Target) -> BoxFuture<'static, Option<ResponseMetadata>> {
+    fn probe(&self, target: Target) -> BoxFuture<'static, Result<ResponseMetadata, ProbeError>> {
         let probing = self.clone().probe_once(target);
-        async move { timeout(PROBE_TIMEOUT, probing).await.ok().flatten() }.boxed()
+        async move {
+            let probed = timeout(PROBE_TIMEOUT, probing).await;
+            probed.unwrap_or(Err(ProbeError::NoAnswer))
+        }
+        .boxed()
     }
 }
 
--- a/crates/node/src/backend/pool.rs
+++ b/crates/node/src/backend/pool.rs
@@ -37,6 +37,8 @@
 /// Why the head of an answer was not received.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
 pub(super) enum SendError {
+    /// The connection was refused: nobody listens at the address.
+    Refused,
     /// No part of the request was sent.
     NotSent,
     /// Part of the request may have been sent.
@@ -94,7 +96,10 @@
             let (mut connection, reused) = match self.pop_idle(address) {
                 Some(connection) => (connection, true),
                 None => (
-                    connect(address).await.map_err(|_| SendError::NotSent)?,
+                    connect(address).await.map_err(|error| match error.kind() {
+                        io::ErrorKind::ConnectionRefused => SendError::Refused,
+                        _ => SendError::NotSent,
+                    })?,
                     false,
                 ),
             };
--- a/crates/node/src/backend/tests.rs
+++ b/crates/node/src/backend/tests.rs
@@ -95,7 +95,7 @@
     let backend = backend();
     let completion = run(&backend, address, "first").await;
     assert!(matches!(completion, Completion::Answered(_)));
-    assert!(backend.probe(target(address)).await.is_none());
+    assert!(backend.probe(target(address)).await.is_err());
     let completion = run(&backend, address, "first").await;
     assert!(
         matches!(completion, Completion::Answered(_)),
@@ -274,7 +274,7 @@
         answer_limit: 64 << 20,
         ..target(server.address)
     };
-    assert!(backend().probe(target).await.is_none());
+    assert!(backend().probe(target).await.is_err());
     let sent = server.sent_until_closed().await;
     assert!(sent < MAX_HEAD + SOCKET_BUFFERS, "{sent} bytes");
 }
--- /dev/null
+++ b/crates/node/src/gate_actor/evidence.rs
@@ -0,0 +1,133 @@
+//! Evidence about requests under which the backend server ends.
+//!
+//! A broken connection alone doesn't show that the backend server has ended. Requests that broke count as
+//! evidence once a new connection is refused, and are dropped as soon as a later request is answered.
+
+use std::collections::HashMap;
+
+use board::Board;
+use fleet::{ServerEnd, Verdict};
+use types::{AttemptId, Fingerprint, Moment, Refusal, Span};
+
+use crate::fingerprint::RequestIdentity;
+
+/// Time within which a refused connection shows that the backend server ended when requests broke.
+const CONFIRM_TIME: Span = Span::from_millis(2_000);
+
+#[derive(Debug)]
+struct RunningRequest {
+    identity: RequestIdentity,
+    started_at: Moment,
+    /// Whether it is on trial, see [`fleet::Quarantine`].
+    trial: bool,
+}
+
+#[derive(Debug, Clone, Copy)]
+struct BrokenRequest {
+    request: Fingerprint,
+    broken_at: Moment,
+    trial: bool,
+}
+
+/// The requests that run at the backend server, and those whose connections have broken.
+#[derive(Debug, Default)]
+pub(super) struct Evidence {
+    running: HashMap<AttemptId, RunningRequest>,
+    broken: Vec<BrokenRequest>,
+}
+
+impl Evidence {
+    /// Records that a request is sent to the backend server.
+    pub(super) fn record_start(
+        &mut self,
+        id: AttemptId,
+        identity: RequestIdentity,
+        trial: bool,
+        now: Moment,
+    ) {
+        let running = RunningRequest {
+            identity,
+            started_at: now,
+            trial,
+        };
+        self.running.insert(id, running);
+    }
+
+    /// Records that a request ended with a broken connection. Returns whether it ran.
+    pub(super) fn record_broken(&mut self, id: AttemptId, now: Moment) -> bool {
+        let ended = self.running.remove(&id);
+        let broken = ended.map(|running| BrokenRequest {
+            request: running.identity.fingerprint(),
+            broken_at: now,
+            trial: running.trial,
+        });
+        self.broken.extend(broken);
+        broken.is_some()
+    }
+
+    /// Records that a request was answered. It is no suspect any more.
+    pub(super) fn record_answer(&mut self, id: AttemptId, board: &Board, now: Moment) {
+        let Some(running) = self.running.remove(&id) else {
+            return;
+        };
+        self.broken.retain(|b| b.broken_at > running.started_at);
+        if board.quarantine.borrow().is_empty() {
+            return;
+        }
+        let request = running.identity.fingerprint();
+        let clear = |q: &mut fleet::Quarantine| q.record_answer(request, now);
+        if board.quarantine.send_if_modified(clear) {
+            log::info!(request:% = request; "suspect_cleared");
+        }
+    }
+
+    /// Records that a request ended without evidence.
+    pub(super) fn record_other(&mut self, id: AttemptId) {
+        self.running.remove(&id);
+    }
+
+    /// Records that the backend server answered a probe sent at `sent_at`.
+    pub(super) fn record_alive(&mut self, sent_at: Moment) {
+        self.broken.retain(|b| b.broken_at > sent_at);
+    }
+
+    /// Records that the backend server refused a connection: it has ended, and the requests that broke
+    /// were running there.
+    pub(super) fn record_refused(&mut self, board: &Board, now: Moment) {
+        let id = rand::random();
+        for broken in std::mem::take(&mut self.broken) {
+            if broken.broken_at + CONFIRM_TIME < now {
+                continue;
+            }
+            let request = broken.request;
+            let end = ServerEnd {
+                id,
+                at: now,
+                trial: broken.trial,
+            };
+            let record = |q: &mut fleet::Quarantine| q.record_end(request, end);
+            if board.quarantine.send_if_modified(record) {
+                let verdict = board.quarantine.borrow().verdict(request, now);
+                let held_ms = match verdict {
+                    Verdict::Held(until) => until.since(now).as_millis(),
+                    Verdict::Clear | Verdict::Suspect => 0,
+                };
+                log::warn!(request:% = request, held_ms; "server_ended_under_request");
+            }
+        }
+    }
+
+    /// Why a request isn't run at present, if it is under suspicion: it is held back, or an equal one runs.
+    pub(super) fn refusal(
+        &self,
+        request: &RequestIdentity,
+        board: &Board,
+        now: Moment,
+    ) -> Option<Refusal> {
+        match request.verdict(board, now) {
+            Verdict::Clear => None,
+            Verdict::Suspect if !self.running.values().any(|r| r.identity == *request) => None,
+            Verdict::Suspect | Verdict::Held(_) => Some(Refusal::Quarantined),
+        }
+    }
+}
--- a/crates/node/src/gate_actor/mod.rs
+++ b/crates/node/src/gate_actor/mod.rs
@@ -12,13 +12,14 @@
 #[cfg(test)]
 mod tests;
 
+mod evidence;
 mod state;
 
 use std::sync::Arc;
 
 use board::{Board, Phase};
 use dialect::ResponseMetadata;
-use gate::{Completion, Gate, LimitState, Load, Offer};
+use gate::{Gate, LimitState, Load, Offer};
 use kameo::{
     actor::{ActorRef, Spawn, WeakActorRef},
     error::Infallible,
@@ -31,7 +32,7 @@
 use types::{AttemptId, Boot, Moment, Outcome, Revision, ServerId, SessionId, Span};
 
 use crate::{
-    backend::{Backend, ServerRequest},
+    backend::{Backend, ProbeError, RequestResult, ServerRequest},
     metrics::Metrics,
     peers::KnownLimit,
 };
@@ -90,6 +91,7 @@
     pub(crate) route: SmolStr,
     pub(crate) idempotent: bool,
     pub(crate) known_limit: Option<KnownLimit>,
+    pub(crate) trial: bool,
     pub(crate) request: ServerRequest,
     pub(crate) reply: oneshot::Sender<Reply>,
 }
@@ -112,8 +114,7 @@
 #[derive(Debug)]
 struct RunFinished {
     id: AttemptId,
-    completion: Completion,
-    metadata: ResponseMetadata,
+    result: RequestResult,
 }
 
 /// Notice that a probe ended.
@@ -122,8 +123,8 @@
     /// The backend server that was listed when the probe was sent.
     server: ServerId,
     sent_at: Moment,
-    /// Metadata of the health endpoint's answer, if it answered.
-    metadata: Option<ResponseMetadata>,
+    /// Metadata of the health endpoint's answer.
+    result: Result<ResponseMetadata, ProbeError>,
 }
 
 /// Notice that the timer fired or the board changed.
@@ -244,7 +245,7 @@
     type Reply = ();
 
     async fn handle(&mut self, msg: RunFinished, _ctx: &mut Context<Self, ()>) {
-        self.run_finished(msg.id, msg.completion, &msg.metadata);
+        self.run_finished(msg.id, msg.result);
     }
 }
 
--- a/crates/node/src/gate_actor/state.rs
+++ b/crates/node/src/gate_actor/state.rs
@@ -7,6 +7,7 @@
 
 use board::Board;
 use dialect::ResponseMetadata;
+use fleet::Verdict;
 use futures::future::BoxFuture;
 use gate::{
     Action, Completion, Gate, LimitSource, LimitState, Offer, Rank, RetentionLimits, RouteProfiles,
@@ -16,15 +17,17 @@
 use smol_str::SmolStr;
 use tokio::sync::oneshot;
 use types::{
-    AttemptId, Boot, CallId, Moment, NamedLimit, Outcome, Rate, Revision, ServerId, ServiceId, Span,
+    AttemptId, Boot, CallId, Moment, NamedLimit, Outcome, Rate, Refusal, Revision, ServerId,
+    ServiceId, Span,
 };
 
 use super::{
     GateDump, OpenedSession, ProbeFinished, QueryAttempt, Refresh, Reply, RunAttempt, RunFinished,
-    apply_board, outcome_name,
+    apply_board, evidence::Evidence, outcome_name,
 };
 use crate::{
-    backend::{Backend, RequestResult, ServerRequest, Target},
+    backend::{Backend, ProbeError, RequestResult, ServerRequest, Target},
+    fingerprint::RequestIdentity,
     metrics::Metrics,
     timer::WakeTimer,
 };
@@ -37,6 +40,8 @@
     /// `None` once the attempt has started, or if only a query about it arrived.
     request: Option<ServerRequest>,
     idempotent: bool,
+    /// Whether the ingress repeats the request after a broken connection, or knows it as a suspect.
+    trial: bool,
     waiters: Vec<oneshot::Sender<Reply>>,
     /// Dropping the sender cancels the running request.
     cancel: Option<oneshot::Sender<()>>,
@@ -58,6 +63,7 @@
     cold_factor: f64,
     server: Option<(Server, Service)>,
     attempts: HashMap<AttemptId, PendingAttempt>,
+    evidence: Evidence,
     /// Whether a malformed limit of this backend server has been logged.
     malformed_logged: bool,
     actor: Option<WeakActorRef<Self>>,
@@ -86,6 +92,7 @@
             cold_factor,
             server: None,
             attempts: HashMap::new(),
+            evidence: Evidence::default(),
             malformed_logged: false,
             actor: None,
             timer: WakeTimer::default(),
@@ -144,16 +151,22 @@
 
     pub(super) fn run(&mut self, msg: RunAttempt) {
         let id = msg.offer.id;
-        let misdirected = self.server_id() != Some(&msg.server);
+        let now = self.board.clock.now();
+        let refusal = match &self.server {
+            Some((server, _)) if server.id == msg.server => {
+                let request = RequestIdentity::new(&server.service, &msg.request);
+                self.evidence.refusal(&request, &self.board, now)
+            }
+            _ => Some(Refusal::Misplaced),
+        };
         if let Some(origin) = &msg.request.caller_service {
             self.routes.observe_origin(&msg.route, origin);
         }
         let offer = Offer {
-            misdirected,
+            refusal,
             rank: self.routes.refine(&msg.route, msg.offer.rank),
             ..msg.offer
         };
-        let now = self.board.clock.now();
         if let Some(known) = msg.known_limit
             && known.incarnation == self.incarnation()
         {
@@ -166,6 +179,7 @@
             received_at: now,
             request: Some(msg.request),
             idempotent: msg.idempotent,
+            trial: msg.trial,
             waiters: Vec::new(),
             cancel: None,
             started_at: None,
@@ -190,6 +204,7 @@
                 received_at: now,
                 request: None,
                 idempotent: false,
+                trial: false,
                 waiters: Vec::new(),
                 cancel: None,
                 started_at: None,
@@ -215,12 +230,12 @@
         }
     }
 
-    pub(super) fn run_finished(
-        &mut self,
-        id: AttemptId,
-        completion: Completion,
-        metadata: &ResponseMetadata,
-    ) {
+    pub(super) fn run_finished(&mut self, id: AttemptId, result: RequestResult) {
+        let RequestResult {
+            completion,
+            metadata,
+            refused,
+        } = result;
         let now = self.board.clock.now();
         if let Some(boot) = metadata.boot {
             self.gate.observe_boot(boot, now);
@@ -229,19 +244,37 @@
             self.gate.observe_slowdown(load.slowdown_percent, now);
         }
         let started_at = self.attempts.get(&id).and_then(|a| a.started_at);
-        if let (Some(started_at), Some(limit)) = (started_at, named_limit(&completion, metadata)) {
+        if let (Some(started_at), Some(limit)) = (started_at, named_limit(&completion, &metadata)) {
             self.observe_limit(limit, LimitSource::Response, started_at);
         }
         let is_from_server = !matches!(completion, Completion::Misdirected);
         if let Some(started_at) = started_at.filter(|_| metadata.leaving && is_from_server) {
             self.observe_leaving(LimitSource::Response, started_at);
         }
+        self.record_evidence(id, &completion, refused);
         let was_replaced = self.gate.is_replaced(now);
         let actions = self.gate.complete(id, completion, now);
         self.log_identity(was_replaced, None);
         self.execute(actions);
     }
 
+    /// Records what the end of a request says about requests under which the backend server ends.
+    fn record_evidence(&mut self, id: AttemptId, completion: &Completion, refused: bool) {
+        let now = self.board.clock.now();
+        match completion {
+            Completion::Incomplete => {
+                if self.evidence.record_broken(id, now) {
+                    self.gate.expedite_probe();
+                }
+            }
+            Completion::Answered(_) => self.evidence.record_answer(id, &self.board, now),
+            _ => self.evidence.record_other(id),
+        }
+        if refused {
+            self.evidence.record_refused(&self.board, now);
+        }
+    }
+
     /// Records the limit that a response named, to a request or a probe sent at `sent_at`.
     fn observe_limit(&mut self, named: NamedLimit, source: LimitSource, sent_at: Moment) {
         let now = self.board.clock.now();
@@ -380,6 +413,12 @@
             .request
             .take()
             .expect("invariant: an attempt starts once");
+        if let Some((server, _)) = &self.server {
+            let now = self.board.clock.now();
+            let identity = RequestIdentity::new(&server.service, &request);
+            let trial = attempt.trial || identity.verdict(&self.board, now) != Verdict::Clear;
+            self.evidence.record_start(id, identity, trial, now);
+        }
         let running = self
             .backend
             .run(request, target, self.board.clock.instant(deadline));
@@ -459,12 +498,12 @@
         let actor = self.actor.clone();
         let sent_at = self.board.clock.now();
         tokio::spawn(async move {
-            let metadata = probing.await;
+            let result = probing.await;
             if let Some(actor) = actor.and_then(|a| a.upgrade()) {
                 let finished = ProbeFinished {
                     server,
                     sent_at,
-                    metadata,
+                    result,
                 };
                 let _ = actor.tell(finished).await;
             }
@@ -475,9 +514,15 @@
         let ProbeFinished {
             server,
             sent_at,
-            metadata,
+            result,
         } = probe;
         let now = self.board.clock.now();
+        match result {
+            Ok(_) => self.evidence.record_alive(sent_at),
+            Err(ProbeError::Refused) => self.evidence.record_refused(&self.board, now),
+            Err(ProbeError::NoAnswer) => {}
+        }
+        let metadata = result.ok();
         let named = metadata.as_ref().and_then(|m| m.server.as_ref());
         if let Some(named) = named
             && self.server_id() == Some(&server)
@@ -571,20 +616,11 @@
     running: BoxFuture<'static, RequestResult>,
     cancelled: oneshot::Receiver<()>,
 ) {
-    let RequestResult {
-        completion,
-        metadata,
-    } = tokio::select! {
+    let result = tokio::select! {
         ended = running => ended,
         _ = cancelled => Completion::Cancelled.into(),
     };
     if let Some(actor) = actor.and_then(|a| a.upgrade()) {
-        let _ = actor
-            .tell(RunFinished {
-                id,
-                completion,
-                metadata,
-            })
-            .await;
+        let _ = actor.tell(RunFinished { id, result }).await;
     }
 }
--- a/crates/node/src/ingress/driver.rs
+++ b/crates/node/src/ingress/driver.rs
@@ -10,6 +10,7 @@
 };
 
 use call::{Action, AttemptIndex, Call, CallOutcome, CallRequest, SessionAttempt};
+use fleet::Verdict;
 use futures::{
     FutureExt, StreamExt,
     future::{AbortHandle, BoxFuture, abortable},
@@ -18,8 +19,8 @@
 use gate::Rank;
 use route::ServerState;
 use smol_str::SmolStr;
-use tokio::time::{Sleep, sleep_until};
-use types::{Moment, Outcome, Refusal, ServerId, Span};
+use tokio::time::{Sleep, sleep, sleep_until};
+use types::{Fingerprint, Moment, Outcome, Refusal, ServerId, Span};
 
 use super::{
     Ingress,
@@ -27,27 +28,65 @@
     services::{RetryBudget, Selector},
 };
 use crate::{
+    fingerprint::RequestIdentity,
     gate_actor::{Reply, outcome_name},
     peers::{Attempt, KnownLimit, Peer, TransportError},
     view_sync::PeerReport,
 };
 
-/// Runs a call to its end.
+/// Time between two checks whether the trial of an equal request has ended.
+const TRIAL_POLL_INTERVAL: Span = Span::from_millis(25);
+
+/// Runs a call to its end. A suspect request waits while an equal one is on trial.
 pub(super) async fn run_call(ingress: &Arc<Ingress>, routed: RoutedCall) -> CallOutcome {
+    let identity = RequestIdentity::new(&routed.service, &routed.request);
+    loop {
+        let now = ingress.board.clock.now();
+        let trial = match identity.verdict(&ingress.board, now) {
+            Verdict::Clear => return run_attempts(ingress, routed, None).await,
+            Verdict::Held(until) => return hold_back(ingress, &routed, &identity, until),
+            Verdict::Suspect => Some(identity.fingerprint()),
+        };
+        let outcome = run_attempts(ingress, routed.clone(), trial).await;
+        let is_refused = matches!(
+            outcome,
+            CallOutcome::NotRun {
+                refusal: Refusal::Quarantined,
+                ..
+            }
+        );
+        if !is_refused || now + TRIAL_POLL_INTERVAL >= routed.objective {
+            return outcome;
+        }
+        sleep(TRIAL_POLL_INTERVAL.duration()).await;
+    }
+}
+
+/// Sends a call's attempts until it has an outcome. For a `trial`, only one is sent.
+async fn run_attempts(
+    ingress: &Arc<Ingress>,
+    routed: RoutedCall,
+    trial: Option<Fingerprint>,
+) -> CallOutcome {
     let latency =
         ingress
             .services
             .begin_call(&routed.service, &routed.latency_key, routed.limits.retries);
     let request = CallRequest {
         idempotent: routed.idempotent,
-        is_retry: routed.request.is_retry,
+        is_retry: routed.request.is_retry || trial.is_some(),
         deadline: routed.deadline,
-        max_attempts: routed.max_attempts,
+        max_attempts: match trial {
+            Some(_) => 1,
+            None => routed.max_attempts,
+        },
     };
     let mut driver = CallDriver {
         ingress: Arc::clone(ingress),
         call: Call::new(request, latency.timeouts()),
         service_time: latency.service_time(),
+        trial,
+        broken: false,
         routed,
         attempts: Vec::new(),
         events: FuturesUnordered::new(),
@@ -55,6 +94,25 @@
     driver.run().await
 }
 
+/// Rejects a call whose request is held back `until` then, since backend servers have ended under it.
+fn hold_back(
+    ingress: &Ingress,
+    routed: &RoutedCall,
+    identity: &RequestIdentity,
+    until: Moment,
+) -> CallOutcome {
+    let left = until.since(ingress.board.clock.now());
+    log::info!(
+        call:% = routed.request.call, service:% = routed.service,
+        request:% = identity.fingerprint(), left_ms = left.as_millis();
+        "request_held_back"
+    );
+    CallOutcome::NotRun {
+        refusal: Refusal::Quarantined,
+        retry_after: left,
+    }
+}
+
 /// State of an attempt of the call.
 struct AttemptState {
     server: ServerId,
@@ -85,6 +143,10 @@
     ingress: Arc<Ingress>,
     call: Call,
     routed: RoutedCall,
+    /// Set if the request is a suspect, see [`fleet::Quarantine`].
+    trial: Option<Fingerprint>,
+    /// Whether an attempt has ended without a known outcome: its backend server may have ended.
+    broken: bool,
     /// Time that such a request usually spends at the backend server.
     service_time: Span,
     attempts: Vec<AttemptState>,
@@ -130,6 +192,7 @@
         let mut selector = Selector {
             services,
             service,
+            trial: self.trial,
             now: self.ingress.board.clock.now(),
         };
         let mut budget = RetryBudget { services, service };
@@ -158,6 +221,7 @@
                 self.record_reply(attempt, &reply, sent_at, now);
                 self.log_reply(attempt, &reply, now.since(sent_at));
                 let outcome = reply.outcome;
+                self.broken |= outcome == Outcome::Unknown;
                 self.decide(|call, selector, budget| {
                     call.on_outcome(attempt, outcome, now, selector, budget)
                 })
@@ -359,6 +423,7 @@
                 .ingress
                 .services
                 .known_limit(&self.routed.service, &server),
+            trial: self.trial.is_some() || self.broken,
             request,
             registered: Arc::clone(&registered),
         };
@@ -476,6 +541,7 @@
     rank: Rank,
     route: SmolStr,
     known_limit: Option<KnownLimit>,
+    trial: bool,
     request: crate::backend::ServerRequest,
     registered: Arc<OnceLock<SessionAttempt>>,
 }
@@ -505,6 +571,7 @@
             },
             route: self.route,
             known_limit: self.known_limit,
+            trial: self.trial,
             request: self.request,
             revision: board.view.borrow().revision,
             node: board.identity.node,
--- a/crates/node/src/ingress/routing.rs
+++ b/crates/node/src/ingress/routing.rs
@@ -40,7 +40,7 @@
 }
 
 /// A call that can run once its body has been read.
-#[derive(Debug)]
+#[derive(Debug, Clone)]
 pub(super) struct RoutedCall {
     pub(super) service: ServiceId,
     /// Key of the latency statistics that the call belongs to: the name of its route, or of its
--- a/crates/node/src/ingress/services.rs
+++ b/crates/node/src/ingress/services.rs
@@ -13,7 +13,7 @@
 use route::{Balancer, LoadReport, Member, PolicyKind, ServerState};
 use serde::Serialize;
 use smol_str::SmolStr;
-use types::{Boot, Moment, Outcome, Rate, ServerId, ServiceId, Span};
+use types::{Boot, Fingerprint, Moment, Outcome, Rate, ServerId, ServiceId, Span};
 
 use crate::{gate_actor::Reply, peers::KnownLimit};
 
@@ -297,14 +297,19 @@
 pub(crate) struct Selector<'a> {
     pub(crate) services: &'a Services,
     pub(crate) service: &'a ServiceId,
+    /// Set for a suspect, which only one backend server may run.
+    pub(crate) trial: Option<Fingerprint>,
     pub(crate) now: Moment,
 }
 
 impl ServerSelector for Selector<'_> {
     fn select(&mut self, tried: &[ServerId], declined: &[ServerId]) -> Option<Selection> {
-        let chosen = self.services.update(self.service, |state| {
-            state.balancer.select(tried, declined, self.now)
-        });
+        let chosen = self
+            .services
+            .update(self.service, |state| match self.trial {
+                Some(request) => state.balancer.select_for_trial(request, tried, self.now),
+                None => state.balancer.select(tried, declined, self.now),
+            });
         chosen.map(|picked| Selection {
             server: picked.server,
             has_alternatives: picked.has_alternatives,
--- a/crates/node/src/lib.rs
+++ b/crates/node/src/lib.rs
@@ -22,6 +22,7 @@
 mod admin;
 mod backend;
 mod body_budget;
+mod fingerprint;
 mod gate_actor;
 mod ingress;
 pub mod lifecycle;
--- a/crates/node/src/peers/convert.rs
+++ b/crates/node/src/peers/convert.rs
@@ -2,12 +2,10 @@
 
 use std::{fmt, net::SocketAddr, sync::Arc};
 
-use board::Board;
 use call::SessionAttempt;
 use gate::{Load, Rank};
 use types::{
-    Answer, Boot, Header, IdError, Moment, Outcome, Rate, Refusal, Revision, Seq, ServerId,
-    SessionId, Span,
+    Answer, Boot, Header, IdError, Moment, Outcome, Rate, Refusal, Revision, Seq, SessionId, Span,
 };
 use wire::peer;
 
@@ -17,9 +15,6 @@
     gate_actor::{OpenedSession, Reply},
 };
 
-/// Maximum number of leaving backend servers that a message names: the latest ones.
-const MAX_LEAVING: usize = 128;
-
 /// Why a message from another node is invalid.
 #[derive(Debug)]
 pub(crate) enum ConvertError {
@@ -58,6 +53,7 @@
         rank,
         route,
         known_limit,
+        trial,
         request,
         revision,
         node,
@@ -88,6 +84,7 @@
         route: route.to_string(),
         limit: known_limit.map(|known| known.rate.per_second()),
         incarnation: known_limit.map_or(0, |known| known.incarnation.0),
+        trial,
     }
 }
 
@@ -122,6 +119,7 @@
             rate,
             incarnation: Boot(request.incarnation),
         }),
+        trial: request.trial,
         request: ServerRequest {
             call: request.call.parse().map_err(ConvertError::InvalidId)?,
             method: request.method.into(),
@@ -220,32 +218,6 @@
     }
 }
 
-/// The backend servers in the view that have said that they are leaving, as many as a message may name.
-pub(crate) fn to_leaving(board: &Board) -> Vec<peer::LeavingServer> {
-    let view = board.view();
-    let leaving = board.leaving.borrow();
-    let listed = leaving
-        .latest()
-        .filter(|(id, incarnation)| view.state.incarnation_of(id) == Some(*incarnation));
-    let message = |(id, incarnation): &(ServerId, Boot)| peer::LeavingServer {
-        server: id.to_string(),
-        incarnation: incarnation.0,
-    };
-    listed.take(MAX_LEAVING).map(message).collect()
-}
-
-/// Records the backend servers that a peer knows to be leaving.
-pub(crate) fn merge_leaving(board: &Board, leaving: &[peer::LeavingServer]) {
-    for message in leaving.iter().take(MAX_LEAVING) {
-        let Ok(server) = message.server.parse() else {
-            continue;
-        };
-        if board.mark_leaving(&server, Boot(message.incarnation)) {
-            log::info!(server:% = server, source = "peer"; "server_leaving");
-        }
-    }
-}
-
 fn to_headers(headers: &[Header]) -> Vec<peer::Header> {
     let convert = |h: &Header| peer::Header {
         name: h.name.to_string(),
@@ -281,6 +253,7 @@
         Refusal::Down => peer::Refusal::Down,
         Refusal::Shed => peer::Refusal::Shed,
         Refusal::Cancelled => peer::Refusal::Cancelled,
+        Refusal::Quarantined => peer::Refusal::Quarantined,
     }
 }
 
@@ -301,5 +274,6 @@
         peer::Refusal::Down => Refusal::Down,
         peer::Refusal::Shed => Refusal::Shed,
         peer::Refusal::Cancelled => Refusal::Cancelled,
+        peer::Refusal::Quarantined => Refusal::Quarantined,
     })
 }
--- a/crates/node/src/peers/mod.rs
+++ b/crates/node/src/peers/mod.rs
@@ -7,6 +7,7 @@
 mod tests;
 
 mod convert;
+mod evidence;
 mod local;
 mod remote;
 pub(crate) mod server;
@@ -32,7 +33,7 @@
     gate_actor::{GateActor, OpenedSession, Reply},
 };
 
-pub(crate) use convert::{merge_leaving, to_leaving};
+pub(crate) use evidence::{leaving_servers, merge_evidence, suspect_requests};
 pub(crate) use local::LocalGate;
 pub(crate) use remote::{RemoteGate, endpoint};
 
@@ -84,6 +85,8 @@
     /// Name of the route, or of the service if there is no route. Empty if unknown.
     pub(crate) route: SmolStr,
     pub(crate) known_limit: Option<KnownLimit>,
+    /// Whether the request may end its backend server, see [`fleet::Quarantine`].
+    pub(crate) trial: bool,
     pub(crate) request: ServerRequest,
     pub(crate) revision: Revision,
     /// Address of the node that sends the attempt.
--- a/crates/node/src/peers/server.rs
+++ b/crates/node/src/peers/server.rs
@@ -13,7 +13,7 @@
     View, peer_server::Peer,
 };
 
-use super::{LocalGate, TransportError, convert};
+use super::{LocalGate, TransportError, convert, evidence};
 use crate::{
     gate_actor::{GateActor, Reply},
     view_sync::{PeerReport, UpdateRequest, ViewSync, checked_stamp},
@@ -49,7 +49,8 @@
             ready: self.board.phase() != Phase::Joining,
             checked_era: checked.era.0,
             checked_revision: checked.revision.0,
-            leaving: convert::to_leaving(&self.board),
+            leaving: evidence::leaving_servers(&self.board),
+            suspects: evidence::suspect_requests(&self.board),
             ..View::default()
         }
     }
@@ -95,7 +96,7 @@
 
     async fn compare(&self, request: Request<View>) -> Result<Response<View>, Status> {
         let peer_view = request.into_inner();
-        convert::merge_leaving(&self.board, &peer_view.leaving);
+        evidence::merge_evidence(&self.board, &peer_view);
         match peer_view.node.parse() {
             Ok(peer) => {
                 let report = PeerReport {
--- a/crates/node/src/view_sync/exchange.rs
+++ b/crates/node/src/view_sync/exchange.rs
@@ -102,7 +102,8 @@
             read_hops,
             checked_era: checked.era.0,
             checked_revision: checked.revision.0,
-            leaving: peers::to_leaving(&self.board),
+            leaving: peers::leaving_servers(&self.board),
+            suspects: peers::suspect_requests(&self.board),
         };
         tokio::spawn(async move {
             let view = timeout(COMPARE_TIMEOUT, compare(channel, own))
@@ -167,7 +168,7 @@
     }
 
     fn apply_comparison(&mut self, peer: SocketAddr, sent_at: Moment, peer_view: &View) {
-        peers::merge_leaving(&self.board, &peer_view.leaving);
+        peers::merge_evidence(&self.board, peer_view);
         let own = self.source.view();
         let revision = Revision(peer_view.revision);
         let digest = view_digest(peer_view);
--- a/crates/node/src/view_sync/mod.rs
+++ b/crates/node/src/view_sync/mod.rs
@@ -100,9 +100,9 @@
 #[derive(Debug)]
 struct Tick;
 
-/// A backend server has said that it is leaving.
+/// There is something new to tell peers: a leaving backend server, or a suspect request.
 #[derive(Debug)]
-struct LeavingChanged;
+struct EvidenceChanged;
 
 /// The actor that synchronizes the view.
 pub(crate) struct ViewSync {
@@ -163,10 +163,8 @@
 
     async fn on_start(mut view_sync: Self, actor: ActorRef<Self>) -> Result<Self, Infallible> {
         view_sync.actor = Some(actor.downgrade());
-        tokio::spawn(watch_leaving(
-            Arc::clone(&view_sync.board),
-            view_sync.actor.clone(),
-        ));
+        let board = Arc::clone(&view_sync.board);
+        tokio::spawn(watch_evidence(board, actor.downgrade()));
         view_sync.tick();
         Ok(view_sync)
     }
@@ -180,10 +178,10 @@
     }
 }
 
-impl Message<LeavingChanged> for ViewSync {
+impl Message<EvidenceChanged> for ViewSync {
     type Reply = ();
 
-    async fn handle(&mut self, _msg: LeavingChanged, _ctx: &mut Context<Self, ()>) {
+    async fn handle(&mut self, _msg: EvidenceChanged, _ctx: &mut Context<Self, ()>) {
         let actions = self.gossip.push();
         self.execute(actions);
     }
@@ -359,11 +357,19 @@
     }
 }
 
-/// Sends the actor a [`LeavingChanged`] whenever another backend server says that it is leaving.
-async fn watch_leaving(board: Arc<Board>, actor: Option<WeakActorRef<ViewSync>>) {
+/// Sends the actor an [`EvidenceChanged`] whenever there is something new to tell peers.
+async fn watch_evidence(board: Arc<Board>, actor: WeakActorRef<ViewSync>) {
     let mut leaving = board.leaving.subscribe();
-    while leaving.changed().await.is_ok() {
-        tell(actor.clone(), LeavingChanged).await;
+    let mut quarantine = board.quarantine.subscribe();
+    loop {
+        let changed = tokio::select! {
+            changed = leaving.changed() => changed,
+            changed = quarantine.changed() => changed,
+        };
+        let Some(actor) = actor.upgrade() else { return };
+        if changed.is_err() || actor.tell(EvidenceChanged).await.is_err() {
+            return;
+        }
     }
 }
 
--- a/crates/rig/benches/decisions.rs
+++ b/crates/rig/benches/decisions.rs
@@ -179,7 +179,7 @@
                 floor: attempt.floor,
                 deadline: attempt.deadline,
                 fail_fast: false,
-                misdirected: false,
+                refusal: None,
                 rank: gate::Rank::default(),
             };
             black_box(gate.offer(offer, now));
--- a/crates/rig/src/emulator/mod.rs
+++ b/crates/rig/src/emulator/mod.rs
@@ -257,7 +257,7 @@
             floor: Seq(0),
             deadline,
             fail_fast,
-            misdirected: false,
+            refusal: None,
             rank,
         };
         let actions = host.gate.offer(offer, self.now);
--- a/crates/route/src/balancer.rs
+++ b/crates/route/src/balancer.rs
@@ -3,7 +3,7 @@
 use std::hash::{DefaultHasher, Hash, Hasher};
 
 use rand::rngs::SmallRng;
-use types::{Boot, Moment, Refusal, ServerId, Span};
+use types::{Boot, Fingerprint, Moment, Refusal, ServerId, Span};
 
 use crate::policy::Policy;
 
@@ -206,6 +206,23 @@
         })
     }
 
+    /// Selects the backend server that runs a suspect request, of those that are neither in `tried` nor
+    /// avoided. All ingresses with the same members prefer the same one.
+    pub fn select_for_trial(
+        &mut self,
+        request: Fingerprint,
+        tried: &[ServerId],
+        now: Moment,
+    ) -> Option<Selection> {
+        let untried = |s: &&ServerState| !tried.contains(&s.member.id);
+        let key = |s: &&ServerState| (s.avoid_until <= now, rendezvous_hash(request, &s.member.id));
+        let chosen = self.servers.iter().filter(untried).max_by_key(key)?;
+        Some(Selection {
+            server: chosen.member.id.clone(),
+            has_alternatives: false,
+        })
+    }
+
     /// Counts an attempt that was sent.
     pub fn on_sent(&mut self, id: &ServerId) {
         if let Some(server) = self.find(id) {
@@ -280,9 +297,9 @@
     }
 }
 
-/// Rendezvous hash of a backend server for one ingress.
-fn rendezvous_hash(ingress: Boot, id: &ServerId) -> u64 {
+/// Rendezvous hash of a backend server for an ingress or a request.
+fn rendezvous_hash(key: impl Hash, id: &ServerId) -> u64 {
     let mut hasher = DefaultHasher::new();
-    (ingress, id).hash(&mut hasher);
+    (key, id).hash(&mut hasher);
     hasher.finish()
 }
--- a/crates/types/src/lib.rs
+++ b/crates/types/src/lib.rs
@@ -4,11 +4,13 @@
 //! Values are parsed and validated once, where they enter the process (settings, release notes,
 //! wire messages), and are passed on as these types.
 
+mod fingerprint;
 mod id;
 mod outcome;
 mod size;
 mod time;
 
+pub use fingerprint::Fingerprint;
 pub use id::{AttemptId, Boot, CallId, Era, HostId, IdError, Revision, RouteId, Seq, ServerId};
 pub use id::{ServiceId, SessionId, Stamp, ZoneId};
 pub use outcome::{Answer, Header, Outcome, Refusal};
--- a/crates/types/src/outcome.rs
+++ b/crates/types/src/outcome.rs
@@ -45,6 +45,8 @@
     Shed,
     /// The backend server has named a limit on its requests, and there is no room under it.
     Limited,
+    /// Backend servers have ended under such a request, so it is held back.
+    Quarantined,
     /// The attempt was cancelled before it ran.
     Cancelled,
 }
@@ -77,6 +79,7 @@
             Self::Down => "down",
             Self::Shed => "shed",
             Self::Limited => "limited",
+            Self::Quarantined => "quarantined",
             Self::Cancelled => "cancelled",
         }
     }
