gate, node: what is learned from responses in modules of their own; no hashing without suspects

No change of behaviour, but two costs: the evidence about requests is only looked up while there may be a suspect, and leaving servers are found by id instead of in a list.

--- a/crates/fleet/src/leaving.rs
+++ b/crates/fleet/src/leaving.rs
@@ -2,43 +2,63 @@
 //!
 //! A backend server may say so to its callers long before the platform lists it, or while the platform
 //! is down. Nodes tell each other, so that all of them stop sending requests to it. An incarnation
-//! that leaves doesn't come back, so the set only grows, and merging two sets is their union.
+//! that leaves doesn't come back, so what is known only grows, and merging it needs no order.
 
-use std::collections::VecDeque;
+use std::collections::BTreeMap;
 
 use types::{Boot, ServerId};
 
-/// Maximum number of incarnations that are remembered. The oldest is forgotten first.
+/// Maximum number of backend servers that are remembered. The oldest is forgotten first.
 const MAX_SERVERS: usize = 1_024;
 
-/// Incarnations of backend servers that have said that they are leaving.
+#[derive(Debug, Clone, Copy)]
+struct Entry {
+    incarnation: Boot,
+    /// Position in the order in which the entries became known.
+    order: u64,
+}
+
+/// The latest incarnation of each backend server that has said that it is leaving.
 #[derive(Debug, Clone, Default)]
 pub struct LeavingServers {
-    /// In the order in which they became known.
-    servers: VecDeque<(ServerId, Boot)>,
+    servers: BTreeMap<ServerId, Entry>,
+    next_order: u64,
 }
 
 impl LeavingServers {
     /// Adds an incarnation of a backend server. Returns whether it is new.
     pub fn insert(&mut self, id: ServerId, incarnation: Boot) -> bool {
-        if self.contains(&id, incarnation) {
+        let known = self.servers.get(&id);
+        if known.is_some_and(|entry| entry.incarnation >= incarnation) {
             return false;
         }
-        if self.servers.len() >= MAX_SERVERS {
-            self.servers.pop_front();
+        if known.is_none() && self.servers.len() >= MAX_SERVERS {
+            self.forget_oldest();
         }
-        self.servers.push_back((id, incarnation));
+        let order = self.next_order;
+        self.next_order += 1;
+        self.servers.insert(id, Entry { incarnation, order });
         true
     }
 
     /// Whether this incarnation of a backend server has said that it is leaving.
     pub fn contains(&self, id: &ServerId, incarnation: Boot) -> bool {
-        let is_same = |(known, boot): &(ServerId, Boot)| known == id && *boot == incarnation;
-        self.servers.iter().any(is_same)
+        let entry = self.servers.get(id);
+        entry.is_some_and(|entry| entry.incarnation == incarnation)
     }
 
     /// All of them, those that became known last first.
-    pub fn latest(&self) -> impl Iterator<Item = &(ServerId, Boot)> {
-        self.servers.iter().rev()
+    pub fn latest(&self) -> Vec<(&ServerId, Boot)> {
+        let mut all: Vec<_> = self.servers.iter().collect();
+        all.sort_by_key(|(_, entry)| std::cmp::Reverse(entry.order));
+        let known = all.into_iter();
+        known.map(|(id, entry)| (id, entry.incarnation)).collect()
+    }
+
+    fn forget_oldest(&mut self) {
+        let oldest = self.servers.iter().min_by_key(|(_, entry)| entry.order);
+        if let Some(id) = oldest.map(|(id, _)| id.clone()) {
+            self.servers.remove(&id);
+        }
     }
 }
--- a/crates/fleet/src/quarantine.rs
+++ b/crates/fleet/src/quarantine.rs
@@ -92,6 +92,14 @@
         self.ends.iter().filter(|end| end.at > self.answered_at)
     }
 
+    /// Time from which the request is clear unless a server ends again.
+    fn clear_from(&self) -> Moment {
+        let trial = self.unanswered().any(|end| end.trial);
+        let ttl = if trial { EVIDENCE_TTL } else { SUSPECT_TTL };
+        let last = self.unanswered().map(|end| end.at).max();
+        last.map_or(Moment(0), |last| last + ttl)
+    }
+
     fn verdict(&self, now: Moment) -> Verdict {
         let is_valid = |end: &&ServerEnd| end.at + EVIDENCE_TTL > now;
         let ends = || self.unanswered().filter(is_valid);
@@ -112,12 +120,14 @@
 #[derive(Debug, Clone, Default)]
 pub struct Quarantine {
     requests: BTreeMap<Fingerprint, Evidence>,
+    /// Time from which no request is a suspect or held back, as far as is known.
+    clear_from: Moment,
 }
 
 impl Quarantine {
-    /// Whether there is no evidence about any request.
-    pub fn is_empty(&self) -> bool {
-        self.requests.is_empty()
+    /// Whether any request may be a suspect or held back at `now`.
+    pub fn has_suspects(&self, now: Moment) -> bool {
+        now < self.clear_from
     }
 
     /// What may be done with a request at `now`.
@@ -140,6 +150,7 @@
         match self.requests.get_mut(&request) {
             Some(evidence) if evidence.verdict(now) != Verdict::Clear => {
                 evidence.answered_at = now;
+                self.update_clear_from();
                 true
             }
             _ => false,
@@ -151,7 +162,14 @@
         if !self.requests.contains_key(&request) {
             self.make_room(now);
         }
-        self.requests.entry(request).or_default().merge(other)
+        let changed = self.requests.entry(request).or_default().merge(other);
+        self.update_clear_from();
+        changed
+    }
+
+    fn update_clear_from(&mut self) {
+        let times = self.requests.values().map(Evidence::clear_from);
+        self.clear_from = times.max().unwrap_or_default();
     }
 
     /// The requests that have evidence, those with the latest one first.
--- a/crates/node/src/fingerprint.rs
+++ b/crates/node/src/fingerprint.rs
@@ -33,9 +33,9 @@
     /// What may be done with the request. The fingerprint is only computed if there are suspects.
     pub(crate) fn verdict(&self, board: &Board, now: Moment) -> Verdict {
         let quarantine = board.quarantine.borrow();
-        match quarantine.is_empty() {
-            true => Verdict::Clear,
-            false => quarantine.verdict(self.fingerprint(), now),
+        match quarantine.has_suspects(now) {
+            true => quarantine.verdict(self.fingerprint(), now),
+            false => Verdict::Clear,
         }
     }
 
--- a/crates/node/src/gate_actor/evidence.rs
+++ b/crates/node/src/gate_actor/evidence.rs
@@ -71,7 +71,7 @@
             return;
         };
         self.broken.retain(|b| b.broken_at > running.started_at);
-        if board.quarantine.borrow().is_empty() {
+        if !board.quarantine.borrow().has_suspects(now) {
             return;
         }
         let request = running.identity.fingerprint();
--- a/crates/node/src/gate_actor/mod.rs
+++ b/crates/node/src/gate_actor/mod.rs
@@ -13,6 +13,7 @@
 mod tests;
 
 mod evidence;
+mod observations;
 mod state;
 
 use std::sync::Arc;
--- a/crates/node/src/gate_actor/state.rs
+++ b/crates/node/src/gate_actor/state.rs
@@ -6,19 +6,15 @@
 };
 
 use board::Board;
-use dialect::ResponseMetadata;
 use fleet::Verdict;
 use futures::future::BoxFuture;
-use gate::{
-    Action, Completion, Gate, LimitSource, LimitState, Offer, Rank, RetentionLimits, RouteProfiles,
-};
+use gate::{Action, Completion, Gate, Offer, Rank, RetentionLimits, RouteProfiles};
 use kameo::actor::WeakActorRef;
 use note::{Limits, Server, Service, State};
 use smol_str::SmolStr;
 use tokio::sync::oneshot;
 use types::{
-    AttemptId, Boot, CallId, Moment, NamedLimit, Outcome, Rate, Refusal, Revision, ServerId,
-    ServiceId, Span,
+    AttemptId, Boot, CallId, Moment, Outcome, Refusal, Revision, ServerId, ServiceId, Span,
 };
 
 use super::{
@@ -26,7 +22,7 @@
     apply_board, evidence::Evidence, outcome_name,
 };
 use crate::{
-    backend::{Backend, ProbeError, RequestResult, ServerRequest, Target},
+    backend::{Backend, RequestResult, ServerRequest, Target},
     fingerprint::RequestIdentity,
     metrics::Metrics,
     timer::WakeTimer,
@@ -53,19 +49,19 @@
 
 /// The actor that runs one gate.
 pub(crate) struct GateActor {
-    board: Arc<Board>,
+    pub(super) board: Arc<Board>,
     backend: Arc<dyn Backend>,
-    metrics: Arc<Metrics>,
-    gate: Gate,
+    pub(super) metrics: Arc<Metrics>,
+    pub(super) gate: Gate,
     routes: RouteProfiles,
     /// Revision of the view that the hosts in `routes` were counted in.
     hosts_revision: Revision,
     cold_factor: f64,
     server: Option<(Server, Service)>,
     attempts: HashMap<AttemptId, PendingAttempt>,
-    evidence: Evidence,
+    pub(super) evidence: Evidence,
     /// Whether a malformed limit of this backend server has been logged.
-    malformed_logged: bool,
+    pub(super) malformed_logged: bool,
     actor: Option<WeakActorRef<Self>>,
     timer: WakeTimer,
 }
@@ -243,13 +239,8 @@
         if let Some(load) = metadata.load {
             self.gate.observe_slowdown(load.slowdown_percent, now);
         }
-        let started_at = self.attempts.get(&id).and_then(|a| a.started_at);
-        if let (Some(started_at), Some(limit)) = (started_at, named_limit(&completion, &metadata)) {
-            self.observe_limit(limit, LimitSource::Response, started_at);
-        }
-        let is_from_server = !matches!(completion, Completion::Misdirected);
-        if let Some(started_at) = started_at.filter(|_| metadata.leaving && is_from_server) {
-            self.observe_leaving(LimitSource::Response, started_at);
+        if let Some(started_at) = self.attempts.get(&id).and_then(|a| a.started_at) {
+            self.observe_statements(&completion, &metadata, started_at);
         }
         self.record_evidence(id, &completion, refused);
         let was_replaced = self.gate.is_replaced(now);
@@ -258,85 +249,6 @@
         self.execute(actions);
     }
 
-    /// Records what the end of a request says about requests under which the backend server ends.
-    fn record_evidence(&mut self, id: AttemptId, completion: &Completion, refused: bool) {
-        let now = self.board.clock.now();
-        match completion {
-            Completion::Incomplete => {
-                if self.evidence.record_broken(id, now) {
-                    self.gate.expedite_probe();
-                }
-            }
-            Completion::Answered(_) => self.evidence.record_answer(id, &self.board, now),
-            _ => self.evidence.record_other(id),
-        }
-        if refused {
-            self.evidence.record_refused(&self.board, now);
-        }
-    }
-
-    /// Records the limit that a response named, to a request or a probe sent at `sent_at`.
-    fn observe_limit(&mut self, named: NamedLimit, source: LimitSource, sent_at: Moment) {
-        let now = self.board.clock.now();
-        if named == NamedLimit::Malformed {
-            self.metrics.record_malformed_limit();
-            if !std::mem::replace(&mut self.malformed_logged, true) {
-                let server = self.server_id().map(ToString::to_string);
-                log::warn!(server; "server_limit_malformed");
-            }
-        }
-        let before = self.gate.named_limit(now);
-        let actions = self.gate.observe_limit(named, source, sent_at, now);
-        self.log_limit(before);
-        self.execute(actions);
-    }
-
-    /// Records that the backend server said that it is leaving, in response to a request or a probe
-    /// sent at `sent_at`. It gets no new requests from now on.
-    fn observe_leaving(&mut self, source: LimitSource, sent_at: Moment) {
-        let Some(server) = self.server_id().cloned() else {
-            return;
-        };
-        if self.gate.was_replaced_since(sent_at)
-            || !self.board.mark_leaving(&server, self.incarnation())
-        {
-            return;
-        }
-        log::info!(server:% = server, source = source.name(); "server_leaving");
-        let actions = apply_board(&self.board, &mut self.gate, Some(&server));
-        self.execute(actions);
-    }
-
-    /// Logs a change of the limit from what it was `before`.
-    fn log_limit(&self, before: Option<LimitState>) {
-        let now = self.board.clock.now();
-        let after = self.gate.named_limit(now);
-        let rate = |limit: Option<LimitState>| limit.map(|limit| limit.rate);
-        if rate(before) == rate(after) {
-            return;
-        }
-        let server = self.server_id().map(ToString::to_string);
-        let per_s = rate(after).map(Rate::per_second);
-        let before_per_s = rate(before).map(Rate::per_second);
-        let source = after.map(|limit| limit.source.name());
-        let age_ms = before.map(|limit| now.since(limit.since).as_millis());
-        log::info!(
-            server, per_s, source, before_per_s, before_age_ms = age_ms;
-            "server_limit_changed"
-        );
-    }
-
-    /// Logs that the backend server at the address was found to be the listed one or another, unless
-    /// the gate knew it.
-    fn log_identity(&self, was_replaced: bool, named: Option<&ServerId>) {
-        let replaced = self.gate.is_replaced(self.board.clock.now());
-        if replaced != was_replaced {
-            let server = self.server_id().map(ToString::to_string);
-            let named = named.map(ToString::to_string);
-            log::warn!(server, replaced, named; "identity_changed");
-        }
-    }
-
     pub(super) fn dump(&self) -> GateDump {
         let (sessions, fates, answer_bytes) = self.gate.sizes();
         GateDump {
@@ -354,7 +266,7 @@
         }
     }
 
-    fn server_id(&self) -> Option<&ServerId> {
+    pub(super) fn server_id(&self) -> Option<&ServerId> {
         self.server.as_ref().map(|(server, _)| &server.id)
     }
 
@@ -366,7 +278,7 @@
     }
 
     /// Incarnation of the backend server, zero if there is none.
-    fn incarnation(&self) -> Boot {
+    pub(super) fn incarnation(&self) -> Boot {
         let view = self.board.view.borrow();
         let incarnation = self
             .server_id()
@@ -389,7 +301,7 @@
         }
     }
 
-    fn execute(&mut self, actions: Vec<Action>) {
+    pub(super) fn execute(&mut self, actions: Vec<Action>) {
         for action in actions {
             match action {
                 Action::Start(id, deadline) => self.start(id, deadline),
@@ -510,59 +422,6 @@
         });
     }
 
-    pub(super) fn probe_finished(&mut self, probe: ProbeFinished) {
-        let ProbeFinished {
-            server,
-            sent_at,
-            result,
-        } = probe;
-        let now = self.board.clock.now();
-        match result {
-            Ok(_) => self.evidence.record_alive(sent_at),
-            Err(ProbeError::Refused) => self.evidence.record_refused(&self.board, now),
-            Err(ProbeError::NoAnswer) => {}
-        }
-        let metadata = result.ok();
-        let named = metadata.as_ref().and_then(|m| m.server.as_ref());
-        if let Some(named) = named
-            && self.server_id() == Some(&server)
-        {
-            let was_replaced = self.gate.is_replaced(now);
-            let actions = self.gate.observe_identity(*named == server, now);
-            self.log_identity(was_replaced, Some(named));
-            self.execute(actions);
-        }
-        if let Some(metadata) = &metadata
-            && self.server_id() == Some(&server)
-            && named.is_none_or(|named| *named == server)
-        {
-            self.observe_limit(metadata.limit, LimitSource::Probe, sent_at);
-            if metadata.leaving {
-                self.observe_leaving(LimitSource::Probe, sent_at);
-            }
-        }
-        let was_cold = self.gate.is_cold(now);
-        self.gate
-            .probed(metadata.as_ref().and_then(|m| m.boot), now);
-        if let Some(load) = metadata.as_ref().and_then(|m| m.load) {
-            self.gate.observe_slowdown(load.slowdown_percent, now);
-        }
-        let warmup_left = metadata.as_ref().map(|m| m.warmup_left.unwrap_or_default());
-        let actions = match warmup_left {
-            Some(left) => self.gate.observe_cold(left, sent_at, now),
-            None => Vec::new(),
-        };
-        if self.gate.is_cold(now) != was_cold {
-            let server = self.server_id().map(ToString::to_string);
-            let left_ms = warmup_left.map(Span::as_millis);
-            log::info!(
-                server, cold = !was_cold, left_ms, asked_us = now.since(sent_at).0;
-                "warmth_changed"
-            );
-        }
-        self.execute(actions);
-    }
-
     fn set_timer(&mut self) {
         let Some(at) = self.gate.next_tick(self.board.clock.now()) else {
             return;
@@ -576,17 +435,6 @@
     }
 }
 
-/// The limit that the response to a request names, `None` if there was no response or another
-/// backend server sent it.
-fn named_limit(completion: &Completion, metadata: &ResponseMetadata) -> Option<NamedLimit> {
-    match completion {
-        Completion::Answered(_) | Completion::Shed => Some(metadata.limit),
-        // Without a whole response, a missing header says nothing.
-        Completion::Incomplete if metadata.limit != NamedLimit::Absent => Some(metadata.limit),
-        _ => None,
-    }
-}
-
 /// The service of a backend server, with the limits that apply to this backend server: its own
 /// slots, and a cold rate multiplied by `cold_factor`.
 pub(super) fn effective_service(
--- a/crates/node/src/ingress/driver.rs
+++ b/crates/node/src/ingress/driver.rs
@@ -10,7 +10,6 @@
 };
 
 use call::{Action, AttemptIndex, Call, CallOutcome, CallRequest, SessionAttempt};
-use fleet::Verdict;
 use futures::{
     FutureExt, StreamExt,
     future::{AbortHandle, BoxFuture, abortable},
@@ -19,7 +18,7 @@
 use gate::Rank;
 use route::ServerState;
 use smol_str::SmolStr;
-use tokio::time::{Sleep, sleep, sleep_until};
+use tokio::time::{Sleep, sleep_until};
 use types::{Fingerprint, Moment, Outcome, Refusal, ServerId, Span};
 
 use super::{
@@ -28,42 +27,13 @@
     services::{RetryBudget, Selector},
 };
 use crate::{
-    fingerprint::RequestIdentity,
     gate_actor::{Reply, outcome_name},
     peers::{Attempt, KnownLimit, Peer, TransportError},
     view_sync::PeerReport,
 };
 
-/// Time between two checks whether the trial of an equal request has ended.
-const TRIAL_POLL_INTERVAL: Span = Span::from_millis(25);
-
-/// Runs a call to its end. A suspect request waits while an equal one is on trial.
-pub(super) async fn run_call(ingress: &Arc<Ingress>, routed: RoutedCall) -> CallOutcome {
-    let identity = RequestIdentity::new(&routed.service, &routed.request);
-    loop {
-        let now = ingress.board.clock.now();
-        let trial = match identity.verdict(&ingress.board, now) {
-            Verdict::Clear => return run_attempts(ingress, routed, None).await,
-            Verdict::Held(until) => return hold_back(ingress, &routed, &identity, until),
-            Verdict::Suspect => Some(identity.fingerprint()),
-        };
-        let outcome = run_attempts(ingress, routed.clone(), trial).await;
-        let is_refused = matches!(
-            outcome,
-            CallOutcome::NotRun {
-                refusal: Refusal::Quarantined,
-                ..
-            }
-        );
-        if !is_refused || now + TRIAL_POLL_INTERVAL >= routed.objective {
-            return outcome;
-        }
-        sleep(TRIAL_POLL_INTERVAL.duration()).await;
-    }
-}
-
 /// Sends a call's attempts until it has an outcome. For a `trial`, only one is sent.
-async fn run_attempts(
+pub(super) async fn run_attempts(
     ingress: &Arc<Ingress>,
     routed: RoutedCall,
     trial: Option<Fingerprint>,
@@ -94,25 +64,6 @@
     driver.run().await
 }
 
-/// Rejects a call whose request is held back `until` then, since backend servers have ended under it.
-fn hold_back(
-    ingress: &Ingress,
-    routed: &RoutedCall,
-    identity: &RequestIdentity,
-    until: Moment,
-) -> CallOutcome {
-    let left = until.since(ingress.board.clock.now());
-    log::info!(
-        call:% = routed.request.call, service:% = routed.service,
-        request:% = identity.fingerprint(), left_ms = left.as_millis();
-        "request_held_back"
-    );
-    CallOutcome::NotRun {
-        refusal: Refusal::Quarantined,
-        retry_after: left,
-    }
-}
-
 /// State of an attempt of the call.
 struct AttemptState {
     server: ServerId,
--- a/crates/node/src/ingress/mod.rs
+++ b/crates/node/src/ingress/mod.rs
@@ -1,7 +1,8 @@
 //! The ingress: takes callers' requests over HTTP/1.1 and HTTP/2 and answers each exactly once.
 //!
 //! A connection ([`http1`], [`http2`]) reads a request, and [`routing`] checks it and finds its
-//! service. [`driver`] sends its attempts, using the state kept for the service ([`services`]), and
+//! service. [`suspects`] holds it back if it
+//! may end backend servers. [`driver`] sends its attempts, using the state kept for the service ([`services`]), and
 //! [`response`] builds the answer. If the caller disconnects, the future of its request is dropped,
 //! which cancels its open attempts.
 
@@ -15,6 +16,7 @@
 mod response;
 mod routing;
 mod services;
+mod suspects;
 
 use std::{
     collections::HashSet,
@@ -123,7 +125,7 @@
         started_at: Moment,
     ) -> Response<Bytes> {
         let result = match routed {
-            Ok(routed) => Ok(driver::run_call(self, routed).await),
+            Ok(routed) => Ok(suspects::run_call(self, routed).await),
             Err(rejection) => Err(rejection),
         };
         let took = self.board.clock.now().since(started_at);
--- a/crates/node/src/peers/evidence.rs
+++ b/crates/node/src/peers/evidence.rs
@@ -16,8 +16,9 @@
     let leaving = board.leaving.borrow();
     let listed = leaving
         .latest()
+        .into_iter()
         .filter(|(id, incarnation)| view.state.incarnation_of(id) == Some(*incarnation));
-    let message = |(id, incarnation): &(ServerId, Boot)| LeavingServer {
+    let message = |(id, incarnation): (&ServerId, Boot)| LeavingServer {
         server: id.to_string(),
         incarnation: incarnation.0,
     };
