soak: backend servers that name limits, say that they leave, and end under deadly requests

Arrivals are counted at the servers over the whole fleet: in any four seconds under a limit, after the word that a server leaves, servers that end under one request, and beyond the first of each call, run or not.

--- a/crates/rig/src/server.rs
+++ b/crates/rig/src/server.rs
@@ -129,6 +129,13 @@
     runs: HashMap<String, u64>,
     /// When requests and probes arrived.
     arrivals: Vec<Instant>,
+    /// Arrivals of each request id, whether they ran or not.
+    arrivals_by_id: HashMap<String, u64>,
+    /// When a response first named the present limit, and first said that the server is leaving.
+    limit_named: Option<Instant>,
+    leaving_said: Option<Instant>,
+    /// Ends of the server by the path of the request.
+    ends_by_path: HashMap<String, u64>,
     counts: Counts,
 }
 
@@ -152,6 +159,10 @@
             running: 0,
             runs: HashMap::new(),
             arrivals: Vec::new(),
+            arrivals_by_id: HashMap::new(),
+            limit_named: None,
+            leaving_said: None,
+            ends_by_path: HashMap::new(),
             counts: Counts::default(),
         };
         let client = reqwest::Client::builder()
@@ -172,7 +183,15 @@
 
     /// Changes the behavior.
     pub fn configure(&self, change: impl FnOnce(&mut Behavior)) {
-        change(&mut self.inner().behavior);
+        let mut inner = self.inner();
+        let before = inner.behavior.clone();
+        change(&mut inner.behavior);
+        if inner.behavior.limit != before.limit {
+            inner.limit_named = None;
+        }
+        if inner.behavior.leaving != before.leaving {
+            inner.leaving_said = None;
+        }
     }
 
     /// Simulates a restart: the server gets a new boot id and is cold, and running requests are cut.
@@ -197,6 +216,7 @@
         let ends = deadly.is_some_and(|segment| path.split('/').any(|s| s == segment));
         if ends {
             inner.counts.ends += 1;
+            *inner.ends_by_path.entry(path.to_owned()).or_default() += 1;
             drop(inner);
             self.set_listening(false);
             self.restart();
@@ -219,6 +239,31 @@
         self.inner().runs.get(id).copied().unwrap_or_default()
     }
 
+    /// Number of times that the request with this id arrived, whether it ran or not.
+    pub fn arrival_count(&self, id: &str) -> u64 {
+        let inner = self.inner();
+        inner.arrivals_by_id.get(id).copied().unwrap_or_default()
+    }
+
+    /// When a response first named the present limit.
+    pub fn limit_named(&self) -> Option<Instant> {
+        self.inner().limit_named
+    }
+
+    /// When a response first said that the server is leaving.
+    pub fn leaving_said(&self) -> Option<Instant> {
+        self.inner().leaving_said
+    }
+
+    /// Number of times that a request with this path has ended the server.
+    pub fn ends_by(&self, path: &str) -> u64 {
+        self.inner()
+            .ends_by_path
+            .get(path)
+            .copied()
+            .unwrap_or_default()
+    }
+
     /// When requests and probes arrived, in order.
     pub fn arrivals(&self) -> Vec<Instant> {
         self.inner().arrivals.clone()
@@ -350,9 +395,24 @@
 
 /// Records the arrival of a request or probe, and adds to its response what the server names.
 async fn record_and_name(State(server): State<Server>, request: Request, next: Next) -> Response {
-    server.inner().arrivals.push(Instant::now());
+    let id = header(request.headers(), "x-request-id").to_owned();
+    {
+        let mut inner = server.inner();
+        inner.arrivals.push(Instant::now());
+        *inner.arrivals_by_id.entry(id).or_default() += 1;
+    }
     let mut response = next.run(request).await;
-    let behavior = server.inner().behavior.clone();
+    let behavior = {
+        let mut inner = server.inner();
+        let now = Instant::now();
+        if inner.behavior.limit.is_some() {
+            inner.limit_named.get_or_insert(now);
+        }
+        if inner.behavior.leaving {
+            inner.leaving_said.get_or_insert(now);
+        }
+        inner.behavior.clone()
+    };
     let headers = response.headers_mut();
     if let Some(limit) = behavior.limit {
         let value = HeaderValue::from_str(&limit.to_string()).expect("a number is visible ASCII");
@@ -366,14 +426,14 @@
 
 async fn run(State(server): State<Server>, request: Request) -> Response {
     let (parts, body) = request.into_parts();
+    if server.end_if_deadly(parts.uri.path()) {
+        return respond(ResponseMode::Cut, 0, None).await;
+    }
     let id = header(&parts.headers, "x-request-id").to_owned();
     let mut guard = match server.start_run(&id, parts.method.as_str()) {
         Ok(guard) => guard,
         Err(status) => return empty_response(status),
     };
-    if server.end_if_deadly(parts.uri.path()) {
-        return respond(ResponseMode::Cut, 0, None).await;
-    }
     let received = to_bytes(body, MAX_BODY_BYTES)
         .await
         .map_or(0, |body| body.len());
--- a/crates/rig/src/soak/check.rs
+++ b/crates/rig/src/soak/check.rs
@@ -15,9 +15,10 @@
 /// Calls that may be cut without a run at each SIGTERM: a caller can send on an idle connection just as
 /// the node closes it, and may send such a call again. More of them point to a fault of the node.
 const MAX_UNREAD_CUTS: usize = 1;
-/// Maximum ratio of retries to calls that the users' platform allows. Only retries that ran count here.
+/// Maximum ratio of retries to calls that the users' platform allows: arrivals beyond the first of each call,
+/// whether they ran or not.
 const MAX_RETRY_RATIO: f64 = 0.2;
-/// Retries that may run on top of [`MAX_RETRY_RATIO`].
+/// Retries that may arrive on top of [`MAX_RETRY_RATIO`].
 const RETRY_ALLOWANCE: u64 = 60;
 
 /// Observations of one soak.
@@ -37,7 +38,8 @@
         let mut unread_cuts: HashMap<usize, usize> = HashMap::new();
         for call in self.samples {
             let runs: u64 = self.servers.iter().map(|s| s.run_count(&call.id)).sum();
-            retries += runs.saturating_sub(1);
+            let arrivals: u64 = self.servers.iter().map(|s| s.arrival_count(&call.id)).sum();
+            retries += arrivals.saturating_sub(1);
             match self.termination_of(call) {
                 Some(termination) if call.result == "cut" && runs == 0 => {
                     *unread_cuts.entry(termination).or_default() += 1;
@@ -55,7 +57,7 @@
         let max_retries = (self.samples.len() as f64 * MAX_RETRY_RATIO) as u64 + RETRY_ALLOWANCE;
         if retries > max_retries {
             violations.push(format!(
-                "{retries} repeated runs for {} calls",
+                "{retries} repeated arrivals for {} calls",
                 self.samples.len()
             ));
         }
--- a/crates/rig/src/soak/mod.rs
+++ b/crates/rig/src/soak/mod.rs
@@ -2,7 +2,7 @@
 //!
 //! Node processes are killed, terminated, reloaded, paused and started again. Connections between nodes are
 //! delayed, refused, stalled or dropped in one direction. Backend servers restart, become slow and send
-//! faulty responses. The platform becomes unavailable or throttles reads, and operators take backend
+//! faulty responses; they name limits, say that they are leaving, and end under deadly requests. The platform becomes unavailable or throttles reads, and operators take backend
 //! servers and zones out and back. Faults overlap and come in series. The load goes on throughout: some
 //! clients keep using their connection to a node until its process is gone. No fault affects the wall clock or a disk, which nodes use only for logs and
 //! settings.
@@ -11,6 +11,7 @@
 
 mod check;
 mod schedule;
+mod statements;
 
 use std::{
     fs, io,
@@ -103,7 +104,8 @@
     .service_with_limits("draws", options.nodes.div_ceil(2), limits.clone())
     .service_with_limits("fees", options.nodes / 2, limits)
     .server_behavior(|behavior| {
-        (behavior.cold, behavior.warm_ms, behavior.service_ms) = (COLD_LIMIT, WARM_MS, SERVICE_MS)
+        (behavior.cold, behavior.warm_ms, behavior.service_ms) = (COLD_LIMIT, WARM_MS, SERVICE_MS);
+        behavior.deadly = Some(statements::DEADLY.to_owned());
     })
     .settings(json!({ "linger_ms": LINGER_MS, "stop_ms": STOP_MS, "log": "info" }))
     .with_proxies();
@@ -136,6 +138,7 @@
     };
     let violations = observations.violations();
     soak.violations.extend(violations);
+    soak.check_ends(&faults);
     soak.check_recovery(options, &targets).await;
     soak.cluster.stop().await;
     Ok(Report {
@@ -210,9 +213,9 @@
             let fault = faults[index];
             let began = self.start.elapsed();
             match step {
-                Step::Inject => self.inject(fault.kind).await?,
+                Step::Inject => self.inject(index, fault.kind).await?,
                 Step::Watch => self.watch_drained(&fault, faults),
-                Step::Recover => self.recover(&fault).await?,
+                Step::Recover => self.recover(&fault, faults).await?,
             }
             let ended = self.start.elapsed();
             match step {
@@ -224,7 +227,7 @@
         Ok(())
     }
 
-    async fn inject(&mut self, kind: FaultKind) -> io::Result<()> {
+    async fn inject(&mut self, index: usize, kind: FaultKind) -> io::Result<()> {
         match kind {
             FaultKind::Kill(node) => self.cluster.nodes[node].kill().await,
             FaultKind::Terminate(node) => self.signal(node, "TERM").await,
@@ -264,11 +267,39 @@
             }),
             FaultKind::ServerLeaving(_) => self.publish_status(kind, "leaving"),
             FaultKind::ZoneOut(_) => self.publish_status(kind, "out"),
+            FaultKind::LimitedServer(node) => self.cluster.servers[node]
+                .configure(|behavior| behavior.limit = Some(statements::LIMIT)),
+            FaultKind::DepartingServer(node) => {
+                self.cluster.servers[node].configure(|behavior| behavior.leaving = true);
+            }
+            FaultKind::DeadlyRequest(node) => {
+                let path = self.deadly_path(node, index);
+                let targets = self.cluster.targets();
+                tokio::spawn(statements::send_deadly(targets, path));
+            }
         }
         Ok(())
     }
 
-    async fn recover(&mut self, fault: &Fault) -> io::Result<()> {
+    /// The path of the requests of the deadly fault with this index, which are sent to the service of
+    /// `node`.
+    fn deadly_path(&self, node: usize, index: usize) -> String {
+        let service = &self.cluster.nodes[node].spec.service;
+        format!("/{service}/{}/{index}", statements::DEADLY)
+    }
+
+    /// Checks how many servers ended under each deadly request.
+    fn check_ends(&mut self, faults: &[Fault]) {
+        for (index, fault) in faults.iter().enumerate() {
+            if let FaultKind::DeadlyRequest(node) = fault.kind {
+                let path = self.deadly_path(node, index);
+                let line = statements::check_ends(fault, &path, &self.cluster.servers);
+                self.violations.extend(line);
+            }
+        }
+    }
+
+    async fn recover(&mut self, fault: &Fault, faults: &[Fault]) -> io::Result<()> {
         match fault.kind {
             FaultKind::Kill(node) => self.cluster.nodes[node] = self.cluster.start_node(node)?,
             FaultKind::Terminate(node) => {
@@ -302,6 +333,20 @@
             FaultKind::PlatformDown | FaultKind::PlatformThrottled => {
                 self.set_platform_faults(Faults::default())
             }
+            FaultKind::LimitedServer(node) => {
+                let server = &self.cluster.servers[node];
+                self.violations
+                    .extend(statements::check_limit(fault, server));
+                server.configure(|behavior| behavior.limit = None);
+            }
+            FaultKind::DepartingServer(node) => {
+                let server = &self.cluster.servers[node];
+                self.violations
+                    .extend(statements::check_leaving(fault, server, faults));
+                server.configure(|behavior| behavior.leaving = false);
+                self.publish_status(fault.kind, "in");
+            }
+            FaultKind::DeadlyRequest(_) => {}
             FaultKind::Reload(_) | FaultKind::StallOpen(_) | FaultKind::RestartServer(_) => {}
             FaultKind::ServerLeaving(_) | FaultKind::ZoneOut(_) => {
                 self.check_drained(fault);
@@ -332,7 +377,7 @@
             FaultKind::ZoneOut(zone) => {
                 json!({ "zones": [{ "id": ZONES[zone], "region": "r", "status": status }] })
             }
-            FaultKind::ServerLeaving(index) => {
+            FaultKind::ServerLeaving(index) | FaultKind::DepartingServer(index) => {
                 let mut server = self.cluster.note()["add"]["servers"][index].clone();
                 server["status"] = json!(status);
                 json!({ "servers": [server] })
--- a/crates/rig/src/soak/schedule.rs
+++ b/crates/rig/src/soak/schedule.rs
@@ -18,6 +18,8 @@
 const MEAN_BURST_INTERVAL_S: f64 = 3.0;
 /// Time between the starts of two faults of a burst.
 const BURST_INTERVAL_S: f64 = 0.15;
+/// Mean time between the starts of two faults of [`add_statements`].
+const MEAN_STATEMENT_INTERVAL_S: f64 = 3.0;
 /// Minimum time between two faults that conflict.
 const MIN_PAUSE: Duration = Duration::from_millis(500);
 
@@ -52,6 +54,12 @@
     PlatformDown,
     /// The platform refuses reads beyond a low rate limit.
     PlatformThrottled,
+    /// Responses of the backend server name a limit.
+    LimitedServer(usize),
+    /// Responses of the backend server say that it is leaving. Operators put it back at the end.
+    DepartingServer(usize),
+    /// Callers send a request that ends the backend servers of this node's service.
+    DeadlyRequest(usize),
     /// Operators set the backend server to `leaving`, and back to `in` at the end.
     ServerLeaving(usize),
     /// Operators set the availability zone to `out`, and back to `in` at the end.
@@ -103,6 +111,10 @@
                 FaultKind::ServerLeaving(_) | FaultKind::ZoneOut(_),
                 FaultKind::ServerLeaving(_) | FaultKind::ZoneOut(_),
             ) => true,
+            (
+                FaultKind::ServerLeaving(a) | FaultKind::DepartingServer(a),
+                FaultKind::ServerLeaving(b) | FaultKind::DepartingServer(b),
+            ) => a == b,
             (
                 FaultKind::PlatformDown | FaultKind::PlatformThrottled,
                 FaultKind::PlatformDown | FaultKind::PlatformThrottled,
@@ -117,6 +129,13 @@
     /// overlapping times.
     fn excludes(&self, other: &Self) -> bool {
         let process = self.node_process();
+        if let (
+            FaultKind::ServerLeaving(a) | FaultKind::DepartingServer(a),
+            FaultKind::ServerLeaving(b) | FaultKind::DepartingServer(b),
+        ) = (self.kind, other.kind)
+        {
+            return a == b && self.is_close_to(other);
+        }
         let same = discriminant(self.kind) == discriminant(other.kind)
             && affected(self.kind) == affected(other.kind);
         (same || (process.is_some() && process == other.node_process())) && self.is_close_to(other)
@@ -143,6 +162,9 @@
         | FaultKind::StallOpen(index)
         | FaultKind::Delay(index, _)
         | FaultKind::RestartServer(index) => Some(index),
+        FaultKind::LimitedServer(index)
+        | FaultKind::DepartingServer(index)
+        | FaultKind::DeadlyRequest(index) => Some(index),
         FaultKind::SlowServer(index)
         | FaultKind::FaultyResponse(index, _)
         | FaultKind::ServerLeaving(index)
@@ -155,6 +177,7 @@
 pub(crate) fn draw_faults(seed: u64, duration: Duration, nodes: usize, zones: usize) -> Vec<Fault> {
     let mut faults = draw_separate(seed, duration, nodes, zones);
     add_overlapping(&mut faults, seed, duration, nodes, zones);
+    add_statements(&mut faults, seed, duration, nodes);
     faults.sort_by_key(|f| f.start);
     faults
 }
@@ -196,6 +219,26 @@
     }
 }
 
+/// Adds backend servers that name limits or say that they leave, and requests that end them.
+fn add_statements(faults: &mut Vec<Fault>, seed: u64, duration: Duration, nodes: usize) {
+    let mut rng = SmallRng::seed_from_u64(seed.rotate_left(17));
+    let mut start = INITIAL_DELAY;
+    while start < duration {
+        let node = rng.random_range(0..nodes);
+        let kind = match rng.random_range(0..3) {
+            0 => FaultKind::LimitedServer(node),
+            1 => FaultKind::DepartingServer(node),
+            _ => FaultKind::DeadlyRequest(node),
+        };
+        let end = start + draw_duration(kind, &mut rng);
+        let fault = Fault::new(kind, start, end);
+        if end < duration && !faults.iter().any(|f| f.excludes(&fault)) {
+            faults.push(fault);
+        }
+        start += Duration::from_secs_f64(MEAN_STATEMENT_INTERVAL_S * rng.random_range(0.5..1.5));
+    }
+}
+
 /// Draws faults of which only those of different nodes overlap.
 fn draw_separate(seed: u64, duration: Duration, nodes: usize, zones: usize) -> Vec<Fault> {
     let mut rng = SmallRng::seed_from_u64(seed);
@@ -273,6 +316,9 @@
         FaultKind::Terminate(_) => rng.random_range(4.5..6.0),
         // Longer than a change may take to be in effect, so that requests to these servers are seen.
         FaultKind::ServerLeaving(_) | FaultKind::ZoneOut(_) => rng.random_range(12.0..16.0),
+        // Longer than the window in which arrivals under a limit are counted.
+        FaultKind::LimitedServer(_) | FaultKind::DepartingServer(_) => rng.random_range(6.0..9.0),
+        FaultKind::DeadlyRequest(_) => rng.random_range(2.0..4.0),
         _ => rng.random_range(0.1..4.0),
     };
     Duration::from_secs_f64(seconds)
