--- a/crates/cli/src/explain.rs
+++ b/crates/cli/src/explain.rs
@@ -147,6 +147,13 @@
     let meaning = match end.value("ending") {
         "answer" => "It was answered by a backend server",
         "busy" => "It was refused and not run: no backend server could have answered in time",
+        "limited" => {
+            "It was refused and not run: the backend servers have named limits, and there was no room \
+             under them"
+        }
+        "quarantined" => {
+            "It was refused and not run: backend servers have ended under equal requests"
+        }
         "failing" => "It was refused and not run: most answers of the backend servers failed",
         "slow" => "It was refused and not run: all backend servers were slow",
         "late" => "It was refused and not run: its deadline passed while it waited",
