gate, route: no second look at the queue for each response; a trial elsewhere avoids no server

A gate that refused a suspect because an equal request ran there was avoided for a second by the ingress.

--- a/crates/board/src/lib.rs
+++ b/crates/board/src/lib.rs
@@ -1,7 +1,7 @@
 //! State that the components of one node share, published over watch channels.
 //!
-//! Each channel has one writer, except `leaving`, `quarantine` and `phase`, and any number of components read it or wait for it
-//! to change. Components depend on the board and not on each other:
+//! Each channel has one writer, except `leaving`, `quarantine` and `phase`, and any number of components
+//! read it or wait for it to change. Components depend on the board and not on each other:
 //!
 //! | channel | writer | readers |
 //! |---|---|---|
--- a/crates/gate/src/core/observations.rs
+++ b/crates/gate/src/core/observations.rs
@@ -65,10 +65,9 @@
         sent_at: Moment,
         now: Moment,
     ) -> Vec<Action> {
-        if self.was_replaced_since(sent_at) {
+        if self.was_replaced_since(sent_at) || !self.rate.observe(named, source, sent_at, now) {
             return Vec::new();
         }
-        self.rate.observe(named, source, sent_at, now);
         self.probes.set_min_interval(self.rate.probe_interval());
         self.start_queued(now)
     }
--- a/crates/gate/src/rate_limit.rs
+++ b/crates/gate/src/rate_limit.rs
@@ -130,32 +130,31 @@
 }
 
 impl RateLimit {
-    /// Applies what a response says, to a request or a probe that was sent at `sent_at`.
+    /// Applies what a response says, to a request or a probe that was sent at `sent_at`. Returns whether
+    /// the limit changed.
     pub(crate) fn observe(
         &mut self,
         named: NamedLimit,
         source: LimitSource,
         sent_at: Moment,
         now: Moment,
-    ) {
+    ) -> bool {
         let is_probe = source == LimitSource::Probe;
         self.probes_name |= is_probe && named != NamedLimit::Absent;
         self.responded |= !is_probe && named != NamedLimit::Malformed;
-        let current = self.bucket.as_mut();
-        match (named, current) {
-            (NamedLimit::Malformed, _) => {}
+        match (named, &mut self.bucket) {
             // Health endpoints needn't name the limit.
-            (NamedLimit::Absent, _) if is_probe && !self.probes_name => {}
+            (NamedLimit::Absent, _) if is_probe && !self.probes_name => return false,
             (NamedLimit::Absent, Some(bucket)) if sent_at >= bucket.since => self.bucket = None,
-            (NamedLimit::Absent, _) => {}
             (NamedLimit::Rate(rate), None) => self.bucket = Some(Bucket::new(rate, source, now)),
             (NamedLimit::Rate(rate), Some(bucket))
                 if rate < bucket.rate || (rate > bucket.rate && sent_at >= bucket.since) =>
             {
                 bucket.set_rate(rate, source, now);
             }
-            (NamedLimit::Rate(_), Some(_)) => {}
+            _ => return false,
         }
+        true
     }
 
     /// Applies the limit that an ingress knows, unless a response has said more.
--- a/crates/node/src/gate_actor/observations.rs
+++ b/crates/node/src/gate_actor/observations.rs
@@ -111,7 +111,9 @@
         let before = self.gate.named_limit(now);
         let actions = self.gate.observe_limit(named, source, sent_at, now);
         self.log_limit(before);
-        self.execute(actions);
+        if !actions.is_empty() {
+            self.execute(actions);
+        }
     }
 
     /// Records that the backend server said that it is leaving, in response to a request or a probe
--- a/crates/route/src/balancer.rs
+++ b/crates/route/src/balancer.rs
@@ -253,7 +253,9 @@
     pub fn on_refused(&mut self, id: &ServerId, refusal: Refusal, retry_after: Span, now: Moment) {
         let Some(server) = self.find(id) else { return };
         let span = match refusal {
-            Refusal::Session | Refusal::Cancelled | Refusal::Barred => return,
+            Refusal::Session | Refusal::Cancelled | Refusal::Barred | Refusal::Quarantined => {
+                return;
+            }
             Refusal::Slow => AVOID_SLOW,
             Refusal::Failing => AVOID_FAILING,
             Refusal::Limited => retry_after.min(MAX_AVOID_LIMITED),
--- a/crates/route/tests/balancer.rs
+++ b/crates/route/tests/balancer.rs
@@ -2,7 +2,7 @@
 
 use rand::{SeedableRng, rngs::SmallRng};
 use route::{Balancer, LoadReport, Member, PolicyKind};
-use types::{Boot, Moment, Refusal, ServerId, Span};
+use types::{Boot, Fingerprint, Moment, Refusal, ServerId, Span};
 
 fn id(index: usize) -> ServerId {
     format!("server-{index}").parse().expect("a valid name")
@@ -113,3 +113,37 @@
         .expect("local servers are in use");
     assert_eq!(first.open_attempts, 1);
 }
+
+#[test]
+fn a_server_that_refuses_a_request_on_trial_elsewhere_is_not_avoided() {
+    let mut balancer = balancer(2, 2);
+    balancer.on_refused(&id(0), Refusal::Quarantined, Span::default(), at(0));
+    assert!(share(&mut balancer, 0, at(10)) > 0);
+}
+
+#[test]
+fn a_server_without_room_under_its_limit_is_selected_last() {
+    let mut balancer = balancer(2, 2);
+    let limited = LoadReport {
+        room_after: Span::from_millis(800),
+        ..report(0, 10)
+    };
+    balancer.on_report(&id(0), limited, at(0));
+    balancer.on_report(&id(1), report(5, 10), at(0));
+    assert_eq!(share(&mut balancer, 0, at(10)), 0);
+    assert!(share(&mut balancer, 0, at(900)) > 0, "there is room again");
+}
+
+#[test]
+fn all_ingresses_send_a_suspect_request_to_the_same_server() {
+    let request = Fingerprint(27);
+    let chosen = |balancer: &mut Balancer, tried: &[ServerId]| {
+        let selection = balancer.select_for_trial(request, tried, at(10));
+        selection.map(|selection| selection.server)
+    };
+    let (mut first, mut second) = (balancer(5, 2), balancer(5, 4));
+    let server = chosen(&mut first, &[]).expect("a server");
+    assert_eq!(chosen(&mut second, &[]), Some(server.clone()));
+    first.on_refused(&server, Refusal::Down, Span::default(), at(0));
+    assert_ne!(chosen(&mut first, &[]), Some(server), "it is avoided");
+}
