--- a/crates/rig/src/lib.rs
+++ b/crates/rig/src/lib.rs
@@ -16,6 +16,7 @@
 //! - [`soak`]: injects random faults from a seed and checks invariants;
 //! - [`report`] and [`plot`]: tables and plots of measurements.
 
+pub mod arrivals;
 pub mod capacity;
 pub mod cluster;
 pub mod emulator;
--- a/crates/rig/src/server.rs
+++ b/crates/rig/src/server.rs
@@ -130,12 +130,12 @@
     /// When requests and probes arrived.
     arrivals: Vec<Instant>,
     /// Arrivals of each request id, whether they ran or not.
-    arrivals_by_id: HashMap<String, u64>,
+    id_arrivals: HashMap<String, u64>,
     /// When a response first named the present limit, and first said that the server is leaving.
     limit_named: Option<Instant>,
     leaving_said: Option<Instant>,
     /// Ends of the server by the path of the request.
-    ends_by_path: HashMap<String, u64>,
+    path_ends: HashMap<String, u64>,
     counts: Counts,
 }
 
@@ -159,10 +159,10 @@
             running: 0,
             runs: HashMap::new(),
             arrivals: Vec::new(),
-            arrivals_by_id: HashMap::new(),
+            id_arrivals: HashMap::new(),
             limit_named: None,
             leaving_said: None,
-            ends_by_path: HashMap::new(),
+            path_ends: HashMap::new(),
             counts: Counts::default(),
         };
         let client = reqwest::Client::builder()
@@ -216,7 +216,7 @@
         let ends = deadly.is_some_and(|segment| path.split('/').any(|s| s == segment));
         if ends {
             inner.counts.ends += 1;
-            *inner.ends_by_path.entry(path.to_owned()).or_default() += 1;
+            *inner.path_ends.entry(path.to_owned()).or_default() += 1;
             drop(inner);
             self.set_listening(false);
             self.restart();
@@ -242,7 +242,7 @@
     /// Number of times that the request with this id arrived, whether it ran or not.
     pub fn arrival_count(&self, id: &str) -> u64 {
         let inner = self.inner();
-        inner.arrivals_by_id.get(id).copied().unwrap_or_default()
+        inner.id_arrivals.get(id).copied().unwrap_or_default()
     }
 
     /// When a response first named the present limit.
@@ -258,7 +258,7 @@
     /// Number of times that a request with this path has ended the server.
     pub fn ends_by(&self, path: &str) -> u64 {
         self.inner()
-            .ends_by_path
+            .path_ends
             .get(path)
             .copied()
             .unwrap_or_default()
@@ -399,7 +399,7 @@
     {
         let mut inner = server.inner();
         inner.arrivals.push(Instant::now());
-        *inner.arrivals_by_id.entry(id).or_default() += 1;
+        *inner.id_arrivals.entry(id).or_default() += 1;
     }
     let mut response = next.run(request).await;
     let behavior = {
--- a/crates/rig/src/soak/statements.rs
+++ b/crates/rig/src/soak/statements.rs
@@ -1,12 +1,9 @@
 //! Checks of what backend servers say of themselves, and of requests that end them.
 
-use std::{
-    net::SocketAddr,
-    time::{Duration, Instant},
-};
+use std::{net::SocketAddr, time::Duration};
 
 use super::schedule::{Fault, FaultKind};
-use crate::{process::client, server::Server};
+use crate::{arrivals::most_in_window, process::client, server::Server};
 
 /// Requests per second that a limited server names.
 pub(super) const LIMIT: f64 = 4.0;
@@ -39,13 +36,7 @@
 /// Returns a line if a server that named a limit got more requests in a window than the rule allows.
 pub(super) fn check_limit(fault: &Fault, server: &Server) -> Option<String> {
     let from = server.limit_named()? + LIMIT_DELAY;
-    let arrivals = server.arrivals();
-    let counted: Vec<Instant> = arrivals.into_iter().filter(|at| *at >= from).collect();
-    let in_window = |first: &Instant| {
-        let in_reach = |at: &&Instant| **at >= *first && **at < *first + WINDOW;
-        counted.iter().filter(in_reach).count()
-    };
-    let most = counted.iter().map(in_window).max().unwrap_or_default();
+    let most = most_in_window(&server.arrivals(), from, WINDOW);
     let allowed = LIMIT * WINDOW.as_secs_f64() * ALLOWED_RATIO + ALLOWED_BURST;
     (most as f64 > allowed)
         .then(|| format!("{fault}: {most} arrivals in {WINDOW:?}, {allowed} allowed"))
--- a/crates/rig/tests/server_limit.rs
+++ b/crates/rig/tests/server_limit.rs
@@ -6,6 +6,7 @@
 };
 
 use rig::{
+    arrivals::most_in_window,
     cluster::{Cluster, cluster},
     load::{self, Workload},
 };
@@ -46,16 +47,6 @@
     .await
 }
 
-/// Largest number of arrivals in a window, of those after `from`.
-fn most_in_window(arrivals: &[Instant], from: Instant) -> usize {
-    let counted: Vec<Instant> = arrivals.iter().copied().filter(|at| *at >= from).collect();
-    let in_window = |first: &Instant| {
-        let in_reach = |at: &&Instant| **at >= *first && **at < *first + WINDOW;
-        counted.iter().filter(in_reach).count()
-    };
-    counted.iter().map(in_window).max().unwrap_or_default()
-}
-
 #[tokio::test]
 async fn a_backend_server_gets_no_more_than_the_limit_it_names() -> io::Result<()> {
     let cluster = fleet("server-limit", 90).await?;
@@ -64,7 +55,7 @@
     let named_at = Instant::now();
     let measurements = send_load(&cluster, Duration::from_secs(9)).await;
     let arrivals = cluster.servers[0].arrivals();
-    let most = most_in_window(&arrivals, named_at + LIMIT_DELAY);
+    let most = most_in_window(&arrivals, named_at + LIMIT_DELAY, WINDOW);
     let allowed = LIMIT * WINDOW.as_secs_f64() * ALLOWED_RATIO + ALLOWED_BURST;
     assert!(
         most as f64 <= allowed,
@@ -86,6 +77,12 @@
     cluster.servers[0].configure(|behavior| behavior.leaving = true);
     let said_at = Instant::now();
     let measurements = send_load(&cluster, Duration::from_secs(5)).await;
+    for node in &cluster.nodes {
+        let state = node.state().await.expect("a state dump");
+        let candidates = state["services"]["draws"].to_string();
+        let host = &node.spec.host;
+        assert!(!candidates.contains("server-0"), "{host}: {candidates}");
+    }
     let late = said_at + LEAVING_DELAY;
     let arrivals = cluster.servers[0].arrivals();
     let after = arrivals.iter().filter(|at| **at > late).count();
