gate: a request that was just answered isn't suspected when its server ends

The most popular request was repeated on a server, as a trial, just when a deadly request ended that server too.

Cause: all requests that broke counted as evidence. Those that the server has answered within the last five seconds no longer do, which a gate remembers for up to 1,024 requests. Two tests of the evidence.

--- a/crates/node/src/fingerprint.rs
+++ b/crates/node/src/fingerprint.rs
@@ -10,7 +10,7 @@
 use crate::backend::ServerRequest;
 
 /// What equal requests have in common. The call id and other headers don't count, as they differ.
-#[derive(Debug, Clone, PartialEq, Eq)]
+#[derive(Debug, Clone, PartialEq, Eq, Hash)]
 pub(crate) struct RequestIdentity {
     pub(crate) service: ServiceId,
     method: SmolStr,
--- a/crates/node/src/gate_actor/evidence.rs
+++ b/crates/node/src/gate_actor/evidence.rs
@@ -2,8 +2,12 @@
 //!
 //! A broken connection alone doesn't show that the backend server has ended. Requests that broke count as
 //! evidence once a new connection is refused, and are dropped as soon as a later request is answered.
+//! A request that this server has answered within the last seconds was merely there when it ended.
 
-use std::collections::HashMap;
+use std::{
+    collections::HashMap,
+    hash::{BuildHasher, RandomState},
+};
 
 use board::Board;
 use fleet::{ServerEnd, Verdict};
@@ -14,6 +18,11 @@
 /// Time within which a refused connection shows that the backend server ended when requests broke.
 const CONFIRM_TIME: Span = Span::from_millis(2_000);
 
+/// Time for which an answer exempts equal requests from suspicion.
+const EXEMPT_TIME: Span = Span::from_millis(5_000);
+/// Maximum number of requests whose answers are remembered.
+const MAX_ANSWERED: usize = 1_024;
+
 #[derive(Debug)]
 struct RunningRequest {
     identity: RequestIdentity,
@@ -34,6 +43,9 @@
 pub(super) struct Evidence {
     running: HashMap<AttemptId, RunningRequest>,
     broken: Vec<BrokenRequest>,
+    /// When each request was last answered, by a hash that only this process uses.
+    answered: HashMap<u64, Moment>,
+    hasher: RandomState,
 }
 
 impl Evidence {
@@ -55,14 +67,31 @@
 
     /// Records that a request ended with a broken connection. Returns whether it ran.
     pub(super) fn record_broken(&mut self, id: AttemptId, now: Moment) -> bool {
-        let ended = self.running.remove(&id);
-        let broken = ended.map(|running| BrokenRequest {
-            request: running.identity.fingerprint(),
-            broken_at: now,
-            trial: running.trial,
-        });
-        self.broken.extend(broken);
-        broken.is_some()
+        let Some(running) = self.running.remove(&id) else {
+            return false;
+        };
+        if !self.is_exempt(&running.identity, now) {
+            self.broken.push(BrokenRequest {
+                request: running.identity.fingerprint(),
+                broken_at: now,
+                trial: running.trial,
+            });
+        }
+        true
+    }
+
+    fn is_exempt(&self, identity: &RequestIdentity, now: Moment) -> bool {
+        let answered = self.answered.get(&self.hasher.hash_one(identity));
+        answered.is_some_and(|at| *at + EXEMPT_TIME > now)
+    }
+
+    fn remember_answer(&mut self, identity: &RequestIdentity, now: Moment) {
+        if self.answered.len() >= MAX_ANSWERED {
+            self.answered.retain(|_, at| *at + EXEMPT_TIME > now);
+        }
+        if self.answered.len() < MAX_ANSWERED {
+            self.answered.insert(self.hasher.hash_one(identity), now);
+        }
     }
 
     /// Records that a request was answered. It is no suspect any more.
@@ -71,6 +100,7 @@
             return;
         };
         self.broken.retain(|b| b.broken_at > running.started_at);
+        self.remember_answer(&running.identity, now);
         if !board.quarantine.borrow().has_suspects(now) {
             return;
         }
--- a/crates/node/src/gate_actor/tests.rs
+++ b/crates/node/src/gate_actor/tests.rs
@@ -1,9 +1,15 @@
-//! Limits that the gate actor applies to its backend server.
+//! Limits that the gate actor applies to its backend server, and what it takes as evidence when that ends.
 
+use std::sync::Arc;
+
+use board::{Board, Identity};
+use bytes::Bytes;
+use fleet::Verdict;
 use note::{Limits, ListedServer, Listing, OperatorConfig, Server, ServerStatus, Service, State};
-use types::{Boot, Rate, Revision};
+use types::{AttemptId, Boot, Rate, Revision, Seq, SessionId, Span};
 
-use super::state::effective_service;
+use super::{evidence::Evidence, state::effective_service};
+use crate::{backend::ServerRequest, fingerprint::RequestIdentity};
 
 fn rate(value: f64) -> Rate {
     Rate::new(value).expect("a valid rate")
@@ -44,3 +50,67 @@
     let effective = effective_service(&state, &server, 1.5).expect("the service exists");
     assert_eq!(effective.limits.cold_rate, rate(37.5));
 }
+
+fn board() -> Arc<Board> {
+    Board::new(Identity {
+        host: "host".parse().expect("a valid id"),
+        zone: "zone".parse().expect("a valid id"),
+        node: "127.0.0.1:1".parse().expect("a valid address"),
+        boot: Boot(2),
+    })
+}
+
+fn request(path: &str) -> RequestIdentity {
+    let request = ServerRequest {
+        call: "call".parse().expect("a valid call id"),
+        method: "GET".into(),
+        path: path.into(),
+        headers: Vec::new(),
+        body: Bytes::new(),
+        depth: 0,
+        is_retry: false,
+        caller_service: None,
+    };
+    RequestIdentity::new(&"draws".parse().expect("a valid id"), &request)
+}
+
+fn attempt(seq: u64) -> AttemptId {
+    AttemptId {
+        boot: Boot(1),
+        session: SessionId(1),
+        seq: Seq(seq),
+    }
+}
+
+#[test]
+fn a_request_that_the_server_has_just_answered_is_no_suspect_when_it_ends() {
+    let board = board();
+    let mut evidence = Evidence::default();
+    let now = board.clock.now();
+    evidence.record_start(attempt(1), request("/popular"), false, now);
+    evidence.record_answer(attempt(1), &board, now);
+    let later = now + Span::from_millis(10);
+    evidence.record_start(attempt(2), request("/popular"), true, later);
+    evidence.record_start(attempt(3), request("/rare"), false, later);
+    let broken = later + Span::from_millis(10);
+    evidence.record_broken(attempt(2), broken);
+    evidence.record_broken(attempt(3), broken);
+    evidence.record_refused(&board, broken);
+    let popular = request("/popular").verdict(&board, broken);
+    assert_eq!(popular, Verdict::Clear);
+    let rare = request("/rare").verdict(&board, broken);
+    assert_eq!(rare, Verdict::Suspect);
+}
+
+#[test]
+fn broken_connections_are_no_evidence_if_the_server_answers_afterwards() {
+    let board = board();
+    let mut evidence = Evidence::default();
+    let now = board.clock.now();
+    evidence.record_start(attempt(1), request("/rare"), false, now);
+    evidence.record_broken(attempt(1), now);
+    evidence.record_alive(now + Span::from_millis(1));
+    evidence.record_refused(&board, now + Span::from_millis(20));
+    let verdict = request("/rare").verdict(&board, now + Span::from_millis(20));
+    assert_eq!(verdict, Verdict::Clear);
+}
