--- a/crates/node/src/gate_actor/evidence.rs
+++ b/crates/node/src/gate_actor/evidence.rs
@@ -107,7 +107,7 @@
         let request = running.identity.fingerprint();
         let clear = |q: &mut fleet::Quarantine| q.record_answer(request, now);
         if board.quarantine.send_if_modified(clear) {
-            log::info!(request:% = request; "suspect_cleared");
+            log::info!(request:% = request, attempt:% = id; "suspect_cleared");
         }
     }
 
@@ -142,7 +142,11 @@
                     Verdict::Held(until) => until.since(now).as_millis(),
                     Verdict::Clear | Verdict::Suspect => 0,
                 };
-                log::warn!(request:% = request, held_ms; "server_ended_under_request");
+                let server = board.own_server().map(|server| server.id.to_string());
+                log::warn!(
+                    request:% = request, server, trial = end.trial, held_ms;
+                    "server_ended_under_request"
+                );
             }
         }
     }
--- a/crates/node/src/ingress/driver.rs
+++ b/crates/node/src/ingress/driver.rs
@@ -250,6 +250,7 @@
             pace = reported.map(|s| s.report.slowdown_percent),
             report_ms = reported.map(|s| now.since(s.reported_at).as_millis()),
             left_ms = self.routed.deadline.since(now).as_millis(),
+            suspect = self.trial.map(|request| request.to_string()),
             view:% = board.view.borrow().revision;
             "attempt_sent"
         );
