--- a/crates/fleet/tests/quarantine.rs
+++ b/crates/fleet/tests/quarantine.rs
@@ -119,3 +119,20 @@
         prop_assert_eq!(forwards, twice);
     }
 }
+
+#[test]
+fn a_request_that_has_ended_three_servers_is_tried_at_most_three_times_more() {
+    let mut quarantine = quarantine(&[end(1, 0, false), end(2, 100, false), end(3, 200, false)]);
+    let mut trials = 0;
+    for minute in 1..=24 * 60 {
+        let now = minute * 60_000;
+        if matches!(
+            quarantine.verdict(REQUEST, at(now)),
+            Verdict::Clear | Verdict::Suspect
+        ) {
+            trials += 1;
+            quarantine.record_end(REQUEST, end(3 + trials, now, true));
+        }
+    }
+    assert!(trials <= 3, "{trials} trials in a day");
+}
--- a/crates/node/src/gate_actor/tests.rs
+++ b/crates/node/src/gate_actor/tests.rs
@@ -6,7 +6,7 @@
 use bytes::Bytes;
 use fleet::Verdict;
 use note::{Limits, ListedServer, Listing, OperatorConfig, Server, ServerStatus, Service, State};
-use types::{AttemptId, Boot, Rate, Revision, Seq, SessionId, Span};
+use types::{AttemptId, Boot, Rate, Refusal, Revision, Seq, SessionId, Span};
 
 use super::{evidence::Evidence, state::effective_service};
 use crate::{backend::ServerRequest, fingerprint::RequestIdentity};
@@ -61,7 +61,14 @@
 }
 
 fn request(path: &str) -> RequestIdentity {
-    let request = ServerRequest {
+    RequestIdentity::new(
+        &"draws".parse().expect("a valid id"),
+        &server_request(path, None),
+    )
+}
+
+fn server_request(path: &str, caller: Option<&str>) -> ServerRequest {
+    ServerRequest {
         call: "call".parse().expect("a valid call id"),
         method: "GET".into(),
         path: path.into(),
@@ -69,9 +76,8 @@
         body: Bytes::new(),
         depth: 0,
         is_retry: false,
-        caller_service: None,
-    };
-    RequestIdentity::new(&"draws".parse().expect("a valid id"), &request)
+        caller_service: caller.map(|id| id.parse().expect("a valid id")),
+    }
 }
 
 fn attempt(seq: u64) -> AttemptId {
@@ -114,3 +120,55 @@
     let verdict = request("/rare").verdict(&board, now + Span::from_millis(20));
     assert_eq!(verdict, Verdict::Clear);
 }
+
+#[test]
+fn requests_of_different_callers_are_not_equal() {
+    let service = "draws".parse().expect("a valid id");
+    let identity = |caller| RequestIdentity::new(&service, &server_request("/p", Some(caller)));
+    assert_ne!(
+        identity("fees").fingerprint(),
+        identity("prizes").fingerprint()
+    );
+}
+
+#[test]
+fn a_request_is_the_same_at_each_service_of_its_route() {
+    let request = server_request("/p", Some("fees"));
+    let identity = |service: &str| {
+        let service = service.parse().expect("a valid id");
+        RequestIdentity::new(&service, &request)
+    };
+    assert_eq!(
+        identity("draws").fingerprint(),
+        identity("prizes").fingerprint()
+    );
+}
+
+#[test]
+fn a_suspect_waits_until_it_is_known_whether_the_server_ended_under_an_equal_one() {
+    let board = board();
+    let mut evidence = Evidence::default();
+    let now = board.clock.now();
+    evidence.record_start(attempt(1), request("/rare"), false, now);
+    evidence.record_broken(attempt(1), now);
+    evidence.record_refused(&board, now);
+    evidence.record_start(attempt(2), request("/rare"), true, now);
+    evidence.record_broken(attempt(2), now);
+    let refusal = evidence.refusal(&request("/rare"), &board, now);
+    assert_eq!(refusal, Some(Refusal::Quarantined));
+}
+
+#[test]
+fn a_server_runs_one_suspect_at_a_time() {
+    let board = board();
+    let mut evidence = Evidence::default();
+    let now = board.clock.now();
+    for (seq, path) in [(1, "/rare"), (2, "/other")] {
+        evidence.record_start(attempt(seq), request(path), false, now);
+        evidence.record_broken(attempt(seq), now);
+    }
+    evidence.record_refused(&board, now);
+    evidence.record_start(attempt(3), request("/rare"), true, now);
+    let refusal = evidence.refusal(&request("/other"), &board, now);
+    assert_eq!(refusal, Some(Refusal::Quarantined));
+}
--- a/crates/route/tests/balancer.rs
+++ b/crates/route/tests/balancer.rs
@@ -147,3 +147,28 @@
     first.on_refused(&server, Refusal::Down, Span::default(), at(0));
     assert_ne!(chosen(&mut first, &[]), Some(server), "it is avoided");
 }
+
+#[test]
+fn ingresses_that_use_or_avoid_different_servers_choose_the_same_one_for_a_trial() {
+    let member = |local: fn(usize) -> bool| {
+        move |index| Member {
+            id: id(index),
+            local: local(index),
+            slots: 10,
+        }
+    };
+    for request in 0..20 {
+        let request = Fingerprint(request);
+        let (mut first, mut second) = (balancer(1, 2), balancer(1, 4));
+        first.set_members((0..30).map(member(|i| i < 12)).collect(), Boot(1));
+        second.set_members((0..30).map(member(|i| i >= 12)).collect(), Boot(2));
+        for index in 0..10 {
+            first.on_refused(&id(index), Refusal::Down, Span::default(), at(0));
+        }
+        let chosen = |balancer: &mut Balancer| {
+            let selection = balancer.select_for_trial(request, &[], at(10));
+            selection.map(|selection| selection.server)
+        };
+        assert_eq!(chosen(&mut first), chosen(&mut second));
+    }
+}
