node: equal requests have the same caller, host, path and body, whichever service runs them

And a request of one caller that ends servers was cleared by the answers to another caller's request with the same path. Class: an identity that is too narrow in one field and too wide in another.

The identity was service, method, target and body. Now it is the caller's service, method, host name, target and body, without the service that runs the request. The host counts only if it is a name; callers that connect to an address name a node. The first 32 bits of the fingerprint are a hash of all but the body, so that a body is only hashed if there is evidence about a request that differs at most in its body.

requests_of_different_callers_are_not_equal failed before. The test that compared two services is replaced: the identity has no service any more, and a new test compares the nodes that a request enters at.

--- a/crates/fleet/src/quarantine.rs
+++ b/crates/fleet/src/quarantine.rs
@@ -130,6 +130,19 @@
         now < self.clear_from
     }
 
+    /// Whether there is no evidence about any request.
+    pub fn is_empty(&self) -> bool {
+        self.requests.is_empty()
+    }
+
+    /// Whether there is evidence about a request with this hash of all but the body.
+    pub fn has_head(&self, head: u32) -> bool {
+        self.requests
+            .range(Fingerprint::range(head))
+            .next()
+            .is_some()
+    }
+
     /// What may be done with a request at `now`.
     pub fn verdict(&self, request: Fingerprint, now: Moment) -> Verdict {
         let evidence = self.requests.get(&request);
--- a/crates/node/src/gate_actor/state.rs
+++ b/crates/node/src/gate_actor/state.rs
@@ -150,7 +150,7 @@
         let now = self.board.clock.now();
         let refusal = match &self.server {
             Some((server, _)) if server.id == msg.server => {
-                let request = RequestIdentity::new(&server.service, &msg.request);
+                let request = RequestIdentity::new(&msg.request);
                 self.evidence.refusal(&request, &self.board, now)
             }
             _ => Some(Refusal::Misplaced),
@@ -325,12 +325,10 @@
             .request
             .take()
             .expect("invariant: an attempt starts once");
-        if let Some((server, _)) = &self.server {
-            let now = self.board.clock.now();
-            let identity = RequestIdentity::new(&server.service, &request);
-            let trial = attempt.trial || identity.verdict(&self.board, now) != Verdict::Clear;
-            self.evidence.record_start(id, identity, trial, now);
-        }
+        let now = self.board.clock.now();
+        let identity = RequestIdentity::new(&request);
+        let trial = attempt.trial || identity.verdict(&self.board, now) != Verdict::Clear;
+        self.evidence.record_start(id, identity, trial, now);
         let running = self
             .backend
             .run(request, target, self.board.clock.instant(deadline));
--- a/crates/node/src/gate_actor/tests.rs
+++ b/crates/node/src/gate_actor/tests.rs
@@ -6,7 +6,7 @@
 use bytes::Bytes;
 use fleet::Verdict;
 use note::{Limits, ListedServer, Listing, OperatorConfig, Server, ServerStatus, Service, State};
-use types::{AttemptId, Boot, Rate, Refusal, Revision, Seq, SessionId, Span};
+use types::{AttemptId, Boot, Header, Rate, Refusal, Revision, Seq, SessionId, Span};
 
 use super::{evidence::Evidence, state::effective_service};
 use crate::{backend::ServerRequest, fingerprint::RequestIdentity};
@@ -61,10 +61,7 @@
 }
 
 fn request(path: &str) -> RequestIdentity {
-    RequestIdentity::new(
-        &"draws".parse().expect("a valid id"),
-        &server_request(path, None),
-    )
+    RequestIdentity::new(&server_request(path, None))
 }
 
 fn server_request(path: &str, caller: Option<&str>) -> ServerRequest {
@@ -123,8 +120,7 @@
 
 #[test]
 fn requests_of_different_callers_are_not_equal() {
-    let service = "draws".parse().expect("a valid id");
-    let identity = |caller| RequestIdentity::new(&service, &server_request("/p", Some(caller)));
+    let identity = |caller| RequestIdentity::new(&server_request("/p", Some(caller)));
     assert_ne!(
         identity("fees").fingerprint(),
         identity("prizes").fingerprint()
@@ -132,16 +128,18 @@
 }
 
 #[test]
-fn a_request_is_the_same_at_each_service_of_its_route() {
-    let request = server_request("/p", Some("fees"));
-    let identity = |service: &str| {
-        let service = service.parse().expect("a valid id");
-        RequestIdentity::new(&service, &request)
+fn a_request_is_the_same_at_each_node_that_takes_it() {
+    let identity = |host: &'static str| {
+        let mut request = server_request("/p", Some("fees"));
+        request.headers.push(Header {
+            name: "host".into(),
+            value: Bytes::from_static(host.as_bytes()),
+        });
+        RequestIdentity::new(&request).fingerprint()
     };
-    assert_eq!(
-        identity("draws").fingerprint(),
-        identity("prizes").fingerprint()
-    );
+    assert_eq!(identity("127.0.0.1:80"), identity("[::1]:81"));
+    assert_eq!(identity("a.example"), identity("A.example:80"));
+    assert_ne!(identity("a.example"), identity("b.example"));
 }
 
 #[test]
--- a/crates/node/src/ingress/suspects.rs
+++ b/crates/node/src/ingress/suspects.rs
@@ -15,7 +15,7 @@
 
 /// Runs a call to its end. A suspect request waits while an equal one is on trial.
 pub(super) async fn run_call(ingress: &Arc<Ingress>, routed: RoutedCall) -> CallOutcome {
-    let identity = RequestIdentity::new(&routed.service, &routed.request);
+    let identity = RequestIdentity::new(&routed.request);
     loop {
         let now = ingress.board.clock.now();
         let trial = match identity.verdict(&ingress.board, now) {
