fleet: bound the number of trials of a request that ends servers, not their rate

Class: a bound on a rate where the promise is on a total.

A request is blocked once a server has ended under a trial that followed a hold, until an operator clears it; the first hold is 30 s as before. Trials closer together than half of that are one, as both sides of a partition, or retries of one call, may have had them. Suspicion lasts until an answer, as it costs a request little: its next run is a trial.

Room: evidence is dropped by its weight, trials last, so a flood of suspects frees no blocked request. An answer marks the ends that it clears; before, it was a time, which grew by the delay of each message and cleared later ends. Gossip named the latest 32 requests in each message, so a 33rd was never told: now messages carry what changed in the last 2 s and a digest, and a peer whose digest differs gets a page more in each reply, or all if it joins.

--- a/crates/node/src/admin.rs
+++ b/crates/node/src/admin.rs
@@ -4,11 +4,11 @@
 
 use axum::{Json, Router, extract::State, http::StatusCode, routing::get};
 use board::{Board, Identity, Phase};
-use fleet::{Evidence, Verdict};
+use fleet::{Evidence, ServerEnd, Verdict};
 use kameo::actor::ActorRef;
 use note::View;
 use serde::Serialize;
-use types::{Fingerprint, Moment, Revision, ServiceId};
+use types::{Fingerprint, Moment, Revision, ServerId, ServiceId};
 
 use crate::{
     gate_actor::{self, GateActor},
@@ -42,10 +42,19 @@
 #[derive(Debug, Serialize)]
 struct SuspectDump {
     request: String,
-    /// Times of the ends since the latest answer, as ages in milliseconds.
-    ends_ms: Vec<u64>,
+    verdict: &'static str,
     /// Time in milliseconds for which it is still held back.
     held_ms: u64,
+    ends: Vec<EndDump>,
+}
+
+/// The end of a backend server under such a request.
+#[derive(Debug, Serialize)]
+struct EndDump {
+    server: ServerId,
+    age_ms: u64,
+    trial: bool,
+    cleared: bool,
 }
 
 #[derive(Debug, Serialize)]
@@ -104,20 +113,30 @@
 
 fn suspect_dumps(board: &Board, now: Moment) -> Vec<SuspectDump> {
     let quarantine = board.quarantine.borrow();
-    let dump = |(request, evidence): (Fingerprint, &Evidence)| SuspectDump {
-        request: request.to_string(),
-        ends_ms: evidence
-            .unanswered()
-            .map(|end| now.since(end.at).as_millis())
-            .collect(),
-        held_ms: match quarantine.verdict(request, now) {
-            Verdict::Held(until) => until.since(now).as_millis(),
-            Verdict::Clear | Verdict::Suspect => 0,
-        },
+    let dump = |(request, evidence): (Fingerprint, &Evidence)| {
+        let verdict = quarantine.verdict(request, now);
+        SuspectDump {
+            request: request.to_string(),
+            verdict: verdict.name(),
+            held_ms: match verdict {
+                Verdict::Held(until) => until.since(now).as_millis(),
+                Verdict::Clear | Verdict::Suspect | Verdict::Blocked => 0,
+            },
+            ends: evidence.ends.iter().map(|end| end_dump(end, now)).collect(),
+        }
     };
     quarantine.latest().into_iter().map(dump).collect()
 }
 
+fn end_dump(end: &ServerEnd, now: Moment) -> EndDump {
+    EndDump {
+        server: end.server.clone(),
+        age_ms: now.since(end.at).as_millis(),
+        trial: end.trial,
+        cleared: end.cleared,
+    }
+}
+
 fn peer_dumps(ingress: &Ingress) -> Vec<PeerDump> {
     let peers = ingress.peers.all().into_iter();
     peers
--- a/crates/node/src/gate_actor/evidence.rs
+++ b/crates/node/src/gate_actor/evidence.rs
@@ -11,7 +11,7 @@
 
 use board::Board;
 use fleet::{ServerEnd, Verdict};
-use types::{AttemptId, Fingerprint, Moment, Refusal, Span};
+use types::{AttemptId, Fingerprint, Moment, Refusal, ServerId, Span};
 
 use crate::fingerprint::RequestIdentity;
 
@@ -101,11 +101,11 @@
         };
         self.broken.retain(|b| b.broken_at > running.started_at);
         self.remember_answer(&running.identity, now);
-        if !board.quarantine.borrow().has_suspects(now) {
+        if running.identity.verdict(board, now) == Verdict::Clear {
             return;
         }
         let request = running.identity.fingerprint();
-        let clear = |q: &mut fleet::Quarantine| q.record_answer(request, now);
+        let clear = |q: &mut fleet::Quarantine| q.clear(request, now);
         if board.quarantine.send_if_modified(clear) {
             log::info!(request:% = request, attempt:% = id; "suspect_cleared");
         }
@@ -123,31 +123,20 @@
 
     /// Records that the backend server refused a connection: it has ended, and the requests that broke
     /// were running there.
-    pub(super) fn record_refused(&mut self, board: &Board, now: Moment) {
+    pub(super) fn record_refused(&mut self, server: &ServerId, board: &Board, now: Moment) {
         let id = rand::random();
         for broken in std::mem::take(&mut self.broken) {
             if broken.broken_at + CONFIRM_TIME < now {
                 continue;
             }
-            let request = broken.request;
             let end = ServerEnd {
                 id,
+                server: server.clone(),
                 at: now,
                 trial: broken.trial,
+                cleared: false,
             };
-            let record = |q: &mut fleet::Quarantine| q.record_end(request, end);
-            if board.quarantine.send_if_modified(record) {
-                let verdict = board.quarantine.borrow().verdict(request, now);
-                let held_ms = match verdict {
-                    Verdict::Held(until) => until.since(now).as_millis(),
-                    Verdict::Clear | Verdict::Suspect => 0,
-                };
-                let server = board.own_server().map(|server| server.id.to_string());
-                log::warn!(
-                    request:% = request, server, trial = end.trial, held_ms;
-                    "server_ended_under_request"
-                );
-            }
+            record_end(board, broken.request, end);
         }
     }
 
@@ -161,7 +150,19 @@
         match request.verdict(board, now) {
             Verdict::Clear => None,
             Verdict::Suspect if !self.running.values().any(|r| r.identity == *request) => None,
-            Verdict::Suspect | Verdict::Held(_) => Some(Refusal::Quarantined),
+            Verdict::Suspect | Verdict::Held(_) | Verdict::Blocked => Some(Refusal::Quarantined),
         }
     }
 }
+
+fn record_end(board: &Board, request: Fingerprint, end: ServerEnd) {
+    let (server, now, trial) = (end.server.clone(), end.at, end.trial);
+    let record = |q: &mut fleet::Quarantine| q.record_end(request, end);
+    if board.quarantine.send_if_modified(record) {
+        let verdict = board.quarantine.borrow().verdict(request, now);
+        log::warn!(
+            request:% = request, server:% = server, trial, verdict = verdict.name();
+            "server_ended_under_request"
+        );
+    }
+}
--- a/crates/node/src/gate_actor/observations.rs
+++ b/crates/node/src/gate_actor/observations.rs
@@ -17,7 +17,7 @@
         let now = self.board.clock.now();
         match result {
             Ok(_) => self.evidence.record_alive(sent_at),
-            Err(ProbeError::Refused) => self.evidence.record_refused(&self.board, now),
+            Err(ProbeError::Refused) => self.evidence.record_refused(&server, &self.board, now),
             Err(ProbeError::NoAnswer) => {}
         }
         let metadata = result.ok();
@@ -78,8 +78,8 @@
             Completion::Answered(_) => self.evidence.record_answer(id, &self.board, now),
             _ => self.evidence.record_other(id),
         }
-        if refused {
-            self.evidence.record_refused(&self.board, now);
+        if refused && let Some(server) = self.server_id().cloned() {
+            self.evidence.record_refused(&server, &self.board, now);
         }
     }
 
--- a/crates/node/src/gate_actor/tests.rs
+++ b/crates/node/src/gate_actor/tests.rs
@@ -6,7 +6,7 @@
 use bytes::Bytes;
 use fleet::Verdict;
 use note::{Limits, ListedServer, Listing, OperatorConfig, Server, ServerStatus, Service, State};
-use types::{AttemptId, Boot, Header, Rate, Refusal, Revision, Seq, SessionId, Span};
+use types::{AttemptId, Boot, Header, Rate, Refusal, Revision, Seq, ServerId, SessionId, Span};
 
 use super::{evidence::Evidence, state::effective_service};
 use crate::{backend::ServerRequest, fingerprint::RequestIdentity};
@@ -51,6 +51,10 @@
     assert_eq!(effective.limits.cold_rate, rate(37.5));
 }
 
+fn server() -> ServerId {
+    "server".parse().expect("a valid id")
+}
+
 fn board() -> Arc<Board> {
     Board::new(Identity {
         host: "host".parse().expect("a valid id"),
@@ -98,7 +102,7 @@
     let broken = later + Span::from_millis(10);
     evidence.record_broken(attempt(2), broken);
     evidence.record_broken(attempt(3), broken);
-    evidence.record_refused(&board, broken);
+    evidence.record_refused(&server(), &board, broken);
     let popular = request("/popular").verdict(&board, broken);
     assert_eq!(popular, Verdict::Clear);
     let rare = request("/rare").verdict(&board, broken);
@@ -113,7 +117,7 @@
     evidence.record_start(attempt(1), request("/rare"), false, now);
     evidence.record_broken(attempt(1), now);
     evidence.record_alive(now + Span::from_millis(1));
-    evidence.record_refused(&board, now + Span::from_millis(20));
+    evidence.record_refused(&server(), &board, now + Span::from_millis(20));
     let verdict = request("/rare").verdict(&board, now + Span::from_millis(20));
     assert_eq!(verdict, Verdict::Clear);
 }
@@ -149,7 +153,7 @@
     let now = board.clock.now();
     evidence.record_start(attempt(1), request("/rare"), false, now);
     evidence.record_broken(attempt(1), now);
-    evidence.record_refused(&board, now);
+    evidence.record_refused(&server(), &board, now);
     evidence.record_start(attempt(2), request("/rare"), true, now);
     evidence.record_broken(attempt(2), now);
     let refusal = evidence.refusal(&request("/rare"), &board, now);
@@ -165,7 +169,7 @@
         evidence.record_start(attempt(seq), request(path), false, now);
         evidence.record_broken(attempt(seq), now);
     }
-    evidence.record_refused(&board, now);
+    evidence.record_refused(&server(), &board, now);
     evidence.record_start(attempt(3), request("/rare"), true, now);
     let refusal = evidence.refusal(&request("/other"), &board, now);
     assert_eq!(refusal, Some(Refusal::Quarantined));
--- a/crates/node/src/peers/evidence.rs
+++ b/crates/node/src/peers/evidence.rs
@@ -5,10 +5,16 @@
 use types::{Boot, Fingerprint, Moment, ServerId, Span};
 use wire::peer::{self, LeavingServer, SuspectRequest, View};
 
-/// Maximum numbers of leaving backend servers and of suspect requests that a message names: the latest
-/// ones.
+/// Maximum number of leaving backend servers that a message names: the latest ones.
 const MAX_LEAVING: usize = 128;
-const MAX_SUSPECTS: usize = 32;
+/// Time for which changed evidence is told to each peer.
+const RECENT_TIME: Span = Span::from_millis(2_000);
+/// Maximum number of suspect requests with changed evidence that a message names.
+const MAX_CHANGED: usize = 64;
+/// Number of other suspect requests that a message names if the evidence differs.
+const PAGE_SUSPECTS: usize = 64;
+/// Maximum number of suspect requests that are read from a message.
+const MAX_SUSPECTS: usize = 4_096;
 
 /// The backend servers in the view that have said that they are leaving.
 pub(crate) fn leaving_servers(board: &Board) -> Vec<LeavingServer> {
@@ -25,19 +31,40 @@
     listed.take(MAX_LEAVING).map(message).collect()
 }
 
-/// The requests under which backend servers have ended.
-pub(crate) fn suspect_requests(board: &Board) -> Vec<SuspectRequest> {
+/// The requests under which backend servers have ended, for a peer that has sent nothing: those whose
+/// evidence has just changed.
+pub(crate) fn changed_suspects(board: &Board) -> Vec<SuspectRequest> {
     let now = board.clock.now();
     let quarantine = board.quarantine.borrow();
-    let latest = quarantine.latest().into_iter().take(MAX_SUSPECTS);
-    latest
-        .map(|(request, evidence)| SuspectRequest {
-            fingerprint: request.0.to_be_bytes().to_vec().into(),
-            ends: evidence.ends.iter().map(|end| to_end(end, now)).collect(),
-            answer_age: (evidence.answered_at > Moment(0))
-                .then(|| now.since(evidence.answered_at).0),
-        })
-        .collect()
+    let changed = quarantine.changed_since(now - RECENT_TIME);
+    to_messages(changed.into_iter().take(MAX_CHANGED), now)
+}
+
+/// The same for a peer that has sent its view. It gets others as well if its evidence differs, and all if it
+/// joins, since it must know them before it takes requests.
+pub(crate) fn suspects_for(board: &Board, peer: &View) -> Vec<SuspectRequest> {
+    let now = board.clock.now();
+    let quarantine = board.quarantine.borrow();
+    match peer.suspects_digest == quarantine.digest() {
+        true => Vec::new(),
+        false if !peer.ready => to_messages(quarantine.latest().into_iter(), now),
+        false => {
+            let changed = quarantine.changed_since(now - RECENT_TIME);
+            let page = quarantine.page(Fingerprint(rand::random()), PAGE_SUSPECTS);
+            to_messages(changed.into_iter().take(MAX_CHANGED).chain(page), now)
+        }
+    }
+}
+
+fn to_messages<'a>(
+    suspects: impl Iterator<Item = (Fingerprint, &'a Evidence)>,
+    now: Moment,
+) -> Vec<SuspectRequest> {
+    let message = |(request, evidence): (Fingerprint, &Evidence)| SuspectRequest {
+        fingerprint: request.0.to_be_bytes().to_vec().into(),
+        ends: evidence.ends.iter().map(|end| to_end(end, now)).collect(),
+    };
+    suspects.map(message).collect()
 }
 
 fn to_end(end: &ServerEnd, now: Moment) -> peer::ServerEnd {
@@ -45,6 +72,8 @@
         id: end.id,
         age: now.since(end.at).0,
         trial: end.trial,
+        server: end.server.to_string(),
+        cleared: end.cleared,
     }
 }
 
@@ -58,32 +87,41 @@
             log::info!(server:% = server, source = "peer"; "server_leaving");
         }
     }
-    for message in view.suspects.iter().take(MAX_SUSPECTS) {
-        merge_suspect(board, message);
+    let now = board.clock.now();
+    let suspects: Vec<_> = view
+        .suspects
+        .iter()
+        .take(MAX_SUSPECTS)
+        .filter_map(|message| from_message(message, now))
+        .collect();
+    if suspects.is_empty() {
+        return;
     }
+    board.quarantine.send_if_modified(|quarantine| {
+        let mut changed = false;
+        for (request, evidence) in &suspects {
+            if quarantine.merge(*request, evidence, now) {
+                let verdict = quarantine.verdict(*request, now).name();
+                log::info!(request:% = request, verdict, source = "peer"; "suspect_changed");
+                changed = true;
+            }
+        }
+        changed
+    });
 }
 
-fn merge_suspect(board: &Board, message: &SuspectRequest) {
-    let Ok(bytes) = message.fingerprint.as_ref().try_into() else {
-        return;
-    };
-    let request = Fingerprint(u128::from_be_bytes(bytes));
-    let now = board.clock.now();
-    let at = |age: u64| now - Span(age);
-    let evidence = Evidence {
-        ends: message
-            .ends
-            .iter()
-            .map(|end| ServerEnd {
-                id: end.id,
-                at: at(end.age),
-                trial: end.trial,
-            })
-            .collect(),
-        answered_at: message.answer_age.map_or(Moment(0), at),
+/// Reads what a peer knows about a request, `None` if it isn't well-formed.
+fn from_message(message: &SuspectRequest, now: Moment) -> Option<(Fingerprint, Evidence)> {
+    let bytes = message.fingerprint.as_ref().try_into().ok()?;
+    let end = |end: &peer::ServerEnd| {
+        Some(ServerEnd {
+            id: end.id,
+            server: end.server.parse().ok()?,
+            at: now - Span(end.age),
+            trial: end.trial,
+            cleared: end.cleared,
+        })
     };
-    let merge = |quarantine: &mut fleet::Quarantine| quarantine.merge(request, &evidence, now);
-    if board.quarantine.send_if_modified(merge) {
-        log::info!(request:% = request, source = "peer"; "suspect_changed");
-    }
+    let ends = message.ends.iter().filter_map(end).collect();
+    Some((Fingerprint(u128::from_be_bytes(bytes)), Evidence { ends }))
 }
--- a/crates/node/src/peers/mod.rs
+++ b/crates/node/src/peers/mod.rs
@@ -33,7 +33,7 @@
     gate_actor::{GateActor, OpenedSession, Reply},
 };
 
-pub(crate) use evidence::{leaving_servers, merge_evidence, suspect_requests};
+pub(crate) use evidence::{changed_suspects, leaving_servers, merge_evidence};
 pub(crate) use local::LocalGate;
 pub(crate) use remote::{RemoteGate, endpoint};
 
--- a/crates/node/src/peers/server.rs
+++ b/crates/node/src/peers/server.rs
@@ -39,7 +39,7 @@
         }
     }
 
-    fn own_view(&self) -> View {
+    fn own_view(&self, peer: &View) -> View {
         let checked = *self.board.checked.borrow();
         let view = self.board.view();
         View {
@@ -50,7 +50,8 @@
             checked_era: checked.era.0,
             checked_revision: checked.revision.0,
             leaving: evidence::leaving_servers(&self.board),
-            suspects: evidence::suspect_requests(&self.board),
+            suspects: evidence::suspects_for(&self.board, peer),
+            suspects_digest: self.board.quarantine.borrow().digest(),
             ..View::default()
         }
     }
@@ -111,7 +112,7 @@
             }
             Err(_) => return Err(Status::invalid_argument("the sender names no address")),
         }
-        Ok(Response::new(self.own_view()))
+        Ok(Response::new(self.own_view(&peer_view)))
     }
 
     async fn pull(&self, request: Request<PullRequest>) -> Result<Response<PullReply>, Status> {
--- a/crates/node/src/view_sync/exchange.rs
+++ b/crates/node/src/view_sync/exchange.rs
@@ -103,7 +103,8 @@
             checked_era: checked.era.0,
             checked_revision: checked.revision.0,
             leaving: peers::leaving_servers(&self.board),
-            suspects: peers::suspect_requests(&self.board),
+            suspects: peers::changed_suspects(&self.board),
+            suspects_digest: self.board.quarantine.borrow().digest(),
         };
         tokio::spawn(async move {
             let view = timeout(COMPARE_TIMEOUT, compare(channel, own))
