route, node: one trial of a suspect at a time, on one server for the whole fleet

Class: a choice that is exclusive by convention but made from local state.

Ingresses chose the server of a trial among those that they use, and passed over those that they avoid; a weighted route gave each its own service; a gate took any first request, and a request that was queued before it became a suspect. Now the service and the server are chosen by rendezvous hashing over all members, servers that ended under the request last. A gate runs a suspect only if its ingress has chosen it for the trial, and while no other trial runs there or broke without known cause, so an innocent suspect isn't blamed for another's end. Queued requests are checked again when they start. A hedge that is refused for a trial elsewhere doesn't end its call while another attempt runs.

--- a/crates/call/src/core.rs
+++ b/crates/call/src/core.rs
@@ -223,7 +223,9 @@
                 self.attempts[attempt].declined = declined;
                 // An equal request is on trial, and no other server may run this one meanwhile.
                 if refusal == Refusal::Quarantined {
-                    actions.extend(self.give_up(false));
+                    if self.open_count() == 0 {
+                        actions.extend(self.give_up(false));
+                    }
                     return actions;
                 }
                 let adds_load = refusal.is_overload() || refusal.is_from_server();
--- a/crates/gate/src/core/mod.rs
+++ b/crates/gate/src/core/mod.rs
@@ -226,6 +226,7 @@
                 (Feedback::Restarted, self.not_run(Refusal::Misdirected, now))
             }
             Completion::Unsent => (Feedback::Restarted, self.not_run(Refusal::Down, now)),
+            Completion::Withheld => (Feedback::None, self.not_run(Refusal::Quarantined, now)),
             Completion::Incomplete => (Feedback::Restarted, Outcome::Unknown),
             Completion::Cancelled => (Feedback::None, Outcome::Unknown),
         };
--- a/crates/gate/src/event.rs
+++ b/crates/gate/src/event.rs
@@ -59,6 +59,8 @@
     Misdirected,
     /// No connection could be made, so nothing was sent.
     Unsent,
+    /// It wasn't sent: since it was offered, backend servers have ended under such a request.
+    Withheld,
     /// Part or all of the request was sent, and no complete answer arrived.
     Incomplete,
     /// No complete answer arrived by the deadline.
--- a/crates/node/src/gate_actor/evidence.rs
+++ b/crates/node/src/gate_actor/evidence.rs
@@ -140,19 +140,41 @@
         }
     }
 
-    /// Why a request isn't run at present, if it is under suspicion: it is held back, or an equal one runs.
+    /// Why a request isn't run at present, if it is a suspect: it is held back, its ingress hasn't chosen
+    /// this server for its `trial`, or the server has another one.
     pub(super) fn refusal(
         &self,
         request: &RequestIdentity,
+        trial: bool,
         board: &Board,
         now: Moment,
     ) -> Option<Refusal> {
         match request.verdict(board, now) {
             Verdict::Clear => None,
-            Verdict::Suspect if !self.running.values().any(|r| r.identity == *request) => None,
+            Verdict::Suspect if trial && !self.has_trial(now) && !self.has_equal(request, now) => {
+                None
+            }
             Verdict::Suspect | Verdict::Held(_) | Verdict::Blocked => Some(Refusal::Quarantined),
         }
     }
+
+    /// Whether a trial runs, or broke and may have ended the server. Another suspect beside it would be
+    /// blamed for that end as well.
+    pub(super) fn has_trial(&self, now: Moment) -> bool {
+        self.running.values().any(|r| r.trial) || self.unconfirmed(now).any(|b| b.trial)
+    }
+
+    fn has_equal(&self, request: &RequestIdentity, now: Moment) -> bool {
+        let fingerprint = request.fingerprint();
+        self.running.values().any(|r| r.identity == *request)
+            || self.unconfirmed(now).any(|b| b.request == fingerprint)
+    }
+
+    /// Requests that broke a short time ago, of which it isn't known yet whether they ended the server.
+    fn unconfirmed(&self, now: Moment) -> impl Iterator<Item = &BrokenRequest> {
+        let is_recent = move |b: &&BrokenRequest| b.broken_at + CONFIRM_TIME > now;
+        self.broken.iter().filter(is_recent)
+    }
 }
 
 fn record_end(board: &Board, request: Fingerprint, end: ServerEnd) {
--- a/crates/node/src/gate_actor/state.rs
+++ b/crates/node/src/gate_actor/state.rs
@@ -1,12 +1,11 @@
 //! State of the gate actor, and how it executes the gate's actions.
 
 use std::{
-    collections::{BTreeMap, HashMap},
+    collections::{BTreeMap, HashMap, VecDeque},
     sync::Arc,
 };
 
 use board::Board;
-use fleet::Verdict;
 use futures::future::BoxFuture;
 use gate::{Action, Completion, Gate, Offer, Rank, RetentionLimits, RouteProfiles};
 use kameo::actor::WeakActorRef;
@@ -151,7 +150,7 @@
         let refusal = match &self.server {
             Some((server, _)) if server.id == msg.server => {
                 let request = RequestIdentity::new(&msg.request);
-                self.evidence.refusal(&request, &self.board, now)
+                self.evidence.refusal(&request, msg.trial, &self.board, now)
             }
             _ => Some(Refusal::Misplaced),
         };
@@ -302,9 +301,10 @@
     }
 
     pub(super) fn execute(&mut self, actions: Vec<Action>) {
-        for action in actions {
+        let mut queue = VecDeque::from(actions);
+        while let Some(action) = queue.pop_front() {
             match action {
-                Action::Start(id, deadline) => self.start(id, deadline),
+                Action::Start(id, deadline) => queue.extend(self.start(id, deadline)),
                 Action::Reply(id, outcome) => self.reply_to_waiters(id, outcome),
                 Action::Cancel(id) => self.cancel(id),
                 Action::Probe => self.probe(),
@@ -313,7 +313,8 @@
         self.set_timer();
     }
 
-    fn start(&mut self, id: AttemptId, deadline: Moment) {
+    /// Sends an attempt to the backend server, unless it has become a suspect while it was queued.
+    fn start(&mut self, id: AttemptId, deadline: Moment) -> Vec<Action> {
         let target = self
             .target()
             .expect("invariant: an open gate has a backend server");
@@ -327,7 +328,13 @@
             .expect("invariant: an attempt starts once");
         let now = self.board.clock.now();
         let identity = RequestIdentity::new(&request);
-        let trial = attempt.trial || identity.verdict(&self.board, now) != Verdict::Clear;
+        let refusal = self
+            .evidence
+            .refusal(&identity, attempt.trial, &self.board, now);
+        if refusal.is_some() {
+            return self.gate.complete(id, Completion::Withheld, now);
+        }
+        let trial = attempt.trial && !self.evidence.has_trial(now);
         self.evidence.record_start(id, identity, trial, now);
         let running = self
             .backend
@@ -337,6 +344,7 @@
         attempt.started_at = Some(self.board.clock.now());
         self.log_run("run_started", id, "started");
         tokio::spawn(await_run(self.actor.clone(), id, running, cancelled));
+        Vec::new()
     }
 
     /// Logs a decision on an attempt with the values that it depended on.
--- a/crates/node/src/gate_actor/tests.rs
+++ b/crates/node/src/gate_actor/tests.rs
@@ -156,7 +156,7 @@
     evidence.record_refused(&server(), &board, now);
     evidence.record_start(attempt(2), request("/rare"), true, now);
     evidence.record_broken(attempt(2), now);
-    let refusal = evidence.refusal(&request("/rare"), &board, now);
+    let refusal = evidence.refusal(&request("/rare"), true, &board, now);
     assert_eq!(refusal, Some(Refusal::Quarantined));
 }
 
@@ -171,6 +171,19 @@
     }
     evidence.record_refused(&server(), &board, now);
     evidence.record_start(attempt(3), request("/rare"), true, now);
-    let refusal = evidence.refusal(&request("/other"), &board, now);
+    let refusal = evidence.refusal(&request("/other"), true, &board, now);
     assert_eq!(refusal, Some(Refusal::Quarantined));
 }
+
+#[test]
+fn a_suspect_runs_only_where_its_ingress_has_its_trial() {
+    let board = board();
+    let mut evidence = Evidence::default();
+    let now = board.clock.now();
+    evidence.record_start(attempt(1), request("/rare"), false, now);
+    evidence.record_broken(attempt(1), now);
+    evidence.record_refused(&server(), &board, now);
+    let refusal = |trial| evidence.refusal(&request("/rare"), trial, &board, now);
+    assert_eq!(refusal(false), Some(Refusal::Quarantined));
+    assert_eq!(refusal(true), None);
+}
--- a/crates/node/src/ingress/driver.rs
+++ b/crates/node/src/ingress/driver.rs
@@ -19,14 +19,16 @@
 use route::ServerState;
 use smol_str::SmolStr;
 use tokio::time::{Sleep, sleep_until};
-use types::{Fingerprint, Moment, Outcome, Refusal, ServerId, Span};
+use types::{Moment, Outcome, Refusal, ServerId, Span};
 
 use super::{
     Ingress,
     routing::RoutedCall,
-    services::{RetryBudget, Selector},
+    services::{RetryBudget, Selector, Trial},
+    suspects::find_trial,
 };
 use crate::{
+    fingerprint::RequestIdentity,
     gate_actor::{Reply, outcome_name},
     peers::{Attempt, KnownLimit, Peer, TransportError},
     view_sync::PeerReport,
@@ -36,7 +38,7 @@
 pub(super) async fn run_attempts(
     ingress: &Arc<Ingress>,
     routed: RoutedCall,
-    trial: Option<Fingerprint>,
+    trial: Option<Trial>,
 ) -> CallOutcome {
     let latency =
         ingress
@@ -95,7 +97,7 @@
     call: Call,
     routed: RoutedCall,
     /// Set if the request is a suspect, see [`fleet::Quarantine`].
-    trial: Option<Fingerprint>,
+    trial: Option<Trial>,
     /// Whether an attempt has ended without a known outcome: its backend server may have ended.
     broken: bool,
     /// Time that such a request usually spends at the backend server.
@@ -143,7 +145,7 @@
         let mut selector = Selector {
             services,
             service,
-            trial: self.trial,
+            trial: self.trial.as_ref(),
             now: self.ingress.board.clock.now(),
         };
         let mut budget = RetryBudget { services, service };
@@ -172,7 +174,13 @@
                 self.record_reply(attempt, &reply, sent_at, now);
                 self.log_reply(attempt, &reply, now.since(sent_at));
                 let outcome = reply.outcome;
-                self.broken |= outcome == Outcome::Unknown;
+                if outcome == Outcome::Unknown {
+                    self.broken = true;
+                    self.trial = self.trial.take().or_else(|| {
+                        let identity = RequestIdentity::new(&self.routed.request);
+                        find_trial(&self.ingress.board, &identity)
+                    });
+                }
                 self.decide(|call, selector, budget| {
                     call.on_outcome(attempt, outcome, now, selector, budget)
                 })
@@ -250,7 +258,7 @@
             pace = reported.map(|s| s.report.slowdown_percent),
             report_ms = reported.map(|s| now.since(s.reported_at).as_millis()),
             left_ms = self.routed.deadline.since(now).as_millis(),
-            suspect = self.trial.map(|request| request.to_string()),
+            suspect = self.trial.as_ref().map(|trial| trial.request.to_string()),
             view:% = board.view.borrow().revision;
             "attempt_sent"
         );
--- a/crates/node/src/ingress/routing.rs
+++ b/crates/node/src/ingress/routing.rs
@@ -1,12 +1,15 @@
 //! Checks a caller's request and finds the service that it goes to.
 
+use std::sync::Arc;
+
 use axum::http::HeaderMap;
 use board::{Board, Phase};
 use bytes::Bytes;
 use dialect::{Dialect, Rejection, RequestMetadata};
 use note::{HostRoute, Limits, Service};
+use route::service_for_trial;
 use smol_str::SmolStr;
-use types::{CallId, Header, Moment, ServiceId, Span};
+use types::{CallId, Fingerprint, Header, Moment, ServiceId, Span};
 
 use super::Ingress;
 use crate::backend::{ServerRequest, end_to_end_headers};
@@ -43,6 +46,8 @@
 #[derive(Debug, Clone)]
 pub(super) struct RoutedCall {
     pub(super) service: ServiceId,
+    /// `None` if the path of the request names its service.
+    pub(super) route: Option<Arc<HostRoute>>,
     /// Key of the latency statistics that the call belongs to: the name of its route, or of its
     /// service.
     pub(super) latency_key: SmolStr,
@@ -65,6 +70,15 @@
     pub(super) fn set_body(&mut self, body: Bytes) {
         self.request.body = body;
     }
+
+    /// Sends a suspect to the service of its route that has its trial.
+    pub(super) fn move_to_trial(&mut self, board: &Board, request: Fingerprint) {
+        let route = self.route.as_ref();
+        let service = route.and_then(|route| service_for_trial(route, request));
+        if let Some(service) = service.and_then(|id| find_service(board, id)) {
+            (self.service, self.limits) = (service.id, service.limits);
+        }
+    }
 }
 
 /// The id that the caller gave its call, or else a random one.
@@ -111,7 +125,7 @@
     call: &CallId,
     head: &RequestHead,
     metadata: &RequestMetadata,
-    route: &HostRoute,
+    route: &Arc<HostRoute>,
     now: Moment,
 ) -> Result<RoutedCall, Rejection> {
     let id = ingress
@@ -132,6 +146,7 @@
         nested: metadata.depth > 0,
         limits: service.limits,
         service: id,
+        route: Some(Arc::clone(route)),
     })
 }
 
@@ -163,6 +178,7 @@
         nested: metadata.depth > 0,
         limits: service.limits,
         service: service.id,
+        route: None,
     })
 }
 
--- a/crates/node/src/ingress/services.rs
+++ b/crates/node/src/ingress/services.rs
@@ -293,12 +293,20 @@
     usable.map(member).collect()
 }
 
+/// A suspect request that is sent to one backend server.
+#[derive(Debug, Clone)]
+pub(crate) struct Trial {
+    pub(crate) request: Fingerprint,
+    /// Backend servers that have ended under it.
+    pub(crate) ended: Vec<ServerId>,
+}
+
 /// Chooses backend servers of one service at a given time.
 pub(crate) struct Selector<'a> {
     pub(crate) services: &'a Services,
     pub(crate) service: &'a ServiceId,
     /// Set for a suspect, which only one backend server may run.
-    pub(crate) trial: Option<Fingerprint>,
+    pub(crate) trial: Option<&'a Trial>,
     pub(crate) now: Moment,
 }
 
@@ -307,7 +315,10 @@
         let chosen = self
             .services
             .update(self.service, |state| match self.trial {
-                Some(request) => state.balancer.select_for_trial(request, tried, self.now),
+                Some(trial) => {
+                    let Trial { request, ended } = trial;
+                    state.balancer.select_for_trial(*request, tried, ended)
+                }
                 None => state.balancer.select(tried, declined, self.now),
             });
         chosen.map(|picked| Selection {
--- a/crates/node/src/ingress/suspects.rs
+++ b/crates/node/src/ingress/suspects.rs
@@ -2,12 +2,13 @@
 
 use std::sync::Arc;
 
+use board::Board;
 use call::CallOutcome;
-use fleet::Verdict;
+use fleet::{Evidence, Verdict};
 use tokio::time::sleep;
 use types::{Refusal, Span};
 
-use super::{Ingress, driver, routing::RoutedCall};
+use super::{Ingress, driver, routing::RoutedCall, services::Trial};
 use crate::fingerprint::RequestIdentity;
 
 /// Time between two checks whether the trial of an equal request has ended.
@@ -17,18 +18,19 @@
 const BLOCKED_RETRY_AFTER: Span = Span::from_millis(30_000);
 
 /// Runs a call to its end. A suspect request waits while an equal one is on trial.
-pub(super) async fn run_call(ingress: &Arc<Ingress>, routed: RoutedCall) -> CallOutcome {
+pub(super) async fn run_call(ingress: &Arc<Ingress>, mut routed: RoutedCall) -> CallOutcome {
     let identity = RequestIdentity::new(&routed.request);
     loop {
         let now = ingress.board.clock.now();
         let trial = match identity.verdict(&ingress.board, now) {
-            Verdict::Clear => return driver::run_attempts(ingress, routed, None).await,
-            Verdict::Held(until) => {
-                return hold_back(&routed, &identity, until.since(now));
-            }
+            Verdict::Clear => None,
+            Verdict::Suspect => Some(prepare_trial(&ingress.board, &identity)),
+            Verdict::Held(until) => return hold_back(&routed, &identity, until.since(now)),
             Verdict::Blocked => return hold_back(&routed, &identity, BLOCKED_RETRY_AFTER),
-            Verdict::Suspect => Some(identity.fingerprint()),
         };
+        if let Some(trial) = &trial {
+            routed.move_to_trial(&ingress.board, trial.request);
+        }
         let outcome = driver::run_attempts(ingress, routed.clone(), trial).await;
         let is_refused = matches!(
             outcome,
@@ -37,6 +39,7 @@
                 ..
             }
         );
+        let now = ingress.board.clock.now();
         if !is_refused || now + TRIAL_POLL_INTERVAL >= routed.objective {
             return outcome;
         }
@@ -44,6 +47,27 @@
     }
 }
 
+/// The trial of a request that isn't clear.
+pub(super) fn find_trial(board: &Board, identity: &RequestIdentity) -> Option<Trial> {
+    match identity.verdict(board, board.clock.now()) {
+        Verdict::Clear => None,
+        Verdict::Suspect | Verdict::Held(_) | Verdict::Blocked => {
+            Some(prepare_trial(board, identity))
+        }
+    }
+}
+
+fn prepare_trial(board: &Board, identity: &RequestIdentity) -> Trial {
+    let request = identity.fingerprint();
+    let quarantine = board.quarantine.borrow();
+    let evidence = quarantine.evidence(request);
+    let ends = evidence.into_iter().flat_map(Evidence::uncleared);
+    Trial {
+        request,
+        ended: ends.map(|end| end.server.clone()).collect(),
+    }
+}
+
 /// Rejects a call whose request is held back, since backend servers have ended under it.
 fn hold_back(routed: &RoutedCall, identity: &RequestIdentity, left: Span) -> CallOutcome {
     log::info!(
--- a/crates/route/src/balancer.rs
+++ b/crates/route/src/balancer.rs
@@ -139,6 +139,8 @@
 #[derive(Debug)]
 pub struct Balancer {
     servers: Vec<ServerState>,
+    /// All members, also those that this ingress doesn't use.
+    members: Vec<ServerId>,
     policy: Box<dyn Policy>,
     rng: SmallRng,
 }
@@ -148,6 +150,7 @@
     pub fn new(policy: Box<dyn Policy>, rng: SmallRng) -> Self {
         Self {
             servers: Vec::new(),
+            members: Vec::new(),
             policy,
             rng,
         }
@@ -159,6 +162,7 @@
     /// the fleet. Local members come first, ordered by a rendezvous hash with the ingress's
     /// incarnation, which spreads the ingresses evenly over the backend servers.
     pub fn set_members(&mut self, mut members: Vec<Member>, ingress: Boot) {
+        self.members = members.iter().map(|member| member.id.clone()).collect();
         members.sort_by_cached_key(|m| (!m.local, rendezvous_hash(ingress, &m.id)));
         members.truncate(MAX_SERVERS);
         let previous = std::mem::take(&mut self.servers);
@@ -206,19 +210,19 @@
         })
     }
 
-    /// Selects the backend server that runs a suspect request, of those that are neither in `tried` nor
-    /// avoided. All ingresses with the same members prefer the same one.
+    /// Selects the backend server that runs a suspect request, of those that aren't in `tried`, and those of
+    /// `ended` last. All ingresses with the same members and evidence select the same one, whichever members
+    /// they use or avoid.
     pub fn select_for_trial(
-        &mut self,
+        &self,
         request: Fingerprint,
         tried: &[ServerId],
-        now: Moment,
+        ended: &[ServerId],
     ) -> Option<Selection> {
-        let untried = |s: &&ServerState| !tried.contains(&s.member.id);
-        let key = |s: &&ServerState| (s.avoid_until <= now, rendezvous_hash(request, &s.member.id));
-        let chosen = self.servers.iter().filter(untried).max_by_key(key)?;
+        let untried = self.members.iter().filter(|id| !tried.contains(id));
+        let key = |id: &&ServerId| (!ended.contains(id), rendezvous_hash(request, *id));
         Some(Selection {
-            server: chosen.member.id.clone(),
+            server: untried.max_by_key(key)?.clone(),
             has_alternatives: false,
         })
     }
@@ -299,8 +303,8 @@
     }
 }
 
-/// Rendezvous hash of a backend server for an ingress or a request.
-fn rendezvous_hash(key: impl Hash, id: &ServerId) -> u64 {
+/// Rendezvous hash of a backend server or service for an ingress or a request.
+pub(crate) fn rendezvous_hash(key: impl Hash, id: impl Hash) -> u64 {
     let mut hasher = DefaultHasher::new();
     (key, id).hash(&mut hasher);
     hasher.finish()
--- a/crates/route/src/route_table.rs
+++ b/crates/route/src/route_table.rs
@@ -4,7 +4,9 @@
 
 use note::{HostRoute, State};
 use smol_str::SmolStr;
-use types::{RouteId, ServiceId};
+use types::{Fingerprint, RouteId, ServiceId};
+
+use crate::balancer::rendezvous_hash;
 
 /// The routes of one view, by host, each host's routes ordered from the longest path prefix.
 #[derive(Debug, Default)]
@@ -63,6 +65,14 @@
     }
 }
 
+/// The service of a route that runs a suspect request, the same at all ingresses with the same route. `None` if
+/// the route has no service with a weight.
+pub fn service_for_trial(route: &HostRoute, request: Fingerprint) -> Option<&ServiceId> {
+    let used = route.parts.iter().filter(|part| part.weight > 0);
+    let services = used.map(|part| &part.service);
+    services.max_by_key(|service| rendezvous_hash(request, *service))
+}
+
 /// Smooth weighted round robin over the services of one route.
 ///
 /// Each request adds every service's weight to its credit. The service with the most credit gets
--- a/crates/route/tests/balancer.rs
+++ b/crates/route/tests/balancer.rs
@@ -137,15 +137,19 @@
 #[test]
 fn all_ingresses_send_a_suspect_request_to_the_same_server() {
     let request = Fingerprint(27);
-    let chosen = |balancer: &mut Balancer, tried: &[ServerId]| {
-        let selection = balancer.select_for_trial(request, tried, at(10));
+    let chosen = |balancer: &Balancer, tried: &[ServerId], ended: &[ServerId]| {
+        let selection = balancer.select_for_trial(request, tried, ended);
         selection.map(|selection| selection.server)
     };
-    let (mut first, mut second) = (balancer(5, 2), balancer(5, 4));
-    let server = chosen(&mut first, &[]).expect("a server");
-    assert_eq!(chosen(&mut second, &[]), Some(server.clone()));
-    first.on_refused(&server, Refusal::Down, Span::default(), at(0));
-    assert_ne!(chosen(&mut first, &[]), Some(server), "it is avoided");
+    let (first, second) = (balancer(5, 2), balancer(5, 4));
+    let server = chosen(&first, &[], &[]).expect("a server");
+    assert_eq!(chosen(&second, &[], &[]), Some(server.clone()));
+    let ended = [server.clone()];
+    let next = chosen(&first, &[], &ended);
+    assert_ne!(next, Some(server.clone()), "it has ended");
+    assert_eq!(chosen(&second, &ended, &[]), next, "it was tried");
+    let all: Vec<ServerId> = (0..5).map(id).collect();
+    assert_eq!(chosen(&first, &[], &all), Some(server), "no other is left");
 }
 
 #[test]
@@ -165,10 +169,10 @@
         for index in 0..10 {
             first.on_refused(&id(index), Refusal::Down, Span::default(), at(0));
         }
-        let chosen = |balancer: &mut Balancer| {
-            let selection = balancer.select_for_trial(request, &[], at(10));
+        let chosen = |balancer: &Balancer| {
+            let selection = balancer.select_for_trial(request, &[], &[]);
             selection.map(|selection| selection.server)
         };
-        assert_eq!(chosen(&mut first), chosen(&mut second));
+        assert_eq!(chosen(&first), chosen(&second));
     }
 }
--- a/crates/route/tests/route_table.rs
+++ b/crates/route/tests/route_table.rs
@@ -3,8 +3,8 @@
 use std::collections::BTreeMap;
 
 use note::{Entry, HostRoute, State, WeightedService};
-use route::RouteTable;
-use types::{Revision, ServiceId};
+use route::{RouteTable, service_for_trial};
+use types::{Fingerprint, Revision, ServiceId};
 
 fn route(id: &str, host: &str, path: &str, parts: &[(&str, u32)]) -> HostRoute {
     let part = |(service, weight): &(&str, u32)| WeightedService {
@@ -95,3 +95,18 @@
         "a service with weight 0 got requests: {counts:?}"
     );
 }
+
+#[test]
+fn a_suspect_goes_to_one_service_of_its_route() {
+    let parts = [("s", 3), ("t", 1), ("unused", 0)];
+    let reversed: Vec<_> = parts.iter().rev().copied().collect();
+    for request in 0..20 {
+        let request = Fingerprint(request);
+        let chosen = |parts: &[(&str, u32)]| {
+            let route = route("r", "a.example", "/x/", parts);
+            service_for_trial(&route, request).map(ServiceId::to_string)
+        };
+        assert_eq!(chosen(&parts), chosen(&reversed));
+        assert_ne!(chosen(&parts), Some("unused".into()));
+    }
+}
