gate, fleet: know a request's evidence when the server or the node has restarted

Seen on the code as it was: only a refused connection within 2 s shows that a server ended, so a server that is back before the next probe, or whose host drops packets, leaves no evidence; and a restarted node is ready as soon as it has read the platform, before a peer has told it which requests are held back. Class: evidence that isn't heard.

A new incarnation, by its boot, its id or the view, is the end of the one before. A trial that broke before a probe without an answer has ended its server; other requests haven't, as an overloaded server is silent, too. A node becomes ready once a ready peer, or each peer that it reaches, has answered its first comparison.

--- a/crates/fleet/src/readiness.rs
+++ b/crates/fleet/src/readiness.rs
@@ -44,6 +44,12 @@
         self.platform_read = true;
     }
 
+    /// Whether a ready peer, or else each peer that can be reached, has told what it knows. The platform
+    /// doesn't know which requests end backend servers.
+    pub fn has_heard_peers(&self) -> bool {
+        self.peer_ready || self.pending.is_empty()
+    }
+
     /// Whether the node may accept requests. `behind` means that a newer revision is known but not
     /// fetched.
     pub fn is_ready(&self, behind: bool) -> bool {
--- a/crates/gate/src/core/mod.rs
+++ b/crates/gate/src/core/mod.rs
@@ -300,11 +300,10 @@
         actions
     }
 
-    /// Records the end of a probe. `server` is the incarnation that the response named, if any.
-    pub fn probed(&mut self, server: Option<Boot>, now: Moment) {
-        if let Some(server) = server {
-            self.observe_boot(server, now);
-        }
+    /// Records the end of a probe. `server` is the incarnation that the response named, if any. Returns whether
+    /// it is a new one.
+    pub fn probed(&mut self, server: Option<Boot>, now: Moment) -> bool {
+        server.is_some_and(|server| self.observe_boot(server, now))
     }
 
     /// Makes a probe due as soon as their maximum rate allows.
--- a/crates/gate/src/core/observations.rs
+++ b/crates/gate/src/core/observations.rs
@@ -29,13 +29,16 @@
         }
     }
 
-    /// Records the incarnation that the backend server named. A new incarnation is cold.
-    pub fn observe_boot(&mut self, server: Boot, now: Moment) {
+    /// Records the incarnation that the backend server named. A new incarnation is cold. Returns whether it
+    /// is a new one.
+    pub fn observe_boot(&mut self, server: Boot, now: Moment) -> bool {
         let before = self.server_boot.replace(server);
-        if before.is_some_and(|b| b != server) {
+        let is_new = before.is_some_and(|b| b != server);
+        if is_new {
             self.cold.invalidate();
             self.concurrency.record(Feedback::Restarted, now);
         }
+        is_new
     }
 
     /// Records the backend server's report, requested at `asked`, that it stays cold for
--- a/crates/node/src/gate_actor/evidence.rs
+++ b/crates/node/src/gate_actor/evidence.rs
@@ -1,7 +1,8 @@
 //! Evidence about requests under which the backend server ends.
 //!
 //! A broken connection alone doesn't show that the backend server has ended. Requests that broke count as
-//! evidence once a new connection is refused, and are dropped as soon as a later request is answered.
+//! evidence once a new connection is refused or another incarnation answers, and are dropped as soon as the
+//! same one answers a later request.
 //! A request that this server has answered within the last seconds was merely there when it ended.
 
 use std::{
@@ -15,7 +16,7 @@
 
 use crate::fingerprint::RequestIdentity;
 
-/// Time within which a refused connection shows that the backend server ended when requests broke.
+/// Time within which a refused connection or a new incarnation shows that the backend server ended when requests broke.
 const CONFIRM_TIME: Span = Span::from_millis(2_000);
 
 /// Time for which an answer exempts equal requests from suspicion.
@@ -121,23 +122,26 @@
         self.broken.retain(|b| b.broken_at > sent_at);
     }
 
-    /// Records that the backend server refused a connection: it has ended, and the requests that broke
-    /// were running there.
-    pub(super) fn record_refused(&mut self, server: &ServerId, board: &Board, now: Moment) {
-        let id = rand::random();
-        for broken in std::mem::take(&mut self.broken) {
-            if broken.broken_at + CONFIRM_TIME < now {
-                continue;
-            }
-            let end = ServerEnd {
-                id,
-                server: server.clone(),
-                at: now,
-                trial: broken.trial,
-                cleared: false,
-            };
-            record_end(board, broken.request, end);
-        }
+    /// Records that the backend server has ended, as it refused a connection or another incarnation is at
+    /// its address: the requests that broke were running there.
+    pub(super) fn record_ended(&mut self, server: &ServerId, board: &Board, now: Moment) {
+        let broken = std::mem::take(&mut self.broken);
+        record_ends(broken, server, board, now);
+    }
+
+    /// Records that the backend server didn't answer a probe sent at `sent_at`. A trial that broke before is
+    /// taken to have ended it, as the host of a server that ends may drop packets instead of refusing
+    /// connections. Other requests aren't: an overloaded server is silent, too.
+    pub(super) fn record_silent(
+        &mut self,
+        server: &ServerId,
+        sent_at: Moment,
+        board: &Board,
+        now: Moment,
+    ) {
+        let is_evidence = |b: &mut BrokenRequest| b.trial && b.broken_at <= sent_at;
+        let broken = self.broken.extract_if(.., is_evidence).collect();
+        record_ends(broken, server, board, now);
     }
 
     /// Why a request isn't run at present, if it is a suspect: it is held back, its ingress hasn't chosen
@@ -177,6 +181,24 @@
     }
 }
 
+/// Records the end of a server under the requests that broke a short time ago.
+fn record_ends(requests: Vec<BrokenRequest>, server: &ServerId, board: &Board, now: Moment) {
+    let id = rand::random();
+    for broken in requests {
+        if broken.broken_at + CONFIRM_TIME < now {
+            continue;
+        }
+        let end = ServerEnd {
+            id,
+            server: server.clone(),
+            at: now,
+            trial: broken.trial,
+            cleared: false,
+        };
+        record_end(board, broken.request, end);
+    }
+}
+
 fn record_end(board: &Board, request: Fingerprint, end: ServerEnd) {
     let (server, now, trial) = (end.server.clone(), end.at, end.trial);
     let record = |q: &mut fleet::Quarantine| q.record_end(request, end);
--- a/crates/node/src/gate_actor/observations.rs
+++ b/crates/node/src/gate_actor/observations.rs
@@ -15,10 +15,24 @@
             result,
         } = probe;
         let now = self.board.clock.now();
+        let boot = result.as_ref().ok().and_then(|m| m.boot);
+        let mut is_new = self.gate.probed(boot, now);
+        if let Ok(ResponseMetadata {
+            server: Some(named),
+            ..
+        }) = &result
+        {
+            is_new |= *named != server;
+        }
         match result {
-            Ok(_) => self.evidence.record_alive(sent_at),
-            Err(ProbeError::Refused) => self.evidence.record_refused(&server, &self.board, now),
-            Err(ProbeError::NoAnswer) => {}
+            Ok(_) if !is_new => self.evidence.record_alive(sent_at),
+            Ok(_) | Err(ProbeError::Refused) => {
+                self.evidence.record_ended(&server, &self.board, now);
+            }
+            Err(ProbeError::NoAnswer) => {
+                self.evidence
+                    .record_silent(&server, sent_at, &self.board, now);
+            }
         }
         let metadata = result.ok();
         let named = metadata.as_ref().and_then(|m| m.server.as_ref());
@@ -40,8 +54,6 @@
             }
         }
         let was_cold = self.gate.is_cold(now);
-        self.gate
-            .probed(metadata.as_ref().and_then(|m| m.boot), now);
         if let Some(load) = metadata.as_ref().and_then(|m| m.load) {
             self.gate.observe_slowdown(load.slowdown_percent, now);
         }
@@ -79,7 +91,7 @@
             _ => self.evidence.record_other(id),
         }
         if refused && let Some(server) = self.server_id().cloned() {
-            self.evidence.record_refused(&server, &self.board, now);
+            self.evidence.record_ended(&server, &self.board, now);
         }
     }
 
--- a/crates/node/src/gate_actor/state.rs
+++ b/crates/node/src/gate_actor/state.rs
@@ -120,7 +120,11 @@
         }
         let identity = |pair: &(Server, Service)| (pair.0.id.clone(), pair.0.boot, pair.0.address);
         if self.server.as_ref().map(identity) != current.as_ref().map(identity) {
-            let actions = self.gate.replace_server(self.board.clock.now());
+            let now = self.board.clock.now();
+            if let Some((previous, _)) = &self.server {
+                self.evidence.record_ended(&previous.id, &self.board, now);
+            }
+            let actions = self.gate.replace_server(now);
             self.malformed_logged = false;
             self.execute(actions);
         }
@@ -232,8 +236,11 @@
             refused,
         } = result;
         let now = self.board.clock.now();
-        if let Some(boot) = metadata.boot {
-            self.gate.observe_boot(boot, now);
+        if let Some(boot) = metadata.boot
+            && self.gate.observe_boot(boot, now)
+            && let Some(server) = self.server_id().cloned()
+        {
+            self.evidence.record_ended(&server, &self.board, now);
         }
         if let Some(load) = metadata.load {
             self.gate.observe_slowdown(load.slowdown_percent, now);
--- a/crates/node/src/gate_actor/tests.rs
+++ b/crates/node/src/gate_actor/tests.rs
@@ -102,7 +102,7 @@
     let broken = later + Span::from_millis(10);
     evidence.record_broken(attempt(2), broken);
     evidence.record_broken(attempt(3), broken);
-    evidence.record_refused(&server(), &board, broken);
+    evidence.record_ended(&server(), &board, broken);
     let popular = request("/popular").verdict(&board, broken);
     assert_eq!(popular, Verdict::Clear);
     let rare = request("/rare").verdict(&board, broken);
@@ -117,7 +117,7 @@
     evidence.record_start(attempt(1), request("/rare"), false, now);
     evidence.record_broken(attempt(1), now);
     evidence.record_alive(now + Span::from_millis(1));
-    evidence.record_refused(&server(), &board, now + Span::from_millis(20));
+    evidence.record_ended(&server(), &board, now + Span::from_millis(20));
     let verdict = request("/rare").verdict(&board, now + Span::from_millis(20));
     assert_eq!(verdict, Verdict::Clear);
 }
@@ -153,7 +153,7 @@
     let now = board.clock.now();
     evidence.record_start(attempt(1), request("/rare"), false, now);
     evidence.record_broken(attempt(1), now);
-    evidence.record_refused(&server(), &board, now);
+    evidence.record_ended(&server(), &board, now);
     evidence.record_start(attempt(2), request("/rare"), true, now);
     evidence.record_broken(attempt(2), now);
     let refusal = evidence.refusal(&request("/rare"), true, &board, now);
@@ -169,7 +169,7 @@
         evidence.record_start(attempt(seq), request(path), false, now);
         evidence.record_broken(attempt(seq), now);
     }
-    evidence.record_refused(&server(), &board, now);
+    evidence.record_ended(&server(), &board, now);
     evidence.record_start(attempt(3), request("/rare"), true, now);
     let refusal = evidence.refusal(&request("/other"), true, &board, now);
     assert_eq!(refusal, Some(Refusal::Quarantined));
@@ -182,8 +182,23 @@
     let now = board.clock.now();
     evidence.record_start(attempt(1), request("/rare"), false, now);
     evidence.record_broken(attempt(1), now);
-    evidence.record_refused(&server(), &board, now);
+    evidence.record_ended(&server(), &board, now);
     let refusal = |trial| evidence.refusal(&request("/rare"), trial, &board, now);
     assert_eq!(refusal(false), Some(Refusal::Quarantined));
     assert_eq!(refusal(true), None);
 }
+
+#[test]
+fn a_trial_that_broke_is_evidence_if_the_server_is_silent_afterwards() {
+    let board = board();
+    let mut evidence = Evidence::default();
+    let now = board.clock.now();
+    evidence.record_start(attempt(1), request("/rare"), true, now);
+    evidence.record_start(attempt(2), request("/other"), false, now);
+    evidence.record_broken(attempt(1), now);
+    evidence.record_broken(attempt(2), now);
+    evidence.record_silent(&server(), now, &board, now);
+    let verdict = |path| request(path).verdict(&board, now);
+    assert!(matches!(verdict("/rare"), Verdict::Held(_)));
+    assert_eq!(verdict("/other"), Verdict::Clear, "it may be overloaded");
+}
--- a/crates/node/src/view_sync/mod.rs
+++ b/crates/node/src/view_sync/mod.rs
@@ -344,7 +344,7 @@
             Source::Notes { .. } => self.readiness.is_ready(self.gossip.is_behind()),
             Source::Registry { .. } => self.is_snapshot_current(),
         };
-        if current {
+        if current && self.readiness.has_heard_peers() {
             log::info!(revision:% = self.source.view().revision; "ready");
             self.board.phase.send_if_modified(|phase| {
                 let joining = *phase == Phase::Joining;
