ingress: a stopping node rejects at once what may outlast its stop limit

Class: work accepted beyond the acceptor's own deadline.

The board now has the moment at which a stopping node exits. A call that may end later is rejected as not run, and its caller can go elsewhere at once.

a_stopping_node_rejects_a_request_that_may_outlast_its_stop_limit failed before (the request was cut).

--- a/crates/board/src/lib.rs
+++ b/crates/board/src/lib.rs
@@ -11,6 +11,7 @@
 //! | `leaving` | any, through [`Board::mark_leaving`] | `GateActor`, ingress, `ViewSync` |
 //! | `quarantine` | any, by merging | `GateActor`, ingress, `ViewSync` |
 //! | `phase` | `ViewSync` (ready), lifecycle (leaving, stopping) | all |
+//! | `stop_at` | lifecycle | ingress |
 
 mod clock;
 
@@ -21,7 +22,7 @@
 use platform::{HostList, HostStatus};
 use serde::Serialize;
 use tokio::sync::watch;
-use types::{Boot, HostId, ServerId, Stamp, ZoneId};
+use types::{Boot, HostId, Moment, ServerId, Stamp, ZoneId};
 
 pub use clock::Clock;
 
@@ -76,6 +77,8 @@
     pub quarantine: watch::Sender<Quarantine>,
     /// Phase of the node's lifecycle.
     pub phase: watch::Sender<Phase>,
+    /// When a stopping node exits, whether or not its requests are completed. It is written before `phase`.
+    pub stop_at: watch::Sender<Moment>,
 }
 
 impl Board {
@@ -91,6 +94,7 @@
             leaving: watch::Sender::default(),
             quarantine: watch::Sender::default(),
             phase: watch::Sender::new(Phase::Joining),
+            stop_at: watch::Sender::new(Moment::MAX),
         })
     }
 
--- a/crates/fleet/tests/readiness.rs
+++ b/crates/fleet/tests/readiness.rs
@@ -28,6 +28,8 @@
 #[test]
 fn a_node_that_reaches_no_peer_starts_with_what_the_platform_says() {
     let mut readiness = asked();
-    peers().map(|peer| readiness.on_peer_failure(peer));
+    for peer in peers() {
+        readiness.on_peer_failure(peer);
+    }
     assert!(readiness.has_heard_peers());
 }
--- a/crates/node/src/ingress/mod.rs
+++ b/crates/node/src/ingress/mod.rs
@@ -28,6 +28,7 @@
 use axum::http::Response;
 use board::{Board, Phase};
 use bytes::Bytes;
+use call::CallOutcome;
 use dialect::{Dialect, Rejection};
 use futures::FutureExt;
 use kameo::actor::ActorRef;
@@ -38,7 +39,7 @@
     task::JoinSet,
     time::sleep,
 };
-use types::{CallId, Moment, ServerId, ServiceId};
+use types::{CallId, Moment, Refusal, ServerId, ServiceId, Span};
 
 use crate::{
     body_budget::BodyBudget,
@@ -54,6 +55,8 @@
 /// Time that a new connection gets for its first request while the node stops. Callers send the
 /// request at once, so it arrives within a few round trips of 20 ms.
 const FIRST_REQUEST_TIMEOUT: Duration = Duration::from_millis(250);
+/// Time to write the last response and to close its connection.
+const CLOSE_TIME: Span = Span::from_millis(100);
 /// Delay after a connection could not be accepted, for example for lack of file descriptors: long
 /// enough for some connections to end, and short compared with the time that callers wait for a
 /// connection.
@@ -107,6 +110,11 @@
         self.board.phase() == Phase::Stopping
     }
 
+    /// Whether the node may exit before the call ends. Its caller does better to call another node at once.
+    fn may_outlast_node(&self, routed: &RoutedCall) -> bool {
+        self.is_stopping() && routed.deadline + CLOSE_TIME >= *self.board.stop_at.borrow()
+    }
+
     fn node_addresses(&self) -> HashSet<SocketAddr> {
         let view = self.board.view();
         view.state.servers.values().map(|e| e.item.node).collect()
@@ -125,6 +133,10 @@
         started_at: Moment,
     ) -> Response<Bytes> {
         let result = match routed {
+            Ok(routed) if self.may_outlast_node(&routed) => Ok(CallOutcome::NotRun {
+                refusal: Refusal::Stopping,
+                retry_after: Span::default(),
+            }),
             Ok(routed) => Ok(suspects::run_call(self, routed).await),
             Err(rejection) => Err(rejection),
         };
--- a/crates/node/src/lifecycle.rs
+++ b/crates/node/src/lifecycle.rs
@@ -111,7 +111,9 @@
     }
     let settings = reload.settings();
     log::info!(within_ms = settings.stop_ms, linger_ms = settings.linger_ms; "stopping");
-    let deadline = Instant::now() + settings.stop_timeout().duration();
+    let stop_at = node.board.clock.now() + settings.stop_timeout();
+    node.board.stop_at.send_replace(stop_at);
+    let deadline = node.board.clock.instant(stop_at);
     node.announce_leaving(settings.linger()).await;
     tokio::select! {
         stopped = node.shut_down(deadline) => stopped,
--- a/crates/rig/tests/connection_close.rs
+++ b/crates/rig/tests/connection_close.rs
@@ -58,3 +58,25 @@
     assert!(text.starts_with("HTTP/1.1 "), "{text}");
     Ok(())
 }
+
+#[tokio::test]
+async fn a_stopping_node_rejects_a_request_that_may_outlast_its_stop_limit() -> io::Result<()> {
+    let limits = json!({ "cold": 10, "warm_ms": 0, "timeout_ms": 2_000 });
+    let cluster = cluster("close-stop-limit", 95)
+        .service_with_limits("draws", 2, limits)
+        .server_behavior(|behavior| behavior.service_ms = 60_000.0)
+        .settings(json!({ "linger_ms": 300, "stop_ms": 1_500 }))
+        .start()
+        .await?;
+    let mut stream = TcpStream::connect(cluster.target(0)).await?;
+    let request = b"GET /draws/x HTTP/1.1\r\nhost: h\r\nx-deadline-ms: 2000\r\n\r\n";
+    cluster.nodes[0].signal("TERM").await;
+    sleep(Duration::from_millis(600)).await;
+    stream.write_all(request).await?;
+    let mut response = Vec::new();
+    stream.read_to_end(&mut response).await?;
+    let text = String::from_utf8_lossy(&response);
+    assert!(text.starts_with("HTTP/1.1 503"), "{text}");
+    assert!(text.contains("not-run"), "{text}");
+    Ok(())
+}
