gate, cli: trials that nobody confirms count; operators clear a request; counters

Found by the new test of clearing: where a server isn't probed, a trial that ended it was never confirmed, so the next one followed 2 s later, without end. A trial that broke counts as an end unless something shows within 2 s that the server lives.

An operator clears a request with 'amaranthyoke clear ADMIN REQUEST', on all nodes by gossip. The counter suspects counts ends, trials, held requests and cleared ones.

Tests: an_operator_clears_a_request_on_all_nodes (failed before: still a suspect after 30 requests), a_trial_that_broke_is_evidence_if_nothing_is_heard_of_the_server.

--- a/crates/cli/src/client.rs
+++ b/crates/cli/src/client.rs
@@ -6,6 +6,7 @@
 use reqwest::Client;
 use serde::de::DeserializeOwned;
 use serde_json::Value;
+use types::Fingerprint;
 
 use crate::error::ToolError;
 
@@ -49,6 +50,21 @@
         self.read(admin, "notes").await
     }
 
+    /// Clears a request under which backend servers ended, on all nodes. Returns whether the node knew it.
+    ///
+    /// # Errors
+    ///
+    /// [`ToolError::Admin`] if the request fails or the response can't be decoded.
+    pub async fn clear(&self, admin: SocketAddr, request: Fingerprint) -> Result<bool, ToolError> {
+        let url = format!("http://{admin}/suspects/{request}/clear");
+        let error = |cause| ToolError::Admin {
+            address: admin.to_string(),
+            cause,
+        };
+        let response = self.client.post(url).send().await.map_err(error)?;
+        response.json().await.map_err(error)
+    }
+
     async fn read<T: DeserializeOwned>(
         &self,
         admin: SocketAddr,
--- a/crates/cli/src/lib.rs
+++ b/crates/cli/src/lib.rs
@@ -1,7 +1,7 @@
 //! Commands of the operators' tool: check release notes, compare nodes, dump a node's state,
-//! explain a call.
+//! explain a call, clear a suspect request.
 //!
-//! All commands are read-only and print text or JSON. The exit code is 0 if no problem was found, 1
+//! All other commands are read-only. They print text or JSON. The exit code is 0 if no problem was found, 1
 //! if the checked notes or nodes have a problem, and 2 if the command could not be run.
 
 mod client;
--- a/crates/cli/src/main.rs
+++ b/crates/cli/src/main.rs
@@ -5,12 +5,12 @@
 use bpaf::Bpaf;
 use cli::{AdminClient, ToolError, explain, nodes, notes};
 use serde::Serialize;
-use types::CallId;
+use types::{CallId, Fingerprint};
 
 /// Exit code if a command could not be run.
 const EXIT_ERROR: u8 = 2;
 
-/// Check release notes and inspect the nodes of amaranthyoke. All commands are read-only
+/// Check release notes and inspect the nodes of amaranthyoke. All commands but `clear` are read-only
 #[derive(Debug, Clone, Bpaf)]
 #[bpaf(options, version)]
 struct Arguments {
@@ -49,6 +49,17 @@
         #[bpaf(positional("ADMIN"))]
         admin: SocketAddr,
     },
+    /// Let a request run again that is held back or blocked since backend servers ended under it. Exit code 1
+    /// if the node knows no such request
+    #[bpaf(command)]
+    Clear {
+        /// Address of the admin API of any node
+        #[bpaf(positional("ADMIN"))]
+        admin: SocketAddr,
+        /// Fingerprint of the request, as in logs and dumps
+        #[bpaf(positional("REQUEST"))]
+        request: Fingerprint,
+    },
 }
 
 #[derive(Debug, Clone, Bpaf)]
@@ -110,6 +121,14 @@
             print(true, &state, String::new);
             Ok(true)
         }
+        Command::Clear { admin, request } => {
+            let cleared = AdminClient::new().clear(admin, request).await?;
+            print(json, &cleared, || match cleared {
+                true => format!("{request} is clear\n"),
+                false => format!("{request} is not known, or clear already\n"),
+            });
+            Ok(cleared)
+        }
     }
 }
 
--- a/crates/node/src/admin.rs
+++ b/crates/node/src/admin.rs
@@ -1,8 +1,13 @@
-//! The read-only admin API.
+//! The admin API. It only reads, but for one call that clears a request under which servers ended.
 
 use std::{collections::HashMap, net::SocketAddr, sync::Arc};
 
-use axum::{Json, Router, extract::State, http::StatusCode, routing::get};
+use axum::{
+    Json, Router,
+    extract::{Path, State},
+    http::StatusCode,
+    routing::{get, post},
+};
 use board::{Board, Identity, Phase};
 use fleet::{Evidence, ServerEnd, Verdict};
 use kameo::actor::ActorRef;
@@ -71,6 +76,7 @@
         .route("/state", get(state))
         .route("/metrics", get(metrics))
         .route("/notes", get(notes))
+        .route("/suspects/{request}/clear", post(clear_suspect))
         .with_state(admin)
 }
 
@@ -111,6 +117,27 @@
     })
 }
 
+/// Clears a request on all nodes, which hear of it by gossip.
+async fn clear_suspect(
+    State(admin): State<Arc<Admin>>,
+    Path(request): Path<String>,
+) -> (StatusCode, Json<bool>) {
+    let Ok(request) = request.parse::<Fingerprint>() else {
+        return (StatusCode::BAD_REQUEST, Json(false));
+    };
+    let board = &admin.ingress.board;
+    let now = board.clock.now();
+    let is_cleared = board
+        .quarantine
+        .send_if_modified(|quarantine| quarantine.clear(request, now));
+    log::info!(request:% = request, cleared = is_cleared, source = "operator"; "suspect_cleared");
+    let status = match is_cleared {
+        true => StatusCode::OK,
+        false => StatusCode::NOT_FOUND,
+    };
+    (status, Json(is_cleared))
+}
+
 fn suspect_dumps(board: &Board, now: Moment) -> Vec<SuspectDump> {
     let quarantine = board.quarantine.borrow();
     let dump = |(request, evidence): (Fingerprint, &Evidence)| {
--- a/crates/node/src/gate_actor/evidence.rs
+++ b/crates/node/src/gate_actor/evidence.rs
@@ -95,21 +95,23 @@
         }
     }
 
-    /// Records that a request was answered. It is no suspect any more.
-    pub(super) fn record_answer(&mut self, id: AttemptId, board: &Board, now: Moment) {
+    /// Records that a request was answered. It is no suspect any more. Returns whether it was one.
+    pub(super) fn record_answer(&mut self, id: AttemptId, board: &Board, now: Moment) -> bool {
         let Some(running) = self.running.remove(&id) else {
-            return;
+            return false;
         };
         self.broken.retain(|b| b.broken_at > running.started_at);
         self.remember_answer(&running.identity, now);
         if running.identity.verdict(board, now) == Verdict::Clear {
-            return;
+            return false;
         }
         let request = running.identity.fingerprint();
         let clear = |q: &mut fleet::Quarantine| q.clear(request, now);
-        if board.quarantine.send_if_modified(clear) {
+        let is_cleared = board.quarantine.send_if_modified(clear);
+        if is_cleared {
             log::info!(request:% = request, attempt:% = id; "suspect_cleared");
         }
+        is_cleared
     }
 
     /// Records that a request ended without evidence.
@@ -123,10 +125,24 @@
     }
 
     /// Records that the backend server has ended, as it refused a connection or another incarnation is at
-    /// its address: the requests that broke were running there.
-    pub(super) fn record_ended(&mut self, server: &ServerId, board: &Board, now: Moment) {
+    /// its address: the requests that broke were running there. Returns the number of requests with new
+    /// evidence.
+    pub(super) fn record_ended(&mut self, server: &ServerId, board: &Board, now: Moment) -> usize {
         let broken = std::mem::take(&mut self.broken);
-        record_ends(broken, server, board, now);
+        record_ends(broken, server, board, now)
+    }
+
+    /// Takes a trial that broke some time ago to have ended the backend server, if nothing has shown since
+    /// then that it hasn't. Else a server that isn't probed would have one trial after the other.
+    pub(super) fn conclude_trials(
+        &mut self,
+        server: &ServerId,
+        board: &Board,
+        now: Moment,
+    ) -> usize {
+        let is_overdue = |b: &mut BrokenRequest| b.trial && b.broken_at + CONFIRM_TIME <= now;
+        let overdue = self.broken.extract_if(.., is_overdue).collect();
+        record_ends(overdue, server, board, now)
     }
 
     /// Records that the backend server didn't answer a probe sent at `sent_at`. A trial that broke before is
@@ -138,10 +154,10 @@
         sent_at: Moment,
         board: &Board,
         now: Moment,
-    ) {
+    ) -> usize {
         let is_evidence = |b: &mut BrokenRequest| b.trial && b.broken_at <= sent_at;
         let broken = self.broken.extract_if(.., is_evidence).collect();
-        record_ends(broken, server, board, now);
+        record_ends(broken, server, board, now)
     }
 
     /// Why a request isn't run at present, if it is a suspect: it is held back, its ingress hasn't chosen
@@ -181,13 +197,17 @@
     }
 }
 
-/// Records the end of a server under the requests that broke a short time ago.
-fn record_ends(requests: Vec<BrokenRequest>, server: &ServerId, board: &Board, now: Moment) {
+/// Records the end of a server under requests that broke. Returns the number of those with new evidence.
+fn record_ends(
+    requests: Vec<BrokenRequest>,
+    server: &ServerId,
+    board: &Board,
+    now: Moment,
+) -> usize {
     let id = rand::random();
-    for broken in requests {
-        if broken.broken_at + CONFIRM_TIME < now {
-            continue;
-        }
+    let is_valid = |b: &&BrokenRequest| b.trial || b.broken_at + CONFIRM_TIME >= now;
+    let valid = requests.iter().filter(is_valid);
+    let ends = valid.filter(|broken| {
         let end = ServerEnd {
             id,
             server: server.clone(),
@@ -195,18 +215,21 @@
             trial: broken.trial,
             cleared: false,
         };
-        record_end(board, broken.request, end);
-    }
+        record_end(board, broken.request, end)
+    });
+    ends.count()
 }
 
-fn record_end(board: &Board, request: Fingerprint, end: ServerEnd) {
+fn record_end(board: &Board, request: Fingerprint, end: ServerEnd) -> bool {
     let (server, now, trial) = (end.server.clone(), end.at, end.trial);
     let record = |q: &mut fleet::Quarantine| q.record_end(request, end);
-    if board.quarantine.send_if_modified(record) {
+    let is_new = board.quarantine.send_if_modified(record);
+    if is_new {
         let verdict = board.quarantine.borrow().verdict(request, now);
         log::warn!(
             request:% = request, server:% = server, trial, verdict = verdict.name();
             "server_ended_under_request"
         );
     }
+    is_new
 }
--- a/crates/node/src/gate_actor/observations.rs
+++ b/crates/node/src/gate_actor/observations.rs
@@ -26,12 +26,12 @@
         }
         match result {
             Ok(_) if !is_new => self.evidence.record_alive(sent_at),
-            Ok(_) | Err(ProbeError::Refused) => {
-                self.evidence.record_ended(&server, &self.board, now);
-            }
+            Ok(_) | Err(ProbeError::Refused) => self.server_ended(&server),
             Err(ProbeError::NoAnswer) => {
-                self.evidence
+                let ends = self
+                    .evidence
                     .record_silent(&server, sent_at, &self.board, now);
+                self.metrics.record_suspects("end", ends);
             }
         }
         let metadata = result.ok();
@@ -87,14 +87,25 @@
                     self.gate.expedite_probe();
                 }
             }
-            Completion::Answered(_) => self.evidence.record_answer(id, &self.board, now),
+            Completion::Answered(_) => {
+                if self.evidence.record_answer(id, &self.board, now) {
+                    self.metrics.record_suspects("cleared", 1);
+                }
+            }
             _ => self.evidence.record_other(id),
         }
         if refused && let Some(server) = self.server_id().cloned() {
-            self.evidence.record_ended(&server, &self.board, now);
+            self.server_ended(&server);
         }
     }
 
+    /// Records that the backend server has ended, under the requests that broke a short time ago.
+    pub(super) fn server_ended(&mut self, server: &ServerId) {
+        let now = self.board.clock.now();
+        let ends = self.evidence.record_ended(server, &self.board, now);
+        self.metrics.record_suspects("end", ends);
+    }
+
     /// Records what the response to a request says of the limit and the leaving of its backend server.
     pub(super) fn observe_statements(
         &mut self,
--- a/crates/node/src/gate_actor/state.rs
+++ b/crates/node/src/gate_actor/state.rs
@@ -121,8 +121,8 @@
         let identity = |pair: &(Server, Service)| (pair.0.id.clone(), pair.0.boot, pair.0.address);
         if self.server.as_ref().map(identity) != current.as_ref().map(identity) {
             let now = self.board.clock.now();
-            if let Some((previous, _)) = &self.server {
-                self.evidence.record_ended(&previous.id, &self.board, now);
+            if let Some(previous) = self.server_id().cloned() {
+                self.server_ended(&previous);
             }
             let actions = self.gate.replace_server(now);
             self.malformed_logged = false;
@@ -151,6 +151,10 @@
     pub(super) fn run(&mut self, msg: RunAttempt) {
         let id = msg.offer.id;
         let now = self.board.clock.now();
+        if let Some(server) = self.server_id().cloned() {
+            let ends = self.evidence.conclude_trials(&server, &self.board, now);
+            self.metrics.record_suspects("end", ends);
+        }
         let refusal = match &self.server {
             Some((server, _)) if server.id == msg.server => {
                 let request = RequestIdentity::new(&msg.request);
@@ -240,7 +244,7 @@
             && self.gate.observe_boot(boot, now)
             && let Some(server) = self.server_id().cloned()
         {
-            self.evidence.record_ended(&server, &self.board, now);
+            self.server_ended(&server);
         }
         if let Some(load) = metadata.load {
             self.gate.observe_slowdown(load.slowdown_percent, now);
--- a/crates/node/src/gate_actor/tests.rs
+++ b/crates/node/src/gate_actor/tests.rs
@@ -202,3 +202,16 @@
     assert!(matches!(verdict("/rare"), Verdict::Held(_)));
     assert_eq!(verdict("/other"), Verdict::Clear, "it may be overloaded");
 }
+
+#[test]
+fn a_trial_that_broke_is_evidence_if_nothing_is_heard_of_the_server() {
+    let board = board();
+    let mut evidence = Evidence::default();
+    let now = board.clock.now();
+    evidence.record_start(attempt(1), request("/rare"), true, now);
+    evidence.record_broken(attempt(1), now);
+    let later = now + Span::from_millis(2_000);
+    assert_eq!(evidence.conclude_trials(&server(), &board, later), 1);
+    let verdict = request("/rare").verdict(&board, later);
+    assert!(matches!(verdict, Verdict::Held(_)));
+}
--- a/crates/node/src/ingress/suspects.rs
+++ b/crates/node/src/ingress/suspects.rs
@@ -25,10 +25,13 @@
         let trial = match identity.verdict(&ingress.board, now) {
             Verdict::Clear => None,
             Verdict::Suspect => Some(prepare_trial(&ingress.board, &identity)),
-            Verdict::Held(until) => return hold_back(&routed, &identity, until.since(now)),
-            Verdict::Blocked => return hold_back(&routed, &identity, BLOCKED_RETRY_AFTER),
+            Verdict::Held(until) => {
+                return hold_back(ingress, &routed, &identity, until.since(now));
+            }
+            Verdict::Blocked => return hold_back(ingress, &routed, &identity, BLOCKED_RETRY_AFTER),
         };
         if let Some(trial) = &trial {
+            ingress.metrics.record_suspects("trial", 1);
             routed.move_to_trial(&ingress.board, trial.request);
         }
         let outcome = driver::run_attempts(ingress, routed.clone(), trial).await;
@@ -69,7 +72,13 @@
 }
 
 /// Rejects a call whose request is held back, since backend servers have ended under it.
-fn hold_back(routed: &RoutedCall, identity: &RequestIdentity, left: Span) -> CallOutcome {
+fn hold_back(
+    ingress: &Ingress,
+    routed: &RoutedCall,
+    identity: &RequestIdentity,
+    left: Span,
+) -> CallOutcome {
+    ingress.metrics.record_suspects("held", 1);
     log::info!(
         call:% = routed.request.call, service:% = routed.service,
         request:% = identity.fingerprint(), left_ms = left.as_millis();
--- a/crates/node/src/metrics.rs
+++ b/crates/node/src/metrics.rs
@@ -26,6 +26,7 @@
     attempts: Counter<u64>,
     control: Counter<u64>,
     malformed_limits: Counter<u64>,
+    suspects: Counter<u64>,
     call_seconds: Histogram<f64>,
     attempt_seconds: Histogram<f64>,
     /// Held because the instruments stop when the provider is dropped.
@@ -58,6 +59,10 @@
                 .u64_counter("malformed_limits")
                 .with_description("Responses that name a limit that is not a rate")
                 .build(),
+            suspects: meter
+                .u64_counter("suspects")
+                .with_description("Requests under which backend servers end, by event")
+                .build(),
             call_seconds: meter
                 .f64_histogram("call_seconds")
                 .with_description("Call times by ending")
@@ -100,6 +105,13 @@
         self.malformed_limits.add(1, &[]);
     }
 
+    /// Counts an event of requests under which backend servers end: `end` of a server under one, `trial`,
+    /// `held` back or blocked, `cleared`.
+    pub(crate) fn record_suspects(&self, event: &'static str, count: usize) {
+        let labels = [KeyValue::new("event", event)];
+        self.suspects.add(count as u64, &labels);
+    }
+
     /// Counts a control message that this node sends.
     pub(crate) fn record_control_message(&self, kind: &'static str) {
         self.control.add(1, &[KeyValue::new("kind", kind)]);
--- a/crates/rig/tests/deadly_request.rs
+++ b/crates/rig/tests/deadly_request.rs
@@ -63,3 +63,33 @@
     );
     Ok(())
 }
+
+/// The verdict of a node on the request that has ended its servers.
+async fn verdict(cluster: &Cluster, node: usize) -> Option<(String, String)> {
+    let state = cluster.nodes[node].state().await?;
+    let suspect = state["suspects"].as_array()?.first()?.clone();
+    let text = |field: &str| suspect[field].as_str().map(str::to_owned);
+    Some((text("request")?, text("verdict")?))
+}
+
+#[tokio::test]
+async fn an_operator_clears_a_request_on_all_nodes() -> io::Result<()> {
+    let cluster = cluster("deadly-cleared", 96)
+        .service("draws", 3)
+        .server_behavior(|behavior| behavior.deadly = Some("deadly".into()))
+        .start()
+        .await?;
+    send_deadly(&cluster).await;
+    let (request, held) = verdict(&cluster, 0).await.expect("a suspect");
+    assert_eq!(held, "held");
+    let admin = cluster.nodes[0].spec.admin();
+    let url = format!("http://{admin}/suspects/{request}/clear");
+    let response = client().post(url).send().await.expect("no response");
+    assert_eq!(response.status().as_u16(), 200);
+    sleep(Duration::from_secs(1)).await;
+    for node in 0..cluster.nodes.len() {
+        let (_, verdict) = verdict(&cluster, node).await.expect("evidence");
+        assert_eq!(verdict, "clear", "node {node}");
+    }
+    Ok(())
+}
--- a/crates/types/src/fingerprint.rs
+++ b/crates/types/src/fingerprint.rs
@@ -1,6 +1,6 @@
 //! Fingerprints of requests.
 
-use std::{fmt, ops::RangeInclusive};
+use std::{fmt, num::ParseIntError, ops::RangeInclusive, str::FromStr};
 
 use serde::Serialize;
 
@@ -29,6 +29,14 @@
     }
 }
 
+impl FromStr for Fingerprint {
+    type Err = ParseIntError;
+
+    fn from_str(text: &str) -> Result<Self, ParseIntError> {
+        u128::from_str_radix(text, 16).map(Self)
+    }
+}
+
 impl fmt::Display for Fingerprint {
     fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
         write!(f, "{:032x}", self.0)
