soak: deadly requests of one service's callers beside harmless ones, past the end of a hold

The soak sent ten deadly requests in 1.5 s through all nodes, and allowed three ends in all. Now the callers beside one service send it every 150 ms until after the end of the first hold time, and the callers beside the other one a harmless request with the same path. Its bound was the end of three servers in that time; it stays for the first 1.5 s. For the time after, which wasn't played, the users' rule is counted at the servers: three requests later than the stable window after the third end. Settings of the rig's nodes name their service, as the users' do, since it is part of what equal requests have in common.

--- a/crates/rig/src/process.rs
+++ b/crates/rig/src/process.rs
@@ -71,6 +71,7 @@
             "admin": self.admin(),
             "platform": format!("http://{platform}"),
             "policy": policy,
+            "service": self.service,
         })
     }
 }
--- a/crates/rig/src/server.rs
+++ b/crates/rig/src/server.rs
@@ -29,6 +29,8 @@
 
 /// Time for which all requests fail after a breach while cold.
 const FAILURE_DURATION: Duration = Duration::from_millis(500);
+/// Header of requests that aren't deadly although their path is that of a deadly one.
+pub const HARMLESS: &str = "x-harmless";
 /// Time for which a server that a deadly request has ended accepts no connection.
 const DOWN_DURATION: Duration = Duration::from_millis(800);
 const MAX_BODY_BYTES: usize = 32 << 20;
@@ -134,8 +136,8 @@
     /// When a response first named the present limit, and first said that the server is leaving.
     limit_named: Option<Instant>,
     leaving_said: Option<Instant>,
-    /// Ends of the server by the path of the request.
-    path_ends: HashMap<String, u64>,
+    /// Ends of the server by the path of the request, in order.
+    path_ends: HashMap<String, Vec<Instant>>,
     counts: Counts,
 }
 
@@ -209,14 +211,17 @@
         self.listening.send_replace(listening);
     }
 
-    /// Ends the server if the request is deadly, and starts it again after [`DOWN_DURATION`].
-    fn end_if_deadly(&self, path: &str) -> bool {
+    /// Ends the server if the request is deadly, and starts it again after [`DOWN_DURATION`]. Other callers may
+    /// send a request with the same path that is not.
+    fn end_if_deadly(&self, path: &str, headers: &HeaderMap) -> bool {
         let mut inner = self.inner();
         let deadly = inner.behavior.deadly.clone();
-        let ends = deadly.is_some_and(|segment| path.split('/').any(|s| s == segment));
+        let ends = !headers.contains_key(HARMLESS)
+            && deadly.is_some_and(|segment| path.split('/').any(|s| s == segment));
         if ends {
             inner.counts.ends += 1;
-            *inner.path_ends.entry(path.to_owned()).or_default() += 1;
+            let ends = inner.path_ends.entry(path.to_owned()).or_default();
+            ends.push(Instant::now());
             drop(inner);
             self.set_listening(false);
             self.restart();
@@ -255,13 +260,10 @@
         self.inner().leaving_said
     }
 
-    /// Number of times that a request with this path has ended the server.
-    pub fn ends_by(&self, path: &str) -> u64 {
-        self.inner()
-            .path_ends
-            .get(path)
-            .copied()
-            .unwrap_or_default()
+    /// When a request with this path has ended the server.
+    pub fn ends_by(&self, path: &str) -> Vec<Instant> {
+        let inner = self.inner();
+        inner.path_ends.get(path).cloned().unwrap_or_default()
     }
 
     /// When requests and probes arrived, in order.
@@ -426,9 +428,12 @@
 
 async fn run(State(server): State<Server>, request: Request) -> Response {
     let (parts, body) = request.into_parts();
-    if server.end_if_deadly(parts.uri.path()) {
+    if server.end_if_deadly(parts.uri.path(), &parts.headers) {
         return respond(ResponseMode::Cut, 0, None).await;
     }
+    if parts.headers.contains_key(HARMLESS) {
+        return empty_response(StatusCode::OK);
+    }
     let id = header(&parts.headers, "x-request-id").to_owned();
     let mut guard = match server.start_run(&id, parts.method.as_str()) {
         Ok(guard) => guard,
--- a/crates/rig/src/soak/mod.rs
+++ b/crates/rig/src/soak/mod.rs
@@ -120,6 +120,7 @@
         start,
         violations: Vec::new(),
         drained: Vec::new(),
+        deadly_until: start + options.duration + RECOVERY_TIME / 2,
     };
     let persistent = workload_of_clients(options, &targets);
     let (mut calls, persistent, injected) = tokio::join!(
@@ -184,6 +185,8 @@
     start: Instant,
     violations: Vec<String>,
     drained: Vec<Drained>,
+    /// Until when deadly requests are sent.
+    deadly_until: Instant,
 }
 
 #[derive(Debug, Clone, Copy, PartialEq, Eq, PartialOrd, Ord)]
@@ -274,8 +277,19 @@
             }
             FaultKind::DeadlyRequest(node) => {
                 let path = self.deadly_path(node, index);
-                let targets = self.cluster.targets();
-                tokio::spawn(statements::send_deadly(targets, path));
+                let service = &self.cluster.nodes[node].spec.service;
+                let (callers, others) = (0..self.cluster.nodes.len())
+                    .map(|index| (index, self.cluster.target(index)))
+                    .partition::<Vec<_>, _>(|(index, _)| {
+                        self.cluster.nodes[*index].spec.service == *service
+                    });
+                let targets = |nodes: Vec<(usize, _)>| nodes.into_iter().map(|n| n.1).collect();
+                tokio::spawn(statements::send_deadly(
+                    targets(callers),
+                    targets(others),
+                    path,
+                    self.deadly_until,
+                ));
             }
         }
         Ok(())
--- a/crates/rig/src/soak/statements.rs
+++ b/crates/rig/src/soak/statements.rs
@@ -1,9 +1,16 @@
 //! Checks of what backend servers say of themselves, and of requests that end them.
 
-use std::{net::SocketAddr, time::Duration};
+use std::{
+    net::SocketAddr,
+    time::{Duration, Instant},
+};
 
 use super::schedule::{Fault, FaultKind};
-use crate::{arrivals::most_in_window, process::client, server::Server};
+use crate::{
+    arrivals::most_in_window,
+    process::client,
+    server::{HARMLESS, Server},
+};
 
 /// Requests per second that a limited server names.
 pub(super) const LIMIT: f64 = 4.0;
@@ -17,19 +24,33 @@
 const LEAVING_DELAY: Duration = Duration::from_secs(2);
 /// Path segment of the requests that end servers.
 pub(super) const DEADLY: &str = "deadly";
-/// Number of times that callers send a deadly request, and the time between.
-const DEADLY_REQUESTS: usize = 10;
+/// Time between two deadly requests.
 const DEADLY_INTERVAL: Duration = Duration::from_millis(150);
-/// Servers that may end under one request by the users' rule.
-const MAX_ENDS: u64 = 3;
+/// Servers that may end under one request at first, in the time in which ten of them are sent.
+const MAX_ENDS: usize = 3;
+const FIRST_TIME: Duration = Duration::from_millis(1_500);
+/// The users' rule: requests that may reach servers later than this after the third has ended.
+const MAX_RETRIES: usize = 3;
+const STABLE_WINDOW: Duration = Duration::from_millis(3_000);
 
-/// Sends a deadly request through one node after the other.
-pub(super) async fn send_deadly(targets: Vec<SocketAddr>, path: String) {
-    for index in 0..DEADLY_REQUESTS {
-        let url = format!("http://{}{path}", targets[index % targets.len()]);
-        let request = client().get(url).header("x-deadline-ms", 1_000);
-        tokio::spawn(request.send());
+/// Sends a deadly request through one node of `callers` after the other until a time after the end of its
+/// first hold, and a harmless one with the same path through those of `others`.
+pub(super) async fn send_deadly(
+    callers: Vec<SocketAddr>,
+    others: Vec<SocketAddr>,
+    path: String,
+    until: Instant,
+) {
+    let mut index = 0;
+    while Instant::now() < until {
+        let get = |targets: &[SocketAddr]| {
+            let url = format!("http://{}{path}", targets[index % targets.len()]);
+            client().get(url).header("x-deadline-ms", 1_000)
+        };
+        tokio::spawn(get(&callers).send());
+        tokio::spawn(get(&others).header(HARMLESS, 1).send());
         tokio::time::sleep(DEADLY_INTERVAL).await;
+        index += 1;
     }
 }
 
@@ -60,8 +81,23 @@
     (late > 0).then(|| format!("{fault}: {late} arrivals after it said that it leaves"))
 }
 
-/// Returns a line if a deadly request ended more servers than the rule allows.
+/// Returns a line if a deadly request ended more servers at first, or reached more of them later, than
+/// allowed.
 pub(super) fn check_ends(fault: &Fault, path: &str, servers: &[Server]) -> Option<String> {
-    let ends: u64 = servers.iter().map(|s| s.ends_by(path)).sum();
-    (ends > MAX_ENDS).then(|| format!("{fault}: {ends} servers ended, {MAX_ENDS} allowed"))
+    let mut ends: Vec<_> = servers.iter().flat_map(|s| s.ends_by(path)).collect();
+    ends.sort();
+    let first = ends.iter().filter(|at| **at < ends[0] + FIRST_TIME).count();
+    let stable_at = ends.get(MAX_ENDS - 1).map(|third| *third + STABLE_WINDOW);
+    let later = stable_at.map_or(0, |stable_at| {
+        ends.iter().filter(|at| **at > stable_at).count()
+    });
+    match () {
+        () if first > MAX_ENDS => Some(format!(
+            "{fault}: {first} servers ended, {MAX_ENDS} allowed"
+        )),
+        () if later > MAX_RETRIES => Some(format!(
+            "{fault}: {later} requests reached servers later, {MAX_RETRIES} allowed"
+        )),
+        () => None,
+    }
 }
