gate: a trial whose caller left may have ended the server; trials are counted at the gate

Class: evidence that isn't heard. What was closed by this node counts like what broke. The counter of trials counted each poll of a waiting call; the gate counts those that it starts.

--- a/crates/node/src/gate_actor/evidence.rs
+++ b/crates/node/src/gate_actor/evidence.rs
@@ -2,7 +2,7 @@
 //!
 //! A broken connection alone doesn't show that the backend server has ended. Requests that broke count as
 //! evidence once a new connection is refused or another incarnation answers, and are dropped as soon as the
-//! same one answers a later request.
+//! same one answers a later request. A trial that broke is evidence unless that happens.
 //! A request that this server has answered within the last seconds was merely there when it ended.
 
 use std::{
@@ -16,7 +16,8 @@
 
 use crate::fingerprint::RequestIdentity;
 
-/// Time within which a refused connection or a new incarnation shows that the backend server ended when requests broke.
+/// Time after requests broke within which a refused connection or a new incarnation shows that the backend
+/// server ended under them.
 const CONFIRM_TIME: Span = Span::from_millis(2_000);
 
 /// Time for which an answer exempts equal requests from suspicion.
@@ -66,11 +67,14 @@
         self.running.insert(id, running);
     }
 
-    /// Records that a request ended with a broken connection. Returns whether it ran.
+    /// Records that a request ended without a response: its connection broke, or was closed by this node as
+    /// nobody waited any more. Returns whether it was on trial.
     pub(super) fn record_broken(&mut self, id: AttemptId, now: Moment) -> bool {
         let Some(running) = self.running.remove(&id) else {
             return false;
         };
+        self.broken
+            .retain(|b| b.trial || b.broken_at + CONFIRM_TIME >= now);
         if !self.is_exempt(&running.identity, now) {
             self.broken.push(BrokenRequest {
                 request: running.identity.fingerprint(),
@@ -78,7 +82,7 @@
                 trial: running.trial,
             });
         }
-        true
+        running.trial
     }
 
     fn is_exempt(&self, identity: &RequestIdentity, now: Moment) -> bool {
--- a/crates/node/src/gate_actor/observations.rs
+++ b/crates/node/src/gate_actor/observations.rs
@@ -83,6 +83,10 @@
         let now = self.board.clock.now();
         match completion {
             Completion::Incomplete => {
+                self.evidence.record_broken(id, now);
+                self.gate.expedite_probe();
+            }
+            Completion::Cancelled | Completion::Expired => {
                 if self.evidence.record_broken(id, now) {
                     self.gate.expedite_probe();
                 }
--- a/crates/node/src/gate_actor/state.rs
+++ b/crates/node/src/gate_actor/state.rs
@@ -346,6 +346,7 @@
             return self.gate.complete(id, Completion::Withheld, now);
         }
         let trial = attempt.trial && !self.evidence.has_trial(now);
+        self.metrics.record_suspects("trial", usize::from(trial));
         self.evidence.record_start(id, identity, trial, now);
         let running = self
             .backend
--- a/crates/node/src/gate_actor/tests.rs
+++ b/crates/node/src/gate_actor/tests.rs
@@ -215,3 +215,20 @@
     let verdict = request("/rare").verdict(&board, later);
     assert!(matches!(verdict, Verdict::Held(_)));
 }
+
+#[test]
+fn a_trial_whose_caller_left_is_evidence_unless_the_server_lives() {
+    let board = board();
+    let mut evidence = Evidence::default();
+    let now = board.clock.now();
+    evidence.record_start(attempt(1), request("/rare"), true, now);
+    assert!(evidence.record_broken(attempt(1), now), "it was on trial");
+    evidence.record_alive(now + Span::from_millis(1));
+    let later = now + Span::from_millis(2_000);
+    assert_eq!(evidence.conclude_trials(&server(), &board, later), 0);
+    evidence.record_start(attempt(2), request("/rare"), true, later);
+    evidence.record_broken(attempt(2), later);
+    evidence.record_ended(&server(), &board, later);
+    let verdict = request("/rare").verdict(&board, later);
+    assert!(matches!(verdict, Verdict::Held(_)));
+}
--- a/crates/node/src/ingress/suspects.rs
+++ b/crates/node/src/ingress/suspects.rs
@@ -31,7 +31,6 @@
             Verdict::Blocked => return hold_back(ingress, &routed, &identity, BLOCKED_RETRY_AFTER),
         };
         if let Some(trial) = &trial {
-            ingress.metrics.record_suspects("trial", 1);
             routed.move_to_trial(&ingress.board, trial.request);
         }
         let outcome = driver::run_attempts(ingress, routed.clone(), trial).await;
