fleet: which ends are kept doesn't depend on a node's clock

More than eight servers had ended under one request at once. Nodes kept the latest eight, and the times of an end differ between nodes, so two nodes could replace each other's ends with every message, and each change is pushed at once. Class: a merge that doesn't converge.

--- a/crates/fleet/src/quarantine.rs
+++ b/crates/fleet/src/quarantine.rs
@@ -117,8 +117,9 @@
             }
         }
         // Trials that count are kept before others, so that further ends never make room for another trial.
+        // Times differ between nodes. If they decided, two nodes could tell each other of the same ends for ever.
         self.ends
-            .sort_by_key(|end| (!end.cleared, end.trial, end.at, end.id));
+            .sort_by_key(|end| (!end.cleared, end.trial, end.id));
         let excess = self.ends.len().saturating_sub(MAX_ENDS);
         self.ends.drain(..excess);
         self.ends.sort_by_key(|end| (end.at, end.id));
@@ -137,10 +138,11 @@
     }
 
     /// How worth keeping the evidence is when there is no room for all: trials before other ends, those
-    /// before cleared ones, and later before earlier ones.
-    fn weight(&self) -> (usize, bool, Moment) {
+    /// before cleared ones, and then the same at all nodes.
+    fn weight(&self) -> (usize, bool, Option<u64>) {
         let is_suspect = self.uncleared().next().is_some();
-        (self.trials().count(), is_suspect, self.last_at())
+        let last_id = self.ends.iter().map(|end| end.id).max();
+        (self.trials().count(), is_suspect, last_id)
     }
 }
 
