node, route, fleet: calls share their routed request; one parse of a host; an attempt on its way in a module

Read of the change, without a change of behaviour. Each call copied its headers since a call may be sent again for a trial; now the tries share one routed request, and only a suspect's is changed. A fingerprint hashes the head once. The attempt that the driver sends is a module of its own.

--- a/crates/fleet/src/quarantine.rs
+++ b/crates/fleet/src/quarantine.rs
@@ -175,7 +175,7 @@
     }
 
     /// Whether a request with this hash of all but the body isn't clear.
-    pub fn has_head(&self, head: u32) -> bool {
+    pub fn has_head(&self, head: [u8; 4]) -> bool {
         let mut records = self.requests.range(Fingerprint::range(head));
         records.any(|(_, record)| record.evidence.uncleared().next().is_some())
     }
@@ -217,10 +217,9 @@
             evidence,
             changed_at: now,
         };
-        self.add_to_digest(request, &record);
-        if let Some(previous) = self.requests.insert(request, record) {
-            self.remove_from_digest(request, &previous);
-        }
+        self.digest = self.digest.wrapping_add(record.digest(request));
+        let previous = self.requests.insert(request, record);
+        self.remove_from_digest(request, previous);
         true
     }
 
@@ -229,12 +228,9 @@
         self.digest
     }
 
-    fn add_to_digest(&mut self, request: Fingerprint, record: &Record) {
-        self.digest = self.digest.wrapping_add(record.digest(request));
-    }
-
-    fn remove_from_digest(&mut self, request: Fingerprint, record: &Record) {
-        self.digest = self.digest.wrapping_sub(record.digest(request));
+    fn remove_from_digest(&mut self, request: Fingerprint, removed: Option<Record>) {
+        let digest = removed.map_or(0, |record| record.digest(request));
+        self.digest = self.digest.wrapping_sub(digest);
     }
 
     /// The requests whose evidence has changed since then, the latest first.
@@ -273,9 +269,8 @@
             .map(|(id, r)| (r.evidence.weight(), *id));
         match weights.min() {
             Some((weight, id)) if weight < new.weight() => {
-                if let Some(dropped) = self.requests.remove(&id) {
-                    self.remove_from_digest(id, &dropped);
-                }
+                let dropped = self.requests.remove(&id);
+                self.remove_from_digest(id, dropped);
                 true
             }
             _ => false,
--- a/crates/node/src/fingerprint.rs
+++ b/crates/node/src/fingerprint.rs
@@ -1,10 +1,13 @@
 //! Fingerprints of requests to backend servers.
 
+use std::net::IpAddr;
+
 use board::Board;
 use bytes::Bytes;
 use fleet::Verdict;
+use route::host_name;
 use sha2::{Digest, Sha256};
-use smol_str::SmolStr;
+use smol_str::{SmolStr, StrExt};
 use types::{Fingerprint, Moment, ServiceId};
 
 use crate::backend::ServerRequest;
@@ -28,7 +31,7 @@
         Self {
             caller: request.caller_service.clone(),
             method: request.method.clone(),
-            host: host_name(request),
+            host: requested_host(request),
             target: request.path.clone(),
             body: request.body.clone(),
         }
@@ -38,18 +41,13 @@
     /// in its body has evidence.
     pub(crate) fn verdict(&self, board: &Board, now: Moment) -> Verdict {
         let quarantine = board.quarantine.borrow();
-        match quarantine.is_empty() || !quarantine.has_head(self.head()) {
+        match quarantine.is_empty() || !quarantine.has_head(first(self.head_hash())) {
             true => Verdict::Clear,
             false => quarantine.verdict(self.fingerprint(), now),
         }
     }
 
     /// Hash of everything but the body.
-    fn head(&self) -> u32 {
-        let digest = self.head_hash().finalize();
-        u32::from_be_bytes(digest[..4].try_into().expect("a digest of 32 bytes"))
-    }
-
     fn head_hash(&self) -> Sha256 {
         let parts = [
             self.caller.as_ref().map_or("", ServiceId::as_str),
@@ -57,34 +55,37 @@
             &self.host,
             &self.target,
         ];
-        let hash = Sha256::new();
-        parts
-            .iter()
-            .fold(hash, |hash, part| add(hash, part.as_bytes()))
+        let add_part = |hash, part: &&str| add(hash, part.as_bytes());
+        parts.iter().fold(Sha256::new(), add_part)
     }
 
     /// Computes the fingerprint.
     pub(crate) fn fingerprint(&self) -> Fingerprint {
-        let digest = add(self.head_hash(), &self.body).finalize();
-        let rest = digest[..12].try_into().expect("a digest of 32 bytes");
-        Fingerprint::new(self.head(), rest)
+        let head = self.head_hash();
+        let whole = add(head.clone(), &self.body);
+        Fingerprint::new(first(head), first(whole))
     }
 }
 
+/// The first bytes of a hash.
+fn first<const N: usize>(hash: Sha256) -> [u8; N] {
+    let digest = hash.finalize();
+    digest[..N].try_into().expect("a digest of 32 bytes")
+}
+
 /// Adds a part to a hash. Its length keeps apart requests whose parts only join to the same bytes.
 fn add(hash: Sha256, part: &[u8]) -> Sha256 {
     hash.chain_update((part.len() as u64).to_be_bytes())
         .chain_update(part)
 }
 
-/// The host of a request without the port, empty if it is an address.
-fn host_name(request: &ServerRequest) -> SmolStr {
+/// The host name that a request asks for, empty if it is an address.
+fn requested_host(request: &ServerRequest) -> SmolStr {
     let header = request.headers.iter().find(|h| h.name == "host");
     let host = header.and_then(|h| std::str::from_utf8(&h.value).ok());
-    let host = host.unwrap_or_default();
-    let name = host.rsplit_once(':').map_or(host, |(name, _)| name);
-    match name.trim_matches(['[', ']']).parse::<std::net::IpAddr>() {
+    let name = host_name(host.unwrap_or_default());
+    match name.trim_matches(['[', ']']).parse::<IpAddr>() {
         Ok(_) => SmolStr::default(),
-        Err(_) => SmolStr::new(name.to_ascii_lowercase()),
+        Err(_) => name.to_ascii_lowercase_smolstr(),
     }
 }
--- a/crates/node/src/ingress/driver.rs
+++ b/crates/node/src/ingress/driver.rs
@@ -17,27 +17,26 @@
 };
 use gate::Rank;
 use route::ServerState;
-use smol_str::SmolStr;
 use tokio::time::{Sleep, sleep_until};
 use types::{Moment, Outcome, Refusal, ServerId, Span};
 
 use super::{
     Ingress,
+    outgoing::OutgoingAttempt,
     routing::RoutedCall,
     services::{RetryBudget, Selector, Trial},
     suspects::find_trial,
 };
 use crate::{
-    fingerprint::RequestIdentity,
     gate_actor::{Reply, outcome_name},
-    peers::{Attempt, KnownLimit, Peer, TransportError},
+    peers::{Peer, TransportError},
     view_sync::PeerReport,
 };
 
 /// Sends a call's attempts until it has an outcome. For a `trial`, only one is sent.
 pub(super) async fn run_attempts(
     ingress: &Arc<Ingress>,
-    routed: RoutedCall,
+    routed: Arc<RoutedCall>,
     trial: Option<Trial>,
 ) -> CallOutcome {
     let latency =
@@ -95,7 +94,7 @@
 struct CallDriver {
     ingress: Arc<Ingress>,
     call: Call,
-    routed: RoutedCall,
+    routed: Arc<RoutedCall>,
     /// Set if the request is a suspect, see [`fleet::Quarantine`].
     trial: Option<Trial>,
     /// Whether an attempt has ended without a known outcome: its backend server may have ended.
@@ -176,10 +175,8 @@
                 let outcome = reply.outcome;
                 if outcome == Outcome::Unknown {
                     self.broken = true;
-                    self.trial = self.trial.take().or_else(|| {
-                        let identity = RequestIdentity::new(&self.routed.request);
-                        find_trial(&self.ingress.board, &identity)
-                    });
+                    let found = || find_trial(&self.ingress.board, &self.routed.request);
+                    self.trial = self.trial.take().or_else(found);
                 }
                 self.decide(|call, selector, budget| {
                     call.on_outcome(attempt, outcome, now, selector, budget)
@@ -387,8 +384,15 @@
             request,
             registered: Arc::clone(&registered),
         };
-        let (running, abort_handle) = abortable(outgoing.run(attempt));
-        let event = running.map(|done| done.unwrap_or(Event::Aborted));
+        let (running, abort_handle) = abortable(outgoing.run());
+        let event = running.map(move |done| match done {
+            Ok((result, sent_at)) => Event::RunEnded {
+                attempt,
+                result,
+                sent_at,
+            },
+            Err(_) => Event::Aborted,
+        });
         self.events.push(event.boxed());
         self.attempts.push(AttemptState {
             server,
@@ -489,63 +493,6 @@
     }
 }
 
-/// An attempt that has no id yet.
-struct OutgoingAttempt {
-    ingress: Arc<Ingress>,
-    peer: Arc<Peer>,
-    server: ServerId,
-    idempotent: bool,
-    fail_fast: bool,
-    deadline: Moment,
-    /// Queueing rank, with the objective on this node's clock.
-    rank: Rank,
-    route: SmolStr,
-    known_limit: Option<KnownLimit>,
-    trial: bool,
-    request: crate::backend::ServerRequest,
-    registered: Arc<OnceLock<SessionAttempt>>,
-}
-
-impl OutgoingAttempt {
-    async fn run(self, attempt: AttemptIndex) -> Event {
-        let board = &self.ingress.board;
-        let registered = match self.peer.register_attempt(board, self.deadline).await {
-            Ok(registered) => registered,
-            Err(error) => {
-                return Event::RunEnded {
-                    attempt,
-                    result: Err(error),
-                    sent_at: board.clock.now(),
-                };
-            }
-        };
-        let _ = self.registered.set(registered);
-        let outgoing = Attempt {
-            registered,
-            server: self.server,
-            idempotent: self.idempotent,
-            fail_fast: self.fail_fast,
-            rank: Rank {
-                objective: registered.deadline - self.deadline.since(self.rank.objective),
-                ..self.rank
-            },
-            route: self.route,
-            known_limit: self.known_limit,
-            trial: self.trial,
-            request: self.request,
-            revision: board.view.borrow().revision,
-            node: board.identity.node,
-        };
-        let sent_at = board.clock.now();
-        let result = self.peer.client.run(outgoing).await;
-        Event::RunEnded {
-            attempt,
-            result,
-            sent_at,
-        }
-    }
-}
-
 fn reset_timer(timer: Pin<&mut Sleep>, wake_at: tokio::time::Instant) {
     if timer.deadline() != wake_at {
         timer.reset(wake_at);
--- a/crates/node/src/ingress/mod.rs
+++ b/crates/node/src/ingress/mod.rs
@@ -13,6 +13,7 @@
 mod framing;
 mod http1;
 mod http2;
+mod outgoing;
 mod response;
 mod routing;
 mod services;
--- a/crates/node/src/ingress/suspects.rs
+++ b/crates/node/src/ingress/suspects.rs
@@ -9,7 +9,7 @@
 use types::{Refusal, Span};
 
 use super::{Ingress, driver, routing::RoutedCall, services::Trial};
-use crate::fingerprint::RequestIdentity;
+use crate::{backend::ServerRequest, fingerprint::RequestIdentity};
 
 /// Time between two checks whether the trial of an equal request has ended.
 const TRIAL_POLL_INTERVAL: Span = Span::from_millis(25);
@@ -18,8 +18,9 @@
 const BLOCKED_RETRY_AFTER: Span = Span::from_millis(30_000);
 
 /// Runs a call to its end. A suspect request waits while an equal one is on trial.
-pub(super) async fn run_call(ingress: &Arc<Ingress>, mut routed: RoutedCall) -> CallOutcome {
+pub(super) async fn run_call(ingress: &Arc<Ingress>, routed: RoutedCall) -> CallOutcome {
     let identity = RequestIdentity::new(&routed.request);
+    let mut routed = Arc::new(routed);
     loop {
         let now = ingress.board.clock.now();
         let trial = match identity.verdict(&ingress.board, now) {
@@ -31,9 +32,9 @@
             Verdict::Blocked => return hold_back(ingress, &routed, &identity, BLOCKED_RETRY_AFTER),
         };
         if let Some(trial) = &trial {
-            routed.move_to_trial(&ingress.board, trial.request);
+            Arc::make_mut(&mut routed).move_to_trial(&ingress.board, trial.request);
         }
-        let outcome = driver::run_attempts(ingress, routed.clone(), trial).await;
+        let outcome = driver::run_attempts(ingress, Arc::clone(&routed), trial).await;
         let is_refused = matches!(
             outcome,
             CallOutcome::NotRun {
@@ -50,11 +51,12 @@
 }
 
 /// The trial of a request that isn't clear.
-pub(super) fn find_trial(board: &Board, identity: &RequestIdentity) -> Option<Trial> {
+pub(super) fn find_trial(board: &Board, request: &ServerRequest) -> Option<Trial> {
+    let identity = RequestIdentity::new(request);
     match identity.verdict(board, board.clock.now()) {
         Verdict::Clear => None,
         Verdict::Suspect | Verdict::Held(_) | Verdict::Blocked => {
-            Some(prepare_trial(board, identity))
+            Some(prepare_trial(board, &identity))
         }
     }
 }
--- a/crates/route/src/lib.rs
+++ b/crates/route/src/lib.rs
@@ -16,4 +16,4 @@
 
 pub use balancer::{Balancer, LoadReport, Member, Selection, ServerState};
 pub use policy::{LeastReported, Policy, PolicyKind, Random, RoundRobin, TwoChoices};
-pub use route_table::{RouteTable, service_for_trial};
+pub use route_table::{RouteTable, host_name, service_for_trial};
--- a/crates/route/src/route_table.rs
+++ b/crates/route/src/route_table.rs
@@ -41,7 +41,7 @@
     /// The route with the longest matching path prefix among those of the host. A port in `host` is
     /// ignored.
     pub fn find(&self, host: &str, path: &str) -> Option<Arc<HostRoute>> {
-        let name = host.rsplit_once(':').map_or(host, |(name, _)| name);
+        let name = host_name(host);
         let routes = match self.hosts.get(name) {
             Some(routes) => routes,
             None => self.hosts.get(name.to_ascii_lowercase().as_str())?,
@@ -65,6 +65,11 @@
     }
 }
 
+/// The host that a request names, without its port.
+pub fn host_name(host: &str) -> &str {
+    host.rsplit_once(':').map_or(host, |(name, _)| name)
+}
+
 /// The service of a route that runs a suspect request, the same at all ingresses with the same route. `None` if
 /// the route has no service with a weight.
 pub fn service_for_trial(route: &HostRoute, request: Fingerprint) -> Option<&ServiceId> {
--- a/crates/types/src/fingerprint.rs
+++ b/crates/types/src/fingerprint.rs
@@ -10,22 +10,18 @@
 #[serde(transparent)]
 pub struct Fingerprint(pub u128);
 
-/// Bits of the hash of the whole request.
-const REST_BITS: u32 = 96;
-
 impl Fingerprint {
     /// Joins the hash of all but the body, and that of the whole request.
-    pub fn new(head: u32, rest: [u8; 12]) -> Self {
-        let rest = rest
-            .iter()
-            .fold(0, |rest, byte| rest << 8 | u128::from(*byte));
-        Self(u128::from(head) << REST_BITS | rest)
+    pub fn new(head: [u8; 4], rest: [u8; 12]) -> Self {
+        let mut bytes = [0; 16];
+        bytes[..head.len()].copy_from_slice(&head);
+        bytes[head.len()..].copy_from_slice(&rest);
+        Self(u128::from_be_bytes(bytes))
     }
 
     /// The smallest and the largest fingerprint with this hash of all but the body.
-    pub fn range(head: u32) -> RangeInclusive<Self> {
-        let first = u128::from(head) << REST_BITS;
-        Self(first)..=Self(first | ((1 << REST_BITS) - 1))
+    pub fn range(head: [u8; 4]) -> RangeInclusive<Self> {
+        Self::new(head, [0; 12])..=Self::new(head, [u8::MAX; 12])
     }
 }
 
