Tests: how the gate actor, a call and a starting node hear of a deadly request; shared fixtures

Read of the change: some tests called the decision and not what leads to it, so they would have passed without the wiring. New ones go through the gate actor (a new incarnation, another server by probe or view, a silent probe, a cancelled or expired trial, a suspect in the queue), the call (a hedge refused for a trial elsewhere) and a starting node (ready only after a peer has told it). The tests of evidence use one builder, with the same assertions; three modules share the board that they start from.

--- a/crates/call/tests/declined_attempts.rs
+++ b/crates/call/tests/declined_attempts.rs
@@ -116,3 +116,37 @@
     assert_eq!(next_is_fail_fast(0), Some(true));
     assert_eq!(next_is_fail_fast(1), Some(false));
 }
+
+struct FullBudget;
+
+impl Budget for FullBudget {
+    fn try_withdraw(&mut self) -> bool {
+        true
+    }
+}
+
+#[test]
+fn a_hedge_that_is_refused_for_a_trial_elsewhere_does_not_end_its_call() {
+    let request = CallRequest {
+        idempotent: true,
+        is_retry: false,
+        deadline: NOW + Span::from_millis(1_000),
+        max_attempts: 2,
+    };
+    let timeouts = Timeouts {
+        reply_timeout: Span::from_millis(900),
+        hedge_delay: Span::from_millis(500),
+        query_interval: Span::from_millis(100),
+    };
+    let mut call = Call::new(request, timeouts);
+    call.start(NOW, &mut TwoServers);
+    let later = NOW + Span::from_millis(500);
+    let hedge = call.tick(later, &mut TwoServers, &mut FullBudget);
+    assert!(sent(&hedge).is_some(), "{hedge:?}");
+    let refused = Outcome::refused(Refusal::Quarantined);
+    call.on_outcome(1, refused, later, &mut TwoServers, &mut FullBudget);
+    assert!(!call.is_finished());
+    let answer = Outcome::Answer(Default::default());
+    call.on_outcome(0, answer, later, &mut TwoServers, &mut FullBudget);
+    assert!(call.is_finished());
+}
--- /dev/null
+++ b/crates/node/src/gate_actor/tests/actor.rs
@@ -0,0 +1,203 @@
+//! How the gate actor hears that its backend server has ended, and what it withholds.
+
+use std::sync::Arc;
+
+use dialect::ResponseMetadata;
+use fleet::{Lease, ServerEnd, Verdict};
+use futures::{
+    FutureExt,
+    future::{BoxFuture, pending},
+};
+use gate::{Completion, Offer, Rank};
+use smol_str::SmolStr;
+use tokio::{sync::oneshot, time::Instant};
+use types::{AttemptId, Boot, Outcome, Refusal, Seq, ServerId, Span};
+
+use super::{attempt, request, server, server_request, view};
+use crate::{
+    backend::{Backend, ProbeError, RequestResult, ServerRequest, Target},
+    fixtures::board,
+    gate_actor::{GateActor, ProbeFinished, Reply, RunAttempt},
+    metrics::Metrics,
+};
+
+/// A backend server whose requests run until the test ends them.
+struct PendingBackend;
+
+impl Backend for PendingBackend {
+    fn run(&self, _: ServerRequest, _: Target, _: Instant) -> BoxFuture<'static, RequestResult> {
+        pending().boxed()
+    }
+
+    fn probe(&self, _: Target) -> BoxFuture<'static, Result<ResponseMetadata, ProbeError>> {
+        pending().boxed()
+    }
+}
+
+/// A gate with an open lease, whose backend server has one slot.
+fn actor() -> GateActor {
+    let board = board();
+    let mut lease = Lease::new(Span::from_millis(60_000));
+    lease.renew(board.clock.now());
+    board.lease.send_replace(lease);
+    board.phase.send_replace(board::Phase::Ready);
+    board.view.send_replace(view(2, &server()));
+    let metrics = Arc::new(Metrics::new());
+    let mut actor = GateActor::new(board, Arc::new(PendingBackend), metrics, 1.0);
+    actor.refresh();
+    actor
+}
+
+fn probed(actor: &mut GateActor, result: Result<ResponseMetadata, ProbeError>) {
+    actor.probe_finished(ProbeFinished {
+        server: server(),
+        sent_at: actor.board.clock.now(),
+        result,
+    });
+}
+
+/// The response of an incarnation of the backend server to a probe.
+fn response(boot: u64) -> ResponseMetadata {
+    ResponseMetadata {
+        boot: Some(Boot(boot)),
+        ..ResponseMetadata::default()
+    }
+}
+
+/// A request that is sent to the backend server, and whose connection breaks.
+fn break_request(actor: &mut GateActor, trial: bool) {
+    let now = actor.board.clock.now();
+    actor
+        .evidence
+        .record_start(attempt(1), request("/rare"), trial, now);
+    actor.record_evidence(attempt(1), &Completion::Incomplete, false);
+}
+
+fn verdict(actor: &GateActor) -> Verdict {
+    request("/rare").verdict(&actor.board, actor.board.clock.now())
+}
+
+#[tokio::test]
+async fn a_server_that_is_back_before_the_next_probe_has_ended() {
+    let mut actor = actor();
+    probed(&mut actor, Ok(response(1)));
+    break_request(&mut actor, false);
+    probed(&mut actor, Ok(response(2)));
+    assert_eq!(verdict(&actor), Verdict::Suspect);
+}
+
+#[tokio::test]
+async fn a_server_that_answers_the_next_probe_has_not_ended() {
+    let mut actor = actor();
+    probed(&mut actor, Ok(response(1)));
+    break_request(&mut actor, false);
+    probed(&mut actor, Ok(response(1)));
+    probed(&mut actor, Err(ProbeError::Refused));
+    assert_eq!(verdict(&actor), Verdict::Clear);
+}
+
+#[tokio::test]
+async fn a_server_has_ended_if_another_one_answers_at_its_address() {
+    let mut actor = actor();
+    break_request(&mut actor, false);
+    let other: ServerId = "other".parse().expect("a valid id");
+    let metadata = ResponseMetadata {
+        server: Some(other),
+        ..ResponseMetadata::default()
+    };
+    probed(&mut actor, Ok(metadata));
+    assert_eq!(verdict(&actor), Verdict::Suspect);
+}
+
+#[tokio::test]
+async fn a_server_has_ended_if_the_view_names_another_one() {
+    let mut actor = actor();
+    break_request(&mut actor, false);
+    let other: ServerId = "other".parse().expect("a valid id");
+    actor.board.view.send_replace(view(3, &other));
+    actor.refresh();
+    let quarantine = actor.board.quarantine.borrow();
+    let evidence = quarantine.evidence(request("/rare").fingerprint());
+    let ended: Vec<_> = evidence.into_iter().flat_map(|e| &e.ends).collect();
+    assert_eq!(ended.first().map(|end| &end.server), Some(&server()));
+}
+
+#[tokio::test]
+async fn a_trial_before_a_probe_without_an_answer_has_ended_its_server() {
+    let mut actor = actor();
+    break_request(&mut actor, true);
+    probed(&mut actor, Err(ProbeError::NoAnswer));
+    assert!(matches!(verdict(&actor), Verdict::Held(_)));
+}
+
+#[tokio::test]
+async fn a_trial_that_was_cancelled_or_expired_may_have_ended_its_server() {
+    for completion in [Completion::Cancelled, Completion::Expired] {
+        let mut actor = actor();
+        let now = actor.board.clock.now();
+        actor
+            .evidence
+            .record_start(attempt(1), request("/rare"), true, now);
+        actor.record_evidence(attempt(1), &completion, false);
+        probed(&mut actor, Err(ProbeError::Refused));
+        assert!(
+            matches!(verdict(&actor), Verdict::Held(_)),
+            "{completion:?}"
+        );
+    }
+}
+
+/// Offers a request to the gate. Returns its attempt and the reply to it.
+fn offer(actor: &mut GateActor, seq: u64) -> (AttemptId, oneshot::Receiver<Reply>) {
+    let opened = actor.open_session(Boot(9));
+    let id = AttemptId {
+        boot: opened.boot,
+        session: opened.session,
+        seq: Seq(seq),
+    };
+    let (reply, replied) = oneshot::channel();
+    actor.run(RunAttempt {
+        offer: Offer {
+            id,
+            floor: Seq(1),
+            deadline: opened.gate_time + Span::from_millis(10_000),
+            fail_fast: false,
+            refusal: None,
+            rank: Rank::default(),
+        },
+        server: server(),
+        route: SmolStr::default(),
+        idempotent: true,
+        known_limit: None,
+        trial: false,
+        request: server_request("/rare", None),
+        reply,
+    });
+    (id, replied)
+}
+
+#[tokio::test]
+async fn a_request_that_becomes_a_suspect_in_the_queue_is_not_started() {
+    let mut actor = actor();
+    let (first, _) = offer(&mut actor, 1);
+    let (_, mut queued) = offer(&mut actor, 2);
+    assert!(queued.try_recv().is_err(), "it waits for the slot");
+    let end = ServerEnd {
+        id: 7,
+        server: "other".parse().expect("a valid id"),
+        at: actor.board.clock.now(),
+        trial: false,
+        cleared: false,
+    };
+    let fingerprint = request("/rare").fingerprint();
+    actor.board.quarantine.send_modify(|quarantine| {
+        quarantine.record_end(fingerprint, end);
+    });
+    actor.run_finished(first, Completion::Shed.into());
+    let reply = queued.try_recv().expect("a reply");
+    let refused = Outcome::NotRun {
+        refusal: Refusal::Quarantined,
+        retry_after: Span::default(),
+    };
+    assert_eq!(reply.outcome, refused);
+}
--- a/crates/node/src/lib.rs
+++ b/crates/node/src/lib.rs
@@ -19,6 +19,9 @@
 //!
 //! [`lifecycle::run`] starts these components and shuts them down in order.
 
+#[cfg(test)]
+mod fixtures;
+
 mod admin;
 mod backend;
 mod body_budget;
--- a/crates/node/src/peers/tests.rs
+++ b/crates/node/src/peers/tests.rs
@@ -5,14 +5,16 @@
     atomic::{AtomicBool, AtomicU64, Ordering},
 };
 
-use board::{Board, Identity};
 use futures::{FutureExt, future::BoxFuture};
 use gate::Load;
 use tokio::time::{Duration, timeout};
 use types::{AttemptId, Boot, Moment, Outcome, Refusal, Revision, SessionId, Span};
 
 use super::{Attempt, GateClient, Peer, TransportError};
-use crate::gate_actor::{OpenedSession, Reply};
+use crate::{
+    fixtures::board,
+    gate_actor::{OpenedSession, Reply},
+};
 
 /// A gate that opens sessions with increasing numbers and answers nothing else.
 #[derive(Default)]
@@ -51,15 +53,6 @@
     }
 }
 
-fn board() -> Arc<Board> {
-    Board::new(Identity {
-        host: "host".parse().expect("a valid id"),
-        zone: "zone".parse().expect("a valid id"),
-        node: "127.0.0.1:1".parse().expect("a valid address"),
-        boot: Boot(2),
-    })
-}
-
 fn reply(outcome: Outcome, boot: Boot) -> Reply {
     let load = Load::default();
     Reply {
--- a/crates/node/src/view_sync/tests.rs
+++ b/crates/node/src/view_sync/tests.rs
@@ -1,6 +1,7 @@
 //! Tests of the read budget with a faulty platform, and of a view that takes long to receive.
 
 use std::{
+    net::SocketAddr,
     sync::{
         Arc,
         atomic::{AtomicU64, Ordering},
@@ -8,7 +9,7 @@
     time::Duration,
 };
 
-use board::{Board, Identity};
+use board::Phase;
 use fleet::{Snapshot, ViewUpdate};
 use futures::{FutureExt, future::BoxFuture};
 use note::{Listing, OperatorConfig};
@@ -20,14 +21,15 @@
     Request, Response, Status,
     transport::{Server, server::TcpIncoming},
 };
-use types::{Boot, Moment, Rate, Revision, Span, Stamp};
+use types::{Fingerprint, Moment, Rate, Revision, Span, Stamp};
 use wire::peer::{
-    AskRequest, OpenReply, OpenRequest, Outcome, PullReply, PullRequest, RunRequest, View,
+    AskRequest, OpenReply, OpenRequest, Outcome, PullReply, PullRequest, RunRequest, ServerEnd,
+    SuspectRequest, View,
     peer_server::{Peer, PeerServer},
 };
 
 use super::{Source, SyncOptions, spawn};
-use crate::metrics::Metrics;
+use crate::{fixtures::board, metrics::Metrics};
 
 /// Number of reads after which the fake stops answering, so that a loop of reads ends.
 const MAX_READS: u64 = 1_000;
@@ -62,15 +64,6 @@
     }
 }
 
-fn board() -> Arc<Board> {
-    Board::new(Identity {
-        host: "host".parse().expect("a valid id"),
-        zone: "zone".parse().expect("a valid id"),
-        node: "127.0.0.1:1".parse().expect("a valid address"),
-        boot: Boot(1),
-    })
-}
-
 #[tokio::test]
 async fn platform_without_its_newest_note_is_read_within_the_budget() {
     let board = board();
@@ -113,6 +106,24 @@
 struct SlowPeer {
     snapshot: Snapshot,
     address: String,
+    /// Time that it takes for a comparison.
+    compare_time: Duration,
+    suspects: Vec<SuspectRequest>,
+}
+
+/// Starts a peer, and returns its address.
+async fn start_peer(compare_time: Duration, suspects: Vec<SuspectRequest>) -> SocketAddr {
+    let listener = TcpListener::bind("127.0.0.1:0").await.expect("a free port");
+    let address = listener.local_addr().expect("a bound address");
+    let peer = SlowPeer {
+        snapshot: snapshot(),
+        address: address.to_string(),
+        compare_time,
+        suspects,
+    };
+    let server = Server::builder().add_service(PeerServer::new(peer));
+    tokio::spawn(server.serve_with_incoming(TcpIncoming::from(listener)));
+    address
 }
 
 #[tonic::async_trait]
@@ -130,12 +141,14 @@
     }
 
     async fn compare(&self, _: Request<View>) -> Result<Response<View>, Status> {
+        tokio::time::sleep(self.compare_time).await;
         let view = self.snapshot.view();
         Ok(Response::new(View {
             revision: view.revision.0,
             digest: view.digest.0.to_vec().into(),
             node: self.address.clone(),
             ready: true,
+            suspects: self.suspects.clone(),
             ..View::default()
         }))
     }
@@ -170,14 +183,7 @@
 
 #[tokio::test]
 async fn a_view_that_takes_seconds_to_arrive_from_a_peer_is_taken() {
-    let listener = TcpListener::bind("127.0.0.1:0").await.expect("a free port");
-    let address = listener.local_addr().expect("a bound address");
-    let peer = SlowPeer {
-        snapshot: snapshot(),
-        address: address.to_string(),
-    };
-    let server = Server::builder().add_service(PeerServer::new(peer));
-    tokio::spawn(server.serve_with_incoming(TcpIncoming::from(listener)));
+    let address = start_peer(Duration::ZERO, Vec::new()).await;
     let board = board();
     let mut views = board.view.subscribe();
     let _view_sync = spawn(
@@ -193,3 +199,63 @@
     let changed = timeout(TRANSFER_TIME * 2, views.changed()).await;
     changed.expect("the peer's view in time").expect("a view");
 }
+
+/// A registry that has what [`snapshot`] has.
+struct FastRegistry;
+
+impl Registry for FastRegistry {
+    fn entries(&self) -> BoxFuture<'_, Result<RegistryEntries, PlatformError>> {
+        let stamp = Stamp::without_era(Revision(5));
+        let listing = Listing {
+            stamp,
+            ..Listing::default()
+        };
+        async {
+            Ok(RegistryEntries {
+                listing,
+                zones_out: Vec::new(),
+            })
+        }
+        .boxed()
+    }
+
+    fn config(&self, _: Option<Stamp>) -> BoxFuture<'_, Result<ConfigRead, PlatformError>> {
+        let config = OperatorConfig {
+            stamp: Stamp::without_era(Revision(5)),
+            checked: Stamp::without_era(Revision(5)),
+            version: 7,
+            ..OperatorConfig::default()
+        };
+        async { Ok(ConfigRead::Changed(Box::new(config))) }.boxed()
+    }
+}
+
+#[tokio::test]
+async fn a_node_is_ready_once_a_peer_has_told_it_which_requests_end_servers() {
+    let suspect = SuspectRequest {
+        fingerprint: 7_u128.to_be_bytes().to_vec().into(),
+        ends: vec![ServerEnd {
+            id: 1,
+            server: "server".into(),
+            ..ServerEnd::default()
+        }],
+    };
+    let address = start_peer(Duration::from_millis(200), vec![suspect]).await;
+    let board = board();
+    let mut phases = board.phase.subscribe();
+    let _view_sync = spawn(
+        &board,
+        Source::registry(Arc::new(FastRegistry)),
+        &Arc::new(Metrics::new()),
+        SyncOptions {
+            seeds: vec![address],
+            reads: Rate::new(3.0).expect("a valid rate"),
+            lease: Span::from_millis(3_000),
+        },
+    );
+    let ready = phases.wait_for(|phase| *phase == Phase::Ready);
+    let ready = timeout(Duration::from_secs(5), ready).await;
+    ready.expect("ready in time").expect("a phase");
+    let quarantine = board.quarantine.borrow();
+    assert!(quarantine.evidence(Fingerprint(7)).is_some());
+}
--- a/crates/rig/tests/connection_close.rs
+++ b/crates/rig/tests/connection_close.rs
@@ -36,6 +36,14 @@
     Ok(())
 }
 
+/// Sends a request on a connection, and reads until the node closes it.
+async fn exchange(stream: &mut TcpStream, request: &str) -> io::Result<String> {
+    stream.write_all(request.as_bytes()).await?;
+    let mut response = Vec::new();
+    stream.read_to_end(&mut response).await?;
+    Ok(String::from_utf8_lossy(&response).into_owned())
+}
+
 /// Time from SIGTERM until a node with default settings stops accepting connections of callers.
 const CLOSE_DELAY: Duration = Duration::from_millis(500);
 
@@ -49,12 +57,7 @@
     sleep(CLOSE_DELAY - Duration::from_millis(100)).await;
     let mut stream = TcpStream::connect(cluster.target(0)).await?;
     sleep(Duration::from_millis(200)).await;
-    stream
-        .write_all(b"GET /draws/x HTTP/1.1\r\nhost: h\r\n\r\n")
-        .await?;
-    let mut response = Vec::new();
-    stream.read_to_end(&mut response).await?;
-    let text = String::from_utf8_lossy(&response);
+    let text = exchange(&mut stream, "GET /draws/x HTTP/1.1\r\nhost: h\r\n\r\n").await?;
     assert!(text.starts_with("HTTP/1.1 "), "{text}");
     Ok(())
 }
@@ -69,13 +72,10 @@
         .start()
         .await?;
     let mut stream = TcpStream::connect(cluster.target(0)).await?;
-    let request = b"GET /draws/x HTTP/1.1\r\nhost: h\r\nx-deadline-ms: 2000\r\n\r\n";
+    let request = "GET /draws/x HTTP/1.1\r\nhost: h\r\nx-deadline-ms: 2000\r\n\r\n";
     cluster.nodes[0].signal("TERM").await;
     sleep(Duration::from_millis(600)).await;
-    stream.write_all(request).await?;
-    let mut response = Vec::new();
-    stream.read_to_end(&mut response).await?;
-    let text = String::from_utf8_lossy(&response);
+    let text = exchange(&mut stream, request).await?;
     assert!(text.starts_with("HTTP/1.1 503"), "{text}");
     assert!(text.contains("not-run"), "{text}");
     Ok(())
