--- a/crates/node/src/metrics.rs
+++ b/crates/node/src/metrics.rs
@@ -108,8 +108,10 @@
     /// Counts an event of requests under which backend servers end: `end` of a server under one, `trial`,
     /// `held` back or blocked, `cleared`.
     pub(crate) fn record_suspects(&self, event: &'static str, count: usize) {
-        let labels = [KeyValue::new("event", event)];
-        self.suspects.add(count as u64, &labels);
+        if count > 0 {
+            let labels = [KeyValue::new("event", event)];
+            self.suspects.add(count as u64, &labels);
+        }
     }
 
     /// Counts a control message that this node sends.
