--- a/review/build.sh
+++ b/review/build.sh
@@ -3,6 +3,6 @@
 set -euo pipefail
 cd "$(dirname "$0")/.."
 mkdir -p target/review
-for name in copy freeze memory chunk stop; do
+for name in withdraw copy freeze chunk memory; do
     rustc --edition 2024 -O -o "target/review/$name" "review/standins/$name.rs"
 done
--- a/review/standins/memory.rs
+++ b/review/standins/memory.rs
@@ -27,7 +27,9 @@
 /// Size of a body without the disruption: the mean of the sheet.
 const SMALL_BYTES: usize = 1_200;
 /// Other callers, which use one kept connection each.
-const CALLERS: usize = 8;
+const CALLERS: usize = 14;
+/// Time that their requests run, so that most of them are at a server at any time.
+const WORK_MS: u64 = 400;
 /// Requests that may be lost without breaking LOST ("more than three times").
 const MAX_LOST: usize = 3;
 const PLAYED: Duration = Duration::from_millis(25_000);
@@ -150,7 +152,7 @@
     };
     while started.elapsed() < PLAYED && !killed.load(Ordering::SeqCst) {
         let id = new_id("f");
-        let answer = lodge(&mut caller, &id, 200, SMALL_BYTES);
+        let answer = lodge(&mut caller, &id, WORK_MS, SMALL_BYTES);
         match &answer {
             Ok(Some(answer)) if answer.status() == 200 => {}
             _ => record.line(format!("{id}: {}", describe(&answer))),
@@ -159,7 +161,7 @@
             *lost.lock().unwrap() += 1;
             return;
         }
-        sleep(10);
+        sleep(2);
     }
 }
 
