--- a/review/build.sh
+++ b/review/build.sh
@@ -3,6 +3,6 @@
 set -euo pipefail
 cd "$(dirname "$0")/.."
 mkdir -p target/review
-for name in withdraw copy freeze chunk memory; do
+for name in withdraw copy freeze chunk stop; do
     rustc --edition 2024 -O -o "target/review/$name" "review/standins/$name.rs"
 done
