--- a/review/standins/freeze.rs
+++ b/review/standins/freeze.rs
@@ -1,5 +1,5 @@
 //! A machine stands still for some seconds and goes on, while its backend server has all slots in use and
-//! requests from another machine are queued. Their callers leave meanwhile. Its process must survive.
+//! requests from another machine are queued for it. Its process must survive.
 
 #[path = "harness.rs"]
 #[allow(dead_code)]
@@ -20,16 +20,25 @@
 
 /// Length of the freeze.
 const FREEZE_MS: u64 = 2_900;
-/// Requests that are queued when the freeze begins, and the time after which their callers leave.
-const QUEUED: usize = 5;
-const LEAVE_MS: u64 = 700;
 /// Time after the freeze from which the machine counts as in touch again (`stable_window`).
 const IN_TOUCH_MS: u64 = 4_000;
-/// Requests that fill the slots that a node uses, of nine.
-const LONG_RUNS: usize = 7;
-/// Time that they run, less than the deadline of `green-read`.
+/// Deadline of `green-read`.
+const DEADLINE_MS: u64 = 8_000;
+/// Requests in the calm. They earn the sender the right to hedge some requests.
+const WARM_UP: usize = 110;
+/// Requests that fill the slots that the nodes use of both servers, seven of nine each.
+const FILLING: usize = 14;
+/// Server that is slower than the other of its service, and the times that these requests take there and
+/// at the other one.
+const SLOW_SERVER: &str = "i-12";
 const LONG_MS: u64 = 7_750;
-const READ_DEADLINE_MS: u64 = 8_000;
+const SHORT_MS: u64 = 235;
+/// Requests that find all slots in use, and the time that they take.
+const QUEUED: usize = 4;
+const QUEUED_MS: u64 = 600;
+/// Requests that the sender gets shortly before the frozen machine goes on.
+const LATER: u64 = 16;
+const LATER_MS: u64 = 300;
 /// Callers of the frozen machine that use another service.
 const OTHERS: usize = 6;
 /// Requests that may be lost without breaking LOST ("more than three times").
@@ -60,7 +69,7 @@
     let folder = TempFolder::new("freeze")?;
     let store = Store::start(net.store())?;
     let routes = [
-        route("r-green-read", "greens.example", "greens", READ_DEADLINE_MS),
+        route("r-green-read", "greens.example", "greens", DEADLINE_MS),
         route("r-draw-read", "draws.example", "draws", 2_000),
     ];
     store.put("op/config", &config(7, &routes, &["greens", "draws"]));
@@ -70,12 +79,12 @@
     let hosts = [
         (11, "lautoka", "draws"),
         (12, "nadi", "greens"),
-        (13, "sigatoka", "draws"),
+        (13, "sigatoka", "greens"),
     ];
     for (host, zone, service) in hosts {
         let id = format!("i-{host}");
         let identity = (id.as_str(), service, zone);
-        let handler = sound_handler();
+        let handler = uneven_handler();
         servers.push(Upstream::start(
             &store,
             net,
@@ -102,16 +111,8 @@
     thread::sleep(STABLE_WINDOW);
     let (sender, frozen) = (nodes[0].outbound(), nodes[1].outbound());
 
-    // Requests in the calm, so that the sender knows how long they take.
-    for _ in 0..4 {
-        let answer = send(
-            sender,
-            "greens.example",
-            "read",
-            50,
-            READ_DEADLINE_MS,
-            record,
-        );
+    for _ in 0..WARM_UP {
+        let answer = send(sender, "greens.example", "calm", "work-50", record);
         if !matches!(&answer, Ok(Some(answer)) if answer.status() == 200) {
             return Err(format!(
                 "a request failed before the disruption: {}",
@@ -121,29 +122,25 @@
     }
     let mut threads = Vec::new();
     let lost: Arc<Mutex<Vec<Instant>>> = Arc::default();
-    for _ in 0..LONG_RUNS {
-        let mut caller = kept(frozen, record)?;
+    let mut callers = Vec::new();
+    for _ in 0..FILLING {
+        callers.push(kept(frozen, record)?);
+    }
+    for mut caller in callers {
         let (record, lost) = (record.clone(), Arc::clone(&lost));
         threads.push(thread::spawn(move || {
-            let answer = ask(
-                &mut caller,
-                "greens.example",
-                "long",
-                LONG_MS,
-                READ_DEADLINE_MS,
-                &record,
-            );
+            let answer = ask(&mut caller, "greens.example", "filling", "uneven", &record);
             if matches!(answer, Ok(None)) {
                 lost.lock().unwrap().push(Instant::now());
             }
         }));
     }
-    sleep(500);
-
+    sleep(200);
     for _ in 0..QUEUED {
         let record = record.clone();
         threads.push(thread::spawn(move || {
-            let _ = queue(sender, &record);
+            let work = format!("work-{QUEUED_MS}");
+            let _ = send(sender, "greens.example", "queued", &work, &record);
         }));
     }
     sleep(100);
@@ -152,20 +149,13 @@
         record.line(format!("{} is frozen (SIGSTOP)", nodes[1].name));
         nodes[1].signal(SIGSTOP);
     }
-    // Other callers of the same route, shortly before the machine goes on.
-    for number in 0..4 {
+    for number in 0..LATER {
         let record = record.clone();
-        let start = frozen_at + ms(2_450 + 50 * number);
+        let start = frozen_at + ms(2_600 + 5 * number);
         threads.push(thread::spawn(move || {
             thread::sleep(start.saturating_duration_since(Instant::now()));
-            let _ = send(
-                sender,
-                "greens.example",
-                "next",
-                50,
-                READ_DEADLINE_MS,
-                &record,
-            );
+            let work = format!("work-{LATER_MS}");
+            let _ = send(sender, "greens.example", "next", &work, &record);
         }));
     }
     let at = |millis: u64| thread::sleep(ms(millis).saturating_sub(frozen_at.elapsed()));
@@ -186,7 +176,7 @@
                 return;
             };
             while !over.load(Ordering::SeqCst) {
-                let answer = ask(&mut caller, "draws.example", "draw", 150, 2_000, &record);
+                let answer = ask(&mut caller, "draws.example", "draw", "work-150", &record);
                 if matches!(answer, Ok(None)) {
                     lost.lock().unwrap().push(Instant::now());
                     return;
@@ -230,88 +220,65 @@
 /// A connection that has served a request.
 fn kept(address: SocketAddr, record: &Record) -> Result<Caller, String> {
     let mut caller = Caller::connect(address).map_err(|e| e.to_string())?;
-    let answer = ask(&mut caller, "draws.example", "first", 5, 2_000, record);
+    let answer = ask(&mut caller, "draws.example", "first", "work-5", record);
     match &answer {
         Ok(Some(answer)) if answer.status() == 200 => Ok(caller),
         _ => Err(format!("a first request failed: {}", describe(&answer))),
     }
 }
 
-/// Sends a request whose caller leaves after a while. Without the disruption, it waits for the answer.
-fn queue(address: SocketAddr, record: &Record) -> std::io::Result<()> {
-    if !has_trouble() {
-        return send(
-            address,
-            "greens.example",
-            "queued",
-            50,
-            READ_DEADLINE_MS,
-            record,
-        )
-        .map(drop);
-    }
-    let id = new_id("q");
-    let head = request_head(
-        "GET",
-        "greens.example",
-        &format!("/r/work-50/{id}"),
-        &id,
-        READ_DEADLINE_MS,
-    );
-    record.line(format!(
-        "caller sends {id} (queued), deadline {READ_DEADLINE_MS} ms"
-    ));
-    let mut caller = Caller::connect(address)?;
-    caller.send(format!("{head}\r\n").as_bytes())?;
-    sleep(LEAVE_MS);
-    record.line(format!("{id}: its caller leaves"));
-    Ok(())
-}
-
 /// Sends a request on a new connection, and waits for its answer.
 fn send(
     address: SocketAddr,
     host: &str,
     kind: &str,
-    work_ms: u64,
-    deadline_ms: u64,
+    work: &str,
     record: &Record,
 ) -> std::io::Result<Option<Message>> {
-    ask(
-        &mut Caller::connect(address)?,
-        host,
-        kind,
-        work_ms,
-        deadline_ms,
-        record,
-    )
+    ask(&mut Caller::connect(address)?, host, kind, work, record)
 }
 
 fn ask(
     caller: &mut Caller,
     host: &str,
     kind: &str,
-    work_ms: u64,
-    deadline_ms: u64,
+    work: &str,
     record: &Record,
 ) -> std::io::Result<Option<Message>> {
     let id = new_id(&kind[..1]);
-    let head = request_head(
-        "GET",
-        host,
-        &format!("/r/work-{work_ms}/{id}"),
-        &id,
-        deadline_ms,
-    );
-    record.line(format!(
-        "caller sends {id} ({kind}), deadline {deadline_ms} ms"
-    ));
+    let head = request_head("GET", host, &format!("/r/{work}/{id}"), &id, DEADLINE_MS);
+    record.line(format!("caller sends {id} ({kind})"));
     caller.send(format!("{head}\r\n").as_bytes())?;
-    let answer = caller.read(ms(deadline_ms + 1_000));
+    let answer = caller.read(ms(DEADLINE_MS + 1_000));
     record.line(format!("{id}: {}", describe(&answer)));
     answer
 }
 
+/// A sound server. Requests named "uneven" take much longer at the slow server than at others.
+fn uneven_handler() -> Arc<Handler> {
+    Arc::new(
+        |upstream: &Upstream, request: &Message, _: &mut ConnectionState| {
+            if request.path() == "/healthz" {
+                return Some(upstream.health());
+            }
+            if let Some(answer) = upstream.misdirected(request) {
+                return Some(answer);
+            }
+            upstream.begin(request);
+            let is_uneven = request.path().starts_with("/r/uneven/");
+            sleep(match is_uneven {
+                true if upstream.id == SLOW_SERVER => LONG_MS,
+                true => SHORT_MS,
+                false => work_ms(request),
+            });
+            upstream
+                .record
+                .line(format!("{}: ends {}", upstream.id, request.id()));
+            Some(upstream.success(request, "done"))
+        },
+    )
+}
+
 /// The lines of a log that tell of a panic.
 fn panic_lines(path: &std::path::Path) -> Vec<String> {
     let text = std::fs::read_to_string(path).unwrap_or_default();
