--- a/crates/node/src/view_sync/tests.rs
+++ b/crates/node/src/view_sync/tests.rs
@@ -1,5 +1,7 @@
 //! Tests of the read budget with a faulty platform, and of a view that takes long to receive.
 
+mod silent_watch;
+
 use std::{
     net::SocketAddr,
     sync::{
