fleet: an empty answer of the watch is no proof that nothing changed

Callers saw 404 on a route that the operator had added, from all nodes, until the next version. Cause: a read of the changes that reports none raised the stamp from which the next read starts, on all nodes. If the registry's watch was silent while the change was written, and had forgotten it when it reported again, no read looked for it any more. Class: the absence of a message is taken for a statement. Change: WatchStart lets a read start before the answers of the last five seconds, but not before the configuration in force, so that a change that was reported late is still found, and one that was forgotten leads to a read of the whole configuration (410).

--- a/crates/fleet/src/lib.rs
+++ b/crates/fleet/src/lib.rs
@@ -26,6 +26,7 @@
 mod read_turns;
 mod readiness;
 mod snapshot;
+mod watch_start;
 
 pub use gossip::{Action, Gossip, ReadBudget};
 pub use history::{History, HistoryError, ViewUpdate};
@@ -34,3 +35,4 @@
 pub use quarantine::{Evidence, Quarantine, ServerEnd, Verdict};
 pub use readiness::Readiness;
 pub use snapshot::{Digests, EraChange, HeldZones, Parts, Snapshot};
+pub use watch_start::WatchStart;
--- a/crates/fleet/src/snapshot.rs
+++ b/crates/fleet/src/snapshot.rs
@@ -280,6 +280,11 @@
         servers.into_iter().chain(zones).min()
     }
 
+    /// Version of the configuration, 0 if there is none yet.
+    pub fn config_version(&self) -> u64 {
+        self.config.version
+    }
+
     /// Stamp up to which the configuration has been compared with the registry, `None` if there is no
     /// configuration yet.
     pub fn checked(&self) -> Option<Stamp> {
--- a/crates/node/src/view_sync/exchange.rs
+++ b/crates/node/src/view_sync/exchange.rs
@@ -207,12 +207,10 @@
     }
 
     fn apply_update(&mut self, peer: SocketAddr, sent_at: Moment, update: ViewUpdate) {
-        let now = self.board.clock.now();
         match (&mut self.source, update) {
-            (Source::Registry { snapshot, .. }, ViewUpdate::Parts(parts)) => {
+            (Source::Registry { .. }, ViewUpdate::Parts(parts)) => {
                 let revision = parts.revision;
-                snapshot.merge(*parts, now);
-                self.log_era_change();
+                self.merge_parts(*parts);
                 self.renew_lease(sent_at);
                 self.publish();
                 self.publish_checked();
--- a/crates/node/src/view_sync/registry.rs
+++ b/crates/node/src/view_sync/registry.rs
@@ -2,6 +2,7 @@
 
 use std::sync::Arc;
 
+use fleet::{Parts, WatchStart};
 use kameo::message::{Context, Message};
 use platform::{ConfigRead, PlatformError, RegistryEntries};
 use types::{Moment, Revision, Stamp};
@@ -19,6 +20,8 @@
     failing: bool,
     /// Number of unusable entries in the last listing.
     unusable: usize,
+    /// Where the next read of the configuration's changes starts.
+    watch: WatchStart,
 }
 
 /// The first part of a read has ended.
@@ -113,8 +116,13 @@
         };
         progress.complete = true;
         match config {
-            ConfigRead::Unchanged(stamp) => snapshot.confirm_config(stamp.max(entries)),
+            ConfigRead::Unchanged(stamp) => {
+                let checked = stamp.max(entries);
+                snapshot.confirm_config(checked);
+                progress.watch.on_unchanged(checked, now);
+            }
             ConfigRead::Changed(mut config) => {
+                progress.watch.on_read(config.checked);
                 config.checked = config.checked.max(entries);
                 let version = config.version;
                 if snapshot.update_from_registry(*config, now) {
@@ -127,12 +135,35 @@
 
     /// Adopts the stamp up to which a peer with the same view has compared the configuration.
     pub(super) fn confirm_config(&mut self, checked: Stamp) {
-        if let Source::Registry { snapshot, .. } = &mut self.source {
+        let now = self.board.clock.now();
+        if let Source::Registry {
+            snapshot, progress, ..
+        } = &mut self.source
+        {
             snapshot.confirm_config(checked);
+            progress.watch.on_unchanged(checked, now);
             self.publish_checked();
         }
     }
 
+    /// Merges what a peer's snapshot has newer.
+    pub(super) fn merge_parts(&mut self, parts: Parts) {
+        let now = self.board.clock.now();
+        if let Source::Registry {
+            snapshot, progress, ..
+        } = &mut self.source
+        {
+            let before = snapshot.config_version();
+            snapshot.merge(parts, now);
+            if snapshot.config_version() != before
+                && let Some(checked) = snapshot.checked()
+            {
+                progress.watch.on_read(checked);
+            }
+        }
+        self.log_era_change();
+    }
+
     /// Publishes the stamp up to which the configuration in the published view has been compared.
     pub(super) fn publish_checked(&self) {
         self.board.checked.send_replace(self.source.checked());
@@ -228,9 +259,7 @@
     /// a second to receive.
     pub(super) fn read_registry(&mut self) {
         let Source::Registry {
-            registry,
-            progress,
-            snapshot,
+            registry, progress, ..
         } = &mut self.source
         else {
             return;
@@ -241,7 +270,7 @@
         self.metrics.record_control_message("read");
         let (registry, actor) = (Arc::clone(registry), self.actor.clone());
         let sent_at = self.board.clock.now();
-        let known = snapshot.checked();
+        let known = progress.watch.at(sent_at);
         tokio::spawn(async move {
             let entries = registry.entries().await;
             let stamp = entries.as_ref().map(|e| e.listing.stamp).ok();
