note: with a registry, only routes name services

Cause: an empty route table stood for "this platform has no routes". Class: a property of the platform derived from the contents of a table, which operators may empty.

Change: the state says how requests name their service (note::Addressing). A state that is assembled from a registry goes by routes alone, so without routes each request gets 404. Release notes keep the path as the name as long as they have no routes, as the product's own interface has it. RouteTable::is_empty is gone.

--- a/crates/node/src/ingress/routing.rs
+++ b/crates/node/src/ingress/routing.rs
@@ -111,7 +111,7 @@
     if metadata.depth > MAX_DEPTH {
         return Err(Rejection::TooDeep);
     }
-    if ingress.route_table().is_empty() {
+    if board.view.borrow().state.is_addressed_by_path() {
         return call_by_path(ingress, call, head, &metadata, now);
     }
     let found = ingress.route_table().find(head.host(), head.path());
--- a/crates/node/src/ingress/tests.rs
+++ b/crates/node/src/ingress/tests.rs
@@ -1,5 +1,8 @@
 //! Framing of callers' requests, and the memory limit for bodies.
 
+mod fixtures;
+mod routing;
+
 use bytes::BytesMut;
 use dialect::Rejection;
 use proptest::prelude::*;
--- /dev/null
+++ b/crates/node/src/ingress/tests/fixtures.rs
@@ -0,0 +1,178 @@
+//! An ingress whose only peers are stand-ins, and views to put in force.
+
+use std::sync::Arc;
+
+use adapter::SiteDialect;
+use axum::http::{HeaderMap, HeaderValue};
+use board::{Board, Phase};
+use dialect::{Rejection, ResponseMetadata};
+use futures::{FutureExt, future::BoxFuture};
+use gate::Completion;
+use note::{
+    HostRoute, Limits, ListedServer, Listing, OperatorConfig, Server, ServerStatus, Service, State,
+    View, WeightedService,
+};
+use platform::{HostList, NotePage, Platform, PlatformError};
+use tokio::time::Instant;
+use types::{Boot, Moment, Rate, Revision, Span};
+
+use super::super::{
+    Ingress, RetryPolicy, Services,
+    routing::{RequestHead, RoutedCall, route_call},
+};
+use crate::{
+    backend::{Backend, ProbeError, RequestResult, ServerRequest, Target},
+    body_budget::BodyBudget,
+    fixtures::board,
+    gate_actor,
+    metrics::Metrics,
+    peers::Peers,
+    view_sync::{self, Source, SyncOptions},
+};
+
+/// A backend server that no request reaches.
+struct UnusedBackend;
+
+impl Backend for UnusedBackend {
+    fn run(&self, _: ServerRequest, _: Target, _: Instant) -> BoxFuture<'static, RequestResult> {
+        async { Completion::Unsent.into() }.boxed()
+    }
+
+    fn probe(&self, _: Target) -> BoxFuture<'static, Result<ResponseMetadata, ProbeError>> {
+        futures::future::pending().boxed()
+    }
+}
+
+/// A platform that never answers, so that only the test changes the view.
+struct SilentPlatform;
+
+impl Platform for SilentPlatform {
+    fn notes(&self, _: Revision) -> BoxFuture<'_, Result<NotePage, PlatformError>> {
+        futures::future::pending().boxed()
+    }
+
+    fn hosts(&self) -> BoxFuture<'_, Result<HostList, PlatformError>> {
+        futures::future::pending().boxed()
+    }
+}
+
+/// An ingress of a ready node with an empty view.
+pub(super) fn ingress() -> Arc<Ingress> {
+    let board = board();
+    board.phase.send_replace(Phase::Ready);
+    let metrics = Arc::new(Metrics::new());
+    let gate_actor = gate_actor::spawn(&board, Arc::new(UnusedBackend), &metrics, 1.0);
+    let options = SyncOptions {
+        seeds: Vec::new(),
+        reads: Rate::new(1.0).expect("a valid rate"),
+        lease: Span::from_millis(60_000),
+    };
+    let source = Source::notes(Arc::new(SilentPlatform));
+    let view_sync = view_sync::spawn(&board, source, &metrics, options);
+    let services = Services::new(Boot(2), Default::default(), RetryPolicy::default());
+    Arc::new(Ingress {
+        board: Arc::clone(&board),
+        dialect: Arc::new(SiteDialect),
+        local_service: None,
+        peers: Peers::new(board, gate_actor),
+        services,
+        route_table: Default::default(),
+        metrics,
+        view_sync,
+        body_budget: BodyBudget::default(),
+    })
+}
+
+/// A service of the operators' configuration.
+fn service(id: &str) -> Service {
+    Service {
+        id: id.parse().expect("a valid id"),
+        limits: Limits::default(),
+        routes: Vec::new(),
+        sheds: Vec::new(),
+    }
+}
+
+/// A route of the host `bowls.example` to one service.
+pub(super) fn route(id: &str, path: &str, service: &str) -> HostRoute {
+    HostRoute {
+        id: id.parse().expect("a valid id"),
+        host: "bowls.example".into(),
+        path: path.into(),
+        parts: vec![WeightedService {
+            service: service.parse().expect("a valid id"),
+            weight: 1,
+        }],
+        idempotent: false,
+        attempts: 2,
+        timeout_ms: 1_000,
+        objective_ms: 200,
+        priority: 0,
+    }
+}
+
+/// A listed backend server of a service, under the service's name.
+fn listed(service: &Service, port: u16) -> ListedServer {
+    let address = ([127, 0, 0, 1], port).into();
+    let server = Server {
+        id: service.id.as_str().parse().expect("a valid id"),
+        service: service.id.clone(),
+        zone: "zone".parse().expect("a valid id"),
+        host: service.id.as_str().parse().expect("a valid id"),
+        node: address,
+        address,
+        status: ServerStatus::In,
+        boot: Boot(1),
+        slots: None,
+    };
+    ListedServer { server, seq: 1 }
+}
+
+/// The view of a registry with one backend server for each service.
+pub(super) fn view(revision: u64, services: &[&str], routes: Vec<HostRoute>) -> Arc<View> {
+    let services: Vec<Service> = services.iter().map(|id| service(id)).collect();
+    let servers = services.iter().zip(9_001..);
+    let listing = Listing {
+        servers: servers
+            .map(|(service, port)| listed(service, port))
+            .collect(),
+        ..Listing::default()
+    };
+    let config = OperatorConfig {
+        services,
+        routes,
+        ..OperatorConfig::default()
+    };
+    let revision = Revision(revision);
+    Arc::new(View {
+        revision,
+        state: State::assemble(&listing, &config, revision),
+        ..View::default()
+    })
+}
+
+/// Puts a view in force. The tasks that watch the board don't run before the test next waits.
+pub(super) fn publish(board: &Board, view: Arc<View>) {
+    board.view.send_replace(view);
+}
+
+/// Checks and routes a request to `bowls.example`.
+pub(super) fn routed(
+    ingress: &Ingress,
+    method: &str,
+    target: &str,
+) -> Result<RoutedCall, Rejection> {
+    let mut headers = HeaderMap::new();
+    headers.insert("host", HeaderValue::from_static("bowls.example"));
+    let head = RequestHead {
+        method: method.into(),
+        target: target.into(),
+        headers,
+    };
+    let call = "call".parse().expect("a valid call id");
+    route_call(ingress, &call, &head, now(ingress))
+}
+
+pub(super) fn now(ingress: &Ingress) -> Moment {
+    ingress.board.clock.now()
+}
--- a/crates/note/src/lib.rs
+++ b/crates/note/src/lib.rs
@@ -23,6 +23,8 @@
 pub use check::{Fault, Problem, check};
 pub use parse::{Batch, Note, NoteError, Withdrawal, parse};
 pub use registry::{ListedServer, Listing, OperatorConfig};
-pub use state::{CallerLimits, Entry, HostRoute, IdempotencyRule, Limits, Server, ServerStatus};
+pub use state::{
+    Addressing, CallerLimits, Entry, HostRoute, IdempotencyRule, Limits, Server, ServerStatus,
+};
 pub use state::{Service, State, WeightedService, Zone, ZoneStatus};
 pub use view::{Digest, Rejection, View};
--- a/crates/note/src/registry.rs
+++ b/crates/note/src/registry.rs
@@ -7,7 +7,7 @@
 use types::{Boot, Rate, Revision, Size, Slots, Stamp, ZoneId};
 
 use crate::state::{
-    CallerLimits, Entry, HostRoute, Limits, Server, Service, State, Zone, ZoneStatus,
+    Addressing, CallerLimits, Entry, HostRoute, Limits, Server, Service, State, Zone, ZoneStatus,
 };
 
 /// A backend server as described by its registry entry.
@@ -102,6 +102,7 @@
         let mut state = Self {
             services: entries(&config.services, |s| s.id.clone(), changed),
             routes: entries(&config.routes, |r| r.id.clone(), changed),
+            addressing: Addressing::Routes,
             callers: config.callers.clone(),
             ..Self::default()
         };
--- a/crates/note/src/state.rs
+++ b/crates/note/src/state.rs
@@ -187,7 +187,7 @@
 #[derive(Debug, Clone, PartialEq, Serialize, Deserialize)]
 #[serde(deny_unknown_fields)]
 pub struct Service {
-    /// Identifier of the service. Without routes, the first path segment of a request names it.
+    /// Identifier of the service, which may be the first path segment of a request, see [`Addressing`].
     pub id: ServiceId,
     /// Limits of each backend server.
     #[serde(default)]
@@ -252,6 +252,17 @@
     pub changed: Revision,
 }
 
+/// How requests name the service that they go to.
+#[derive(Debug, Clone, Copy, Default, PartialEq, Eq, Serialize, Deserialize)]
+#[serde(rename_all = "lowercase")]
+pub enum Addressing {
+    /// By a route or, as long as there are no routes, by the first segment of the path.
+    #[default]
+    Path,
+    /// By a route only: without routes, requests go nowhere.
+    Routes,
+}
+
 /// The configuration that results from all accepted notes, or from the registry contents.
 #[derive(Debug, Clone, Default, PartialEq, Serialize, Deserialize)]
 pub struct State {
@@ -261,16 +272,23 @@
     pub services: BTreeMap<ServiceId, Entry<Service>>,
     /// Backend servers by identifier.
     pub servers: BTreeMap<ServerId, Entry<Server>>,
-    /// Routes by identifier. If there are none, the first path segment of a request names the
-    /// service.
+    /// Routes by identifier.
     #[serde(default)]
     pub routes: BTreeMap<RouteId, Entry<HostRoute>>,
+    /// How requests name their service, which the kind of the platform determines.
+    #[serde(default)]
+    pub addressing: Addressing,
     /// Limits on callers' requests and connections.
     #[serde(default)]
     pub callers: CallerLimits,
 }
 
 impl State {
+    /// Whether the first path segment of a request names its service.
+    pub fn is_addressed_by_path(&self) -> bool {
+        self.addressing == Addressing::Path && self.routes.is_empty()
+    }
+
     /// Returns the service with this identifier.
     pub fn service(&self, id: &ServiceId) -> Option<&Service> {
         self.services.get(id).map(|e| &e.item)
--- a/crates/route/src/route_table.rs
+++ b/crates/route/src/route_table.rs
@@ -33,11 +33,6 @@
             .retain(|id, _| state.routes.contains_key(id));
     }
 
-    /// Whether there are no routes. Then the first path segment of a request names its service.
-    pub fn is_empty(&self) -> bool {
-        self.hosts.is_empty()
-    }
-
     /// The route with the longest matching path prefix among those of the host. A port in `host` is
     /// ignored.
     pub fn find(&self, host: &str, path: &str) -> Option<Arc<HostRoute>> {
