gate: what is queued or running is pending, whatever the records say

Cause: whether an attempt is pending was kept in three places: the records of its session, the queue, and the actor's table. A floor that passed a queued attempt (its cancellation got no reply) dropped the record alone. When the waiter left, the gate then replied "unknown", the actor forgot the attempt, and the queue started it later. The eviction of a session, by number of sessions or of records, did the same, and a query about a running attempt of such a session cut it. Class: an invariant between components that holds only while messages of peers arrive in the usual order.

Change: the queue and the running attempts are the truth. The gate asks them before the records, so it never replies to a pending attempt. A floor takes the queued attempts below it out of the queue, with a reply (Cancelled, they never run), and cancels the running ones, which nobody waits for. Eviction leaves pending attempts alone: at most once holds, as a session's number isn't used again. core/arrived.rs has what is done with attempts that arrived before.

Other `expect`s and asserts that start from peers' messages were read (gate core, gate actor, call, view sync, lifecycle): none is reachable by their order after this change; the property test covers the gate's.

--- a/crates/gate/src/core/mod.rs
+++ b/crates/gate/src/core/mod.rs
@@ -1,10 +1,12 @@
 //! The gate as a deterministic state machine, without clock, randomness or I/O.
 
 mod admission;
+mod arrived;
 mod observations;
 
 use std::{collections::BTreeMap, sync::Arc};
 
+use arrived::reply_again;
 use note::Limits;
 use types::{AttemptId, Boot, Moment, Outcome, Refusal, SessionId, Span};
 
@@ -172,27 +174,16 @@
             self.probes.observe_offer(now);
         }
         let id = offer.id;
-        self.sessions.raise_floor(id, offer.floor, now);
-        match self.sessions.state(id) {
+        let settled = self.sessions.raise_floor(id, offer.floor, now);
+        let mut actions = self.abandon(settled, now);
+        actions.extend(match self.state(id) {
             Err(LookupError::WrongBoot) => reply(id, Outcome::refused(Refusal::Session)),
             Err(LookupError::Evicted) => reply(id, Outcome::Unknown),
             Err(LookupError::Settled) => reply(id, Outcome::refused(Refusal::Barred)),
             Ok(Some(state)) => reply_again(id, state),
             Ok(None) => self.admit(offer, now),
-        }
-    }
-
-    /// Replies to an ingress that queries the outcome of an attempt.
-    ///
-    /// An attempt that has never arrived is recorded as never to be started. With `cancel`, a
-    /// queued or running attempt is cancelled.
-    pub fn query(&mut self, id: AttemptId, cancel: bool, now: Moment) -> Vec<Action> {
-        match self.sessions.state(id) {
-            Err(_) => reply(id, Outcome::Unknown),
-            Ok(None) => self.refuse(id, Refusal::Barred, Span::default()),
-            Ok(Some(AttemptState::Pending)) if cancel => self.cancel(id, now),
-            Ok(Some(state)) => reply_again(id, state),
-        }
+        });
+        actions
     }
 
     /// Records the end of a started attempt.
@@ -460,33 +451,12 @@
             retry_after: self.queue_wait(now),
         }
     }
-
-    fn cancel(&mut self, id: AttemptId, now: Moment) -> Vec<Action> {
-        match self.queue.remove(id) {
-            true => {
-                let mut actions = self.refuse(id, Refusal::Cancelled, Span::default());
-                actions.extend(self.start_queued(now));
-                actions
-            }
-            false => vec![Action::Cancel(id)],
-        }
-    }
 }
 
 fn reply(id: AttemptId, outcome: Outcome) -> Vec<Action> {
     vec![Action::Reply(id, outcome)]
 }
 
-/// Repeats the reply to an attempt that arrived before. A pending attempt gets it at its end.
-fn reply_again(id: AttemptId, state: AttemptState) -> Vec<Action> {
-    match state {
-        AttemptState::Pending => Vec::new(),
-        AttemptState::NotRun => reply(id, Outcome::refused(Refusal::Barred)),
-        AttemptState::Answered(answer) => reply(id, Outcome::Answer(answer)),
-        AttemptState::Unknown => reply(id, Outcome::Unknown),
-    }
-}
-
 fn state_after(outcome: &Outcome) -> AttemptState {
     match outcome {
         Outcome::NotRun { .. } => AttemptState::NotRun,
--- a/crates/gate/src/queue.rs
+++ b/crates/gate/src/queue.rs
@@ -162,6 +162,11 @@
         })
     }
 
+    /// Whether an attempt is queued.
+    pub(crate) fn contains(&self, id: AttemptId) -> bool {
+        self.entries.iter().any(|q| q.id == id)
+    }
+
     /// Removes an attempt. Returns whether it was queued.
     pub(crate) fn remove(&mut self, id: AttemptId) -> bool {
         let before = self.entries.len();
--- a/crates/gate/src/session.rs
+++ b/crates/gate/src/session.rs
@@ -122,16 +122,23 @@
     }
 
     /// Raises the session's floor: drops the records below `floor`, which the ingress has settled.
-    pub(crate) fn raise_floor(&mut self, id: AttemptId, floor: Seq, now: Moment) {
-        let Ok(session) = self.find(id) else { return };
+    /// Returns the attempts among them that were pending.
+    pub(crate) fn raise_floor(&mut self, id: AttemptId, floor: Seq, now: Moment) -> Vec<AttemptId> {
+        let Ok(session) = self.find(id) else {
+            return Vec::new();
+        };
         session.last_used = now;
         if floor <= session.floor {
-            return;
+            return Vec::new();
         }
         let rest = session.attempts.split_off(&floor);
         let settled = std::mem::replace(&mut session.attempts, rest);
         session.floor = floor;
         self.answer_bytes -= settled.values().map(AttemptState::size).sum::<u64>();
+        let pending = settled
+            .into_iter()
+            .filter(|(_, state)| matches!(state, AttemptState::Pending));
+        pending.map(|(seq, _)| AttemptId { seq, ..id }).collect()
     }
 
     /// State of an attempt, `None` if it has never arrived.
--- a/crates/node/src/gate_actor/tests/actor.rs
+++ b/crates/node/src/gate_actor/tests/actor.rs
@@ -17,7 +17,7 @@
 use crate::{
     backend::{Backend, ProbeError, RequestResult, ServerRequest, Target},
     fixtures::board,
-    gate_actor::{GateActor, ProbeFinished, Reply, RunAttempt},
+    gate_actor::{GateActor, OpenedSession, ProbeFinished, Reply, RunAttempt},
     metrics::Metrics,
 };
 
@@ -147,9 +147,19 @@
     }
 }
 
-/// Offers a request to the gate. Returns its attempt and the reply to it.
+/// Offers a request to the gate in a new session. Returns its attempt and the reply to it.
 fn offer(actor: &mut GateActor, seq: u64) -> (AttemptId, oneshot::Receiver<Reply>) {
     let opened = actor.open_session(Boot(9));
+    offer_in(actor, opened, seq, 1)
+}
+
+/// Offers a request whose ingress has settled all attempts of the session below `floor`.
+fn offer_in(
+    actor: &mut GateActor,
+    opened: OpenedSession,
+    seq: u64,
+    floor: u64,
+) -> (AttemptId, oneshot::Receiver<Reply>) {
     let id = AttemptId {
         boot: opened.boot,
         session: opened.session,
@@ -159,7 +169,7 @@
     actor.run(RunAttempt {
         offer: Offer {
             id,
-            floor: Seq(1),
+            floor: Seq(floor),
             deadline: opened.gate_time + Span::from_millis(10_000),
             fail_fast: false,
             refusal: None,
@@ -201,3 +211,17 @@
     };
     assert_eq!(reply.outcome, refused);
 }
+
+#[tokio::test]
+async fn an_attempt_that_is_settled_and_dropped_while_queued_never_starts() {
+    let mut actor = actor();
+    let opened = actor.open_session(Boot(9));
+    let (first, _waiter) = offer_in(&mut actor, opened, 1, 1);
+    let (queued, waiter) = offer_in(&mut actor, opened, 2, 1);
+    let (_, _last_waiter) = offer_in(&mut actor, opened, 3, 3);
+    drop(waiter);
+    actor.waiter_dropped(queued);
+    actor.run_finished(first, Completion::Shed.into());
+    let load = actor.gate.load(actor.board.clock.now());
+    assert_eq!((load.running, load.waiting), (1, 0), "the last one runs");
+}
