backend: an answer counts for a request only if it is known to belong to it

Callers were told "not run, try again" (503) for unsafe requests that a backend server was running, or such a request ran at a second one, while faulty backend servers sent copies of earlier answers.

Cause: the class is a statement taken from an answer that isn't known to belong to the request. Probes, which have no id, shared connections with requests; a late copy of a rejected probe arrived as the answer to the next request, and a rejection needed no id. What a misplaced answer named (limit, leaving, load, incarnation) was used as well, an id that can't be read counted as none, and a call that was sent again over the connection of its earlier answer could get a copy of that answer.

Change: probes have connections of their own. Where backend servers name the call id in all answers, an answer without it counts only if it is a rejection and nothing has come over the connection before, so that it can't be a copy. A malformed id or two of them is no id of this call. Nothing is taken from an answer that doesn't belong to its request, and its outcome is unknown: 502, or another attempt if the request is idempotent. A call isn't repeated over the connection of its earlier answer. 101 is no answer, as no request asks for another protocol. No connections are added per request; a node keeps one more, for probes.

--- a/crates/dialect/src/lib.rs
+++ b/crates/dialect/src/lib.rs
@@ -87,6 +87,18 @@
     pub slowdown_percent: u32,
 }
 
+/// The call that a response names.
+#[derive(Debug, Clone, Default, PartialEq, Eq)]
+pub enum NamedCall {
+    /// It names none.
+    #[default]
+    Absent,
+    /// It names something that is no identifier, or two calls.
+    Malformed,
+    /// It names this call.
+    Call(CallId),
+}
+
 /// Metadata of a response, from its status and headers.
 #[derive(Debug, Clone, Default, PartialEq)]
 pub struct ResponseMetadata {
@@ -95,8 +107,8 @@
     /// The request was misdirected: the backend server at the address is not the one that the
     /// request is for, and did not run it.
     pub misdirected: bool,
-    /// Identifier of the call that the response belongs to, if present.
-    pub call: Option<CallId>,
+    /// The call that the response belongs to, as it says.
+    pub call: NamedCall,
     /// The backend server that sent the response, if it names itself.
     pub server: Option<ServerId>,
     /// Incarnation of the backend server, if present.
@@ -223,6 +235,17 @@
     rate.map_or(NamedLimit::Malformed, NamedLimit::Rate)
 }
 
+/// Parses the header `name`, in which a response names its call.
+pub fn parse_named_call(headers: &HeaderMap, name: &str) -> NamedCall {
+    let mut ids = headers.get_all(name).iter();
+    let parse = |id: &HeaderValue| id.to_str().ok()?.parse().ok();
+    match (ids.next(), ids.next()) {
+        (None, _) => NamedCall::Absent,
+        (Some(id), None) => parse(id).map_or(NamedCall::Malformed, NamedCall::Call),
+        (Some(_), Some(_)) => NamedCall::Malformed,
+    }
+}
+
 /// Conventions for the headers and statuses that carry call metadata.
 pub trait Dialect: fmt::Debug + Send + Sync {
     /// Identifier of the call from its request or response headers, if present and valid.
@@ -257,7 +280,7 @@
     /// (close-delimited, RFC 9112, section 6.3).
     fn allows_close_delimited(&self) -> bool;
 
-    /// Whether backend servers name the call id in all answers to requests, other than rejections.
+    /// Whether backend servers name the call id in all answers to requests.
     fn echoes_call_id(&self) -> bool {
         false
     }
--- a/crates/node/src/backend/mod.rs
+++ b/crates/node/src/backend/mod.rs
@@ -4,12 +4,17 @@
 //! backend server states that it didn't run the request, a complete answer arrived, or the result
 //! is unknown.
 //!
-//! Idle connections are reused in FIFO order. A faulty backend server may send bytes after a
-//! complete answer: the longer a connection stays idle, the more likely they arrive before its next
-//! request, and unexpected bytes close an idle connection. An answer that arrives even later is
-//! recognized by the call id that it names. A probe has no call id, so any answer to it that names
-//! one belongs to an earlier request, and where the dialect has backend servers name the call id in
-//! all answers, one without it doesn't belong to a request.
+//! A faulty backend server may send bytes after a complete answer, such as a copy of it. An answer
+//! says something about a request or its backend server only if it belongs to that request.
+//!
+//! - Idle connections are reused in FIFO order: the longer a connection stays idle, the more likely
+//!   such bytes arrive before its next request, and unexpected bytes close an idle connection.
+//! - An answer that arrives even later is recognized by the call id that it names. Where the dialect
+//!   has backend servers name the call id in all answers, one without it doesn't belong to a request,
+//!   unless it rejects the request and nothing has come over the connection before.
+//! - A call is never repeated over the connection of its earlier answer.
+//! - Probes have no call id. They have connections of their own, so no copy of an answer to a probe
+//!   arrives where the answer to a request is expected.
 
 #[cfg(test)]
 mod tests;
@@ -21,7 +26,7 @@
 use axum::http::{HeaderMap, HeaderName, HeaderValue, Method, Request, Response, StatusCode, Uri};
 use board::Clock;
 use bytes::Bytes;
-use dialect::{AttemptMetadata, Dialect, ResponseMetadata, is_hop_by_hop};
+use dialect::{AttemptMetadata, Dialect, NamedCall, ResponseMetadata, is_hop_by_hop};
 use futures::{FutureExt, future::BoxFuture};
 use gate::Completion;
 use http_body_util::{BodyExt, Full, Limited};
@@ -30,7 +35,7 @@
 use tokio::time::{Instant, timeout, timeout_at};
 use types::{Answer, CallId, Header, ServerId, ServiceId, Span};
 
-use pool::{Pool, SendError};
+use pool::{Pool, SendError, Sent};
 
 use crate::body_budget::{BodyBudget, BodyReservation};
 
@@ -118,16 +123,20 @@
 #[derive(Debug, Clone)]
 pub(crate) struct HttpBackend {
     dialect: Arc<dyn Dialect>,
-    pool: Arc<Pool>,
+    /// Connections for requests.
+    requests: Arc<Pool>,
+    /// Connections for probes.
+    probes: Arc<Pool>,
     body_budget: BodyBudget,
 }
 
 impl HttpBackend {
-    /// Creates a client with an empty connection pool.
+    /// Creates a client without connections.
     pub(crate) fn new(dialect: Arc<dyn Dialect>, clock: Clock, body_budget: BodyBudget) -> Self {
         Self {
             dialect,
-            pool: Arc::new(Pool::new(clock)),
+            requests: Arc::new(Pool::new(clock)),
+            probes: Arc::new(Pool::new(clock)),
             body_budget,
         }
     }
@@ -139,7 +148,12 @@
         target: Target,
     ) -> RequestResult {
         let method = http.method().clone();
-        let (response, connection) = match self.pool.send(target.address, http).await {
+        let sent = self.requests.send(target.address, Some(&call), http).await;
+        let Sent {
+            response,
+            connection,
+            reused,
+        } = match sent {
             Ok(sent) => sent,
             Err(SendError::Refused) => {
                 return RequestResult {
@@ -149,7 +163,8 @@
             }
             Err(SendError::NotSent) => return Completion::Unsent.into(),
             Err(SendError::MaybeSent) => {
-                self.pool.remove_idle(target.address);
+                self.requests.remove_idle(target.address);
+                self.probes.remove_idle(target.address);
                 return Completion::Incomplete.into();
             }
         };
@@ -158,14 +173,14 @@
             response.headers(),
             &target.shed_statuses,
         );
-        let rejected = metadata.misdirected || metadata.shed;
-        let wrong_call = match &metadata.call {
-            Some(id) => *id != call,
-            None => self.dialect.echoes_call_id() && !rejected,
-        };
+        if !self.belongs_to(&metadata, &call, reused) {
+            log::warn!(address:% = target.address, call:% = call; "answer_misplaced");
+            return Completion::Incomplete.into();
+        }
         let closes = has_close(response.headers());
         let completion = match () {
-            () if wrong_call => Completion::Incomplete,
+            // Another protocol follows, which the request didn't ask for.
+            () if response.status().is_informational() => Completion::Incomplete,
             () if metadata.misdirected => Completion::Misdirected,
             () if metadata.shed => Completion::Shed,
             () if !self.is_delimited(&response, &method) => Completion::Incomplete,
@@ -176,7 +191,7 @@
         };
         // A connection is reused only if its answer was read to the end.
         if matches!(completion, Completion::Answered(_)) && !closes {
-            self.pool
+            self.requests
                 .release(target.address, connection, metadata.keep_alive);
         }
         RequestResult {
@@ -186,6 +201,18 @@
         }
     }
 
+    /// Whether a response is the answer to `call`. `reused` says whether the connection has carried
+    /// an answer before.
+    fn belongs_to(&self, metadata: &ResponseMetadata, call: &CallId, reused: bool) -> bool {
+        let rejected = metadata.misdirected || metadata.shed;
+        match &metadata.call {
+            NamedCall::Call(id) => id == call,
+            NamedCall::Malformed => false,
+            NamedCall::Absent if self.dialect.echoes_call_id() => rejected && !reused,
+            NamedCall::Absent => true,
+        }
+    }
+
     /// Whether the end of the body can be distinguished from a broken connection, or the dialect
     /// accepts bodies that end with the connection.
     fn is_delimited(&self, response: &Response<Incoming>, method: &Method) -> bool {
@@ -267,7 +294,12 @@
         let mut http = Request::new(Full::new(Bytes::new()));
         *http.uri_mut() = path.parse().map_err(|_| ProbeError::NoAnswer)?;
         add_host(http.headers_mut(), target.address);
-        let (response, connection) = match self.pool.send(target.address, http).await {
+        let sent = self.probes.send(target.address, None, http).await;
+        let Sent {
+            response,
+            connection,
+            ..
+        } = match sent {
             Ok(sent) => sent,
             Err(SendError::Refused) => return Err(ProbeError::Refused),
             Err(SendError::NotSent | SendError::MaybeSent) => return Err(ProbeError::NoAnswer),
@@ -275,7 +307,7 @@
         let metadata = self
             .dialect
             .read_response(response.status(), response.headers(), &[]);
-        if metadata.call.is_some() {
+        if metadata.call != NamedCall::Absent {
             log::warn!(address:% = target.address; "probe_answer_misplaced");
             return Err(ProbeError::NoAnswer);
         }
@@ -283,7 +315,7 @@
         let body = Limited::new(response.into_body(), MAX_PROBE_BODY);
         body.collect().await.map_err(|_| ProbeError::NoAnswer)?;
         if !closes {
-            self.pool
+            self.probes
                 .release(target.address, connection, metadata.keep_alive);
         }
         Ok(metadata)
--- a/crates/node/src/backend/pool.rs
+++ b/crates/node/src/backend/pool.rs
@@ -18,7 +18,7 @@
 };
 use hyper_util::rt::TokioIo;
 use tokio::{net::TcpStream, task::AbortHandle, time::timeout};
-use types::{Moment, Span};
+use types::{CallId, Moment, Span};
 
 use crate::socket;
 
@@ -50,6 +50,17 @@
 pub(super) struct Connection {
     sender: SendRequest<Full<Bytes>>,
     driver: AbortHandle,
+    /// The call that was last answered over it.
+    last_call: Option<CallId>,
+}
+
+/// The head of an answer, and the connection that it came over.
+#[derive(Debug)]
+pub(super) struct Sent {
+    pub(super) response: Response<Incoming>,
+    pub(super) connection: Connection,
+    /// Whether the connection has carried an answer before, of which a copy may arrive.
+    pub(super) reused: bool,
 }
 
 impl Drop for Connection {
@@ -86,14 +97,16 @@
     }
 
     /// Sends a request over an idle connection, or else over a new one, and waits for the head of
-    /// the answer.
+    /// the answer. A repeated `call` isn't sent over the connection of its earlier answer, whose
+    /// copy couldn't be distinguished from the new one.
     pub(super) async fn send(
         &self,
         address: SocketAddr,
+        call: Option<&CallId>,
         mut request: Request<Full<Bytes>>,
-    ) -> Result<(Response<Incoming>, Connection), SendError> {
+    ) -> Result<Sent, SendError> {
         loop {
-            let (mut connection, reused) = match self.pop_idle(address) {
+            let (mut connection, reused) = match self.pop_idle(address, call) {
                 Some(connection) => (connection, true),
                 None => (
                     connect(address).await.map_err(|error| match error.kind() {
@@ -104,7 +117,14 @@
                 ),
             };
             match connection.sender.try_send_request(request).await {
-                Ok(response) => return Ok((response, connection)),
+                Ok(response) => {
+                    connection.last_call = call.cloned();
+                    return Ok(Sent {
+                        response,
+                        connection,
+                        reused,
+                    });
+                }
                 Err(mut error) => match error.take_message() {
                     Some(unsent) if reused => request = unsent,
                     Some(_) => return Err(SendError::NotSent),
@@ -114,14 +134,16 @@
         }
     }
 
-    /// Takes the connection that has been idle longest and can still be used.
-    fn pop_idle(&self, address: SocketAddr) -> Option<Connection> {
+    /// Takes the connection that has been idle longest and can still be used for `call`.
+    fn pop_idle(&self, address: SocketAddr, call: Option<&CallId>) -> Option<Connection> {
         let mut idle = self.idle();
         let queue = idle.get_mut(&address)?;
         let now = self.clock.now();
         while let Some(first) = queue.pop_front() {
-            if first.expires > now && first.connection.sender.is_ready() {
-                return Some(first.connection);
+            let connection = first.connection;
+            let is_repeat = call.is_some() && connection.last_call.as_ref() == call;
+            if first.expires > now && connection.sender.is_ready() && !is_repeat {
+                return Some(connection);
             }
         }
         None
@@ -174,5 +196,6 @@
     Ok(Connection {
         sender,
         driver: driver.abort_handle(),
+        last_call: None,
     })
 }
--- a/crates/node/src/backend/tests.rs
+++ b/crates/node/src/backend/tests.rs
@@ -1,6 +1,8 @@
 //! A backend server that sends a second copy of an answer late, on a connection in use again, and one
 //! that sends bytes without end.
 
+mod statements;
+
 use std::{
     net::SocketAddr,
     sync::{
@@ -84,8 +86,7 @@
 
 #[tokio::test]
 async fn a_late_copy_is_not_the_answer_to_a_probe() {
-    // The probe on the same connection gets the copy, and its own answer would come to the next
-    // request.
+    // A probe that got the copy would leave its own answer to the next request.
     let answers = vec![
         answer(Some("first"), "1"),
         answer(Some("first"), "1"),
