backend: take answers of more than 100 headers, and folded lines

Callers got 502 for a whole answer with more than 100 headers, the default limit of the HTTP client: a request that had run was answered as unknown, and an idempotent one was run again elsewhere.

Cause: the class is a default limit that nobody chose; requests of callers may have more headers than that.

Change: 512 headers an answer. An answer beyond that is malformed, and the size of the head stays bounded. Lines that are folded (RFC 9112, section 5.2) are joined, as a proxy may.

framing.rs plays answers that are cut at each byte (length, chunks, end of the connection, HTTP/1.0 and 1.1, FIN and RST, with and without id, HEAD, 204, 304) and odd lengths, chunk sizes and headers. Failed before: an_answer_with_unusual_but_sound_framing_is_whole, `None` for 300 headers (the folded line wasn't reached). The cuts, lengths and chunk sizes held before.

--- a/crates/node/src/backend/pool.rs
+++ b/crates/node/src/backend/pool.rs
@@ -14,7 +14,7 @@
 use http_body_util::Full;
 use hyper::{
     body::Incoming,
-    client::conn::http1::{SendRequest, handshake},
+    client::conn::http1::{Builder, SendRequest},
 };
 use hyper_util::rt::TokioIo;
 use tokio::{net::TcpStream, task::AbortHandle, time::timeout};
@@ -34,6 +34,10 @@
 /// servers.
 const MAX_IDLE: usize = 32;
 
+/// Maximum headers of one answer, several times those of any usual one. Beyond it, the answer counts
+/// as malformed.
+const MAX_HEADERS: usize = 512;
+
 /// Why the head of an answer was not received.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
 pub(super) enum SendError {
@@ -185,9 +189,11 @@
     let connecting = TcpStream::connect(address);
     let stream = timeout(CONNECT_TIMEOUT, connecting).await??;
     socket::configure(&stream)?;
-    let (sender, driver) = handshake(TokioIo::new(stream))
-        .await
-        .map_err(io::Error::other)?;
+    let handshake = Builder::new()
+        .max_headers(MAX_HEADERS)
+        .allow_obsolete_multiline_headers_in_responses(true)
+        .handshake(TokioIo::new(stream));
+    let (sender, driver) = handshake.await.map_err(io::Error::other)?;
     let driver = tokio::spawn(async move {
         if let Err(error) = driver.await {
             log::debug!(address:% = address, error:% = error; "backend_connection_ended");
--- a/crates/node/src/backend/tests.rs
+++ b/crates/node/src/backend/tests.rs
@@ -1,6 +1,7 @@
 //! A backend server that sends a second copy of an answer late, on a connection in use again, and one
 //! that sends bytes without end.
 
+mod framing;
 mod statements;
 
 use std::{
