backend: the tunnel that CONNECT asks for is no answer

A caller that sent CONNECT with a path got a 200 with an empty body, framed as whole, for an answer with a body: after a 2xx to CONNECT nothing is read, as another protocol follows.

Change: such a response is no answer, like 101; the outcome is unknown.

a_tunnel_is_no_answer failed before: `Some((200, []))`.

--- a/crates/node/src/backend/mod.rs
+++ b/crates/node/src/backend/mod.rs
@@ -179,8 +179,7 @@
         }
         let closes = has_close(response.headers());
         let completion = match () {
-            // Another protocol follows, which the request didn't ask for.
-            () if response.status().is_informational() => Completion::Incomplete,
+            () if switches_protocol(response.status(), &method) => Completion::Incomplete,
             () if metadata.misdirected => Completion::Misdirected,
             () if metadata.shed => Completion::Shed,
             () if !self.is_delimited(&response, &method) => Completion::Incomplete,
@@ -371,6 +370,11 @@
     }
 }
 
+/// Whether another protocol follows a response, which then is no answer.
+fn switches_protocol(status: StatusCode, method: &Method) -> bool {
+    status.is_informational() || (method == Method::CONNECT && status.is_success())
+}
+
 /// Whether a message carries `connection: close`.
 fn has_close(headers: &HeaderMap) -> bool {
     let mut values = headers.get_all("connection").iter();
--- a/crates/node/src/backend/tests/framing.rs
+++ b/crates/node/src/backend/tests/framing.rs
@@ -267,3 +267,12 @@
         assert_eq!(answer, Some((status, Vec::new())));
     }
 }
+
+#[tokio::test]
+async fn a_tunnel_is_no_answer() {
+    let address = serve_cases(vec![Case::new(
+        with_headers("content-length: 16\r\n", BODY),
+        End::Stay,
+    )]);
+    assert_eq!(fetch(address.await, 0, "CONNECT").await, None);
+}
