ingress: the answer to HEAD over HTTP/2 has no body

Callers that sent HEAD over HTTP/2 got a protocol error in place of the node's own error answers: their stream was reset, as a body followed the head.

Cause: the class is framing that only one of two writers knows. Our HTTP/1.1 writer omits the body of an answer to HEAD, the HTTP/2 server of hyper sends what it is given.

Change: such an answer carries the length alone.

cut_answers.rs cuts the answers of a backend server at each byte, for callers of another node, pipelined over a kept HTTP/1.1 connection and multiplexed over HTTP/2, by FIN and by RST, among them HEAD, 204 and HTTP/1.0. All other cuts held before: 502, and the answers around them in order and whole.

--- a/crates/node/src/ingress/http2.rs
+++ b/crates/node/src/ingress/http2.rs
@@ -2,7 +2,7 @@
 
 use std::{convert::Infallible, sync::Arc};
 
-use axum::http::{HeaderValue, Request, Response, request::Parts};
+use axum::http::{HeaderValue, Method, Request, Response, header::CONTENT_LENGTH, request::Parts};
 use bytes::Bytes;
 use dialect::Rejection;
 use http_body_util::{BodyExt, Full, LengthLimitError, Limited};
@@ -44,6 +44,7 @@
 ) -> Result<Response<Full<Bytes>>, Infallible> {
     let started_at = ingress.board.clock.now();
     let (parts, body) = request.into_parts();
+    let is_head = parts.method == Method::HEAD;
     let head = request_head(parts);
     let call = routing::call_id(ingress.dialect.as_ref(), &head.headers);
     let mut routed = routing::route_call(&ingress, &call, &head, started_at);
@@ -64,9 +65,22 @@
         }
     }
     let response = ingress.process(&call, routed, started_at).await;
+    let response = if is_head {
+        without_body(response)
+    } else {
+        response
+    };
     Ok(response.map(Full::new))
 }
 
+/// The answer to HEAD: without the body, whose length it names.
+fn without_body(response: Response<Bytes>) -> Response<Bytes> {
+    let (mut parts, body) = response.into_parts();
+    let length = || HeaderValue::from(body.len());
+    parts.headers.entry(CONTENT_LENGTH).or_insert_with(length);
+    Response::from_parts(parts, Bytes::new())
+}
+
 fn request_head(parts: Parts) -> RequestHead {
     let Parts {
         method,
