node: a chunk size near the limit of integers is too large

Cause: unchecked arithmetic on a number that the caller sent. The sum of the size and the bytes decoded wrapped around, so it passed the check against the limit; so did the size and its line end, and splitting the buffer panicked. Release builds abort on panic. Same class: the room for reading beyond a body was added to its declared length. Change: the size is added with a check. A chunk is taken as its bytes arrive, so nothing is added to its size any more. The limits of a chunk line and of trailers hold whether or not they arrive in one piece. Result: the new tests failed before: "panicked at crates/node/src/ingress/framing.rs:202:39: attempt to add with overflow", and the property test over random and mutated requests, split at random places, "left: ([], Some(Malformed)) right: ([], Some(BodyTooLarge))", as a line beyond its limit was taken if it came whole.

--- a/crates/node/src/ingress/framing.rs
+++ b/crates/node/src/ingress/framing.rs
@@ -15,6 +15,8 @@
 const MAX_HEADERS: usize = 128;
 /// Longest chunk-size line, including chunk extensions, which are rarely sent.
 const MAX_CHUNK_LINE_BYTES: usize = 256;
+/// Maximum size of the trailers of a chunked body, which are rarely sent.
+const MAX_TRAILER_BYTES: usize = 16 << 10;
 
 /// The parsed head of a request, and the decoder of its body.
 #[derive(Debug)]
@@ -122,8 +124,10 @@
     /// A chunk-size line is next.
     #[default]
     Size,
-    /// This many bytes of data and a line end are next.
+    /// This many bytes of data are next, at least one.
     Data(u64),
+    /// The line end after the data of a chunk is next.
+    DataEnd,
     /// Trailers are next, up to an empty line.
     Trailers,
 }
@@ -180,47 +184,80 @@
 }
 
 impl ChunkDecoder {
+    /// Decodes what `buffer` holds of a body of at most `max_bytes`, and takes it off the front.
     fn take(&mut self, buffer: &mut BytesMut, max_bytes: u64) -> Result<Option<Bytes>, Rejection> {
         loop {
-            match self.state {
-                ChunkState::Size => match httparse::parse_chunk_size(buffer) {
-                    Ok(Status::Complete((consumed, size))) => {
-                        if self.decoded.len() as u64 + size > max_bytes {
-                            return Err(Rejection::BodyTooLarge);
-                        }
-                        buffer.advance(consumed);
-                        self.state = match size {
-                            0 => ChunkState::Trailers,
-                            _ => ChunkState::Data(size),
-                        };
-                    }
-                    Ok(Status::Partial) if buffer.len() <= MAX_CHUNK_LINE_BYTES => return Ok(None),
-                    _ => return Err(Rejection::Malformed),
-                },
-                ChunkState::Data(size) => {
-                    let size = size as usize;
-                    if buffer.len() < size + 2 {
-                        return Ok(None);
-                    }
-                    self.decoded.put(buffer.split_to(size));
-                    if buffer.split_to(2).as_ref() != b"\r\n" {
-                        return Err(Rejection::Malformed);
-                    }
-                    self.state = ChunkState::Size;
+            let is_complete = match self.state {
+                ChunkState::Size => self.take_size(buffer, max_bytes)?,
+                ChunkState::Data(left) => self.take_data(buffer, left),
+                ChunkState::DataEnd => self.take_data_end(buffer)?,
+                ChunkState::Trailers if take_trailers(buffer)? => {
+                    return Ok(Some(self.decoded.split().freeze()));
                 }
-                ChunkState::Trailers => {
-                    let mut headers = [httparse::EMPTY_HEADER; MAX_HEADERS];
-                    match httparse::parse_headers(buffer, &mut headers) {
-                        Ok(Status::Complete((consumed, _))) => {
-                            buffer.advance(consumed);
-                            return Ok(Some(self.decoded.split().freeze()));
-                        }
-                        Ok(Status::Partial) if buffer.len() < (16 << 10) => return Ok(None),
-                        _ => return Err(Rejection::Malformed),
-                    }
+                ChunkState::Trailers => false,
+            };
+            if !is_complete {
+                return Ok(None);
+            }
+        }
+    }
+
+    /// Takes a chunk-size line. Returns whether it was complete.
+    fn take_size(&mut self, buffer: &mut BytesMut, max_bytes: u64) -> Result<bool, Rejection> {
+        match httparse::parse_chunk_size(buffer) {
+            Ok(Status::Complete((consumed, size))) if consumed <= MAX_CHUNK_LINE_BYTES => {
+                let total = size.checked_add(self.decoded.len() as u64);
+                if total.is_none_or(|total| total > max_bytes) {
+                    return Err(Rejection::BodyTooLarge);
                 }
+                buffer.advance(consumed);
+                self.state = match size {
+                    0 => ChunkState::Trailers,
+                    _ => ChunkState::Data(size),
+                };
+                Ok(true)
             }
+            Ok(Status::Partial) if buffer.len() < MAX_CHUNK_LINE_BYTES => Ok(false),
+            _ => Err(Rejection::Malformed),
+        }
+    }
+
+    /// Takes the data that has arrived of a chunk with `left` bytes to come. Returns whether that
+    /// was all of it.
+    fn take_data(&mut self, buffer: &mut BytesMut, left: u64) -> bool {
+        let arrived = left.min(buffer.len() as u64);
+        self.decoded.put(buffer.split_to(arrived as usize));
+        self.state = match left - arrived {
+            0 => ChunkState::DataEnd,
+            left => ChunkState::Data(left),
+        };
+        left == arrived
+    }
+
+    fn take_data_end(&mut self, buffer: &mut BytesMut) -> Result<bool, Rejection> {
+        const LINE_END: &[u8] = b"\r\n";
+        if !LINE_END.starts_with(&buffer[..buffer.len().min(LINE_END.len())]) {
+            return Err(Rejection::Malformed);
+        }
+        if buffer.len() < LINE_END.len() {
+            return Ok(false);
+        }
+        buffer.advance(LINE_END.len());
+        self.state = ChunkState::Size;
+        Ok(true)
+    }
+}
+
+/// Takes the trailers of a chunked body, which are dropped. Returns whether they were complete.
+fn take_trailers(buffer: &mut BytesMut) -> Result<bool, Rejection> {
+    let mut headers = [httparse::EMPTY_HEADER; MAX_HEADERS];
+    match httparse::parse_headers(buffer, &mut headers) {
+        Ok(Status::Complete((consumed, _))) if consumed <= MAX_TRAILER_BYTES => {
+            buffer.advance(consumed);
+            Ok(true)
         }
+        Ok(Status::Partial) if buffer.len() < MAX_TRAILER_BYTES => Ok(false),
+        _ => Err(Rejection::Malformed),
     }
 }
 
--- a/crates/node/src/ingress/http1.rs
+++ b/crates/node/src/ingress/http1.rs
@@ -180,7 +180,7 @@
             Some(pending) => pending.body.min_bytes(self.buffer.len()) as usize,
             None => 0,
         };
-        self.buffer.len() < body + READ_AHEAD_BYTES
+        self.buffer.len() < body.saturating_add(READ_AHEAD_BYTES)
     }
 
     /// Takes all complete requests off the buffer and starts them.
--- a/crates/node/src/ingress/tests.rs
+++ b/crates/node/src/ingress/tests.rs
@@ -97,6 +97,142 @@
     );
 }
 
+/// Decodes all requests of `bytes`, which arrive in pieces of the given sizes. Returns the targets and
+/// bodies of the complete ones, and the rejection of the first one that is rejected.
+fn decode_pieces(bytes: &[u8], sizes: &[usize]) -> (Vec<(String, Vec<u8>)>, Option<Rejection>) {
+    let mut left = bytes;
+    let mut buffer = BytesMut::new();
+    let mut message = None;
+    let mut found = Vec::new();
+    for size in sizes.iter().copied().chain([usize::MAX]) {
+        let (piece, rest) = left.split_at(size.min(left.len()));
+        buffer.extend_from_slice(piece);
+        left = rest;
+        loop {
+            if message.is_none() {
+                message = match take_head(&mut buffer, MAX_HEAD_BYTES) {
+                    Ok(taken) => taken,
+                    Err(rejection) => return (found, Some(rejection)),
+                };
+            }
+            let Some(partial) = &mut message else { break };
+            match partial.body.take(&mut buffer, MAX_BODY_BYTES) {
+                Ok(Some(body)) => found.push((partial.head.target.to_string(), body.to_vec())),
+                Ok(None) => break,
+                Err(rejection) => return (found, Some(rejection)),
+            }
+            message = None;
+        }
+    }
+    (found, None)
+}
+
+const CHUNKED_HEAD: &str = "POST /a HTTP/1.1\r\ntransfer-encoding: chunked\r\n\r\n";
+
+#[test]
+fn chunk_sizes_at_the_limits_of_integers_are_too_large_or_malformed() {
+    let sizes = [
+        ("ffffffffffffffff", Rejection::BodyTooLarge),
+        ("fffffffffffffffe", Rejection::BodyTooLarge),
+        ("fffffffffffffffd", Rejection::BodyTooLarge),
+        ("7fffffffffffffff", Rejection::BodyTooLarge),
+        ("8000000000000000", Rejection::BodyTooLarge),
+        ("ffffffff", Rejection::BodyTooLarge),
+        ("10000000000000000", Rejection::Malformed),
+        ("-1", Rejection::Malformed),
+        ("0x1", Rejection::Malformed),
+        ("", Rejection::Malformed),
+    ];
+    for (size, rejection) in sizes {
+        for first in ["", "3\r\nabc\r\n"] {
+            let text = format!("{CHUNKED_HEAD}{first}{size}\r\nxyz\r\n0\r\n\r\n");
+            assert_eq!(decode(&text), Err(rejection), "{first:?} {size}");
+            let mut buffer = BytesMut::from(text.as_str());
+            let head = take_head(&mut buffer, MAX_HEAD_BYTES).expect("the head is valid");
+            let mut body = head.expect("the head is complete").body;
+            assert!(
+                !matches!(body.take(&mut buffer, u64::MAX), Ok(Some(_))),
+                "{first:?} {size} without a limit"
+            );
+        }
+    }
+}
+
+/// A chunked request, or a part of one, with odd sizes, extensions, line ends and trailers.
+fn odd_requests() -> impl Strategy<Value = Vec<u8>> {
+    let size = prop_oneof![
+        Just("ffffffffffffffff".to_owned()),
+        Just("fffffffffffffffe".to_owned()),
+        Just("0".to_owned()),
+        Just("00000000000000000".to_owned()),
+        "[0-9a-fA-F]{1,17}",
+        "[0-9a-f]{1,2}",
+    ];
+    let extension = prop_oneof![
+        Just(String::new()),
+        "; ?[a-z]{1,5}=[a-z\"]{0,5}",
+        "[ \t;]{1,3}",
+        (200..400_usize).prop_map(|length| format!(";x={}", "y".repeat(length))),
+    ];
+    let end = prop_oneof![
+        8 => Just("\r\n".to_owned()),
+        1 => Just("\n".to_owned()),
+        1 => Just("\r".to_owned()),
+    ];
+    let data = "[a-z]{0,20}";
+    let chunk = (size, extension, end.clone(), data, end, any::<bool>()).prop_map(
+        |(size, extension, end, data, last, sound)| {
+            let size = match sound {
+                true => format!("{:x}", data.len()),
+                false => size,
+            };
+            format!("{size}{extension}{end}{data}{last}")
+        },
+    );
+    let trailers = prop_oneof![
+        Just("0\r\n\r\n".to_owned()),
+        Just("0\r\nx: y\r\n\r\n".to_owned()),
+        (1..300_usize).prop_map(|count| format!("0\r\n{}\r\n", "x: y\r\n".repeat(count))),
+        Just(String::new()),
+    ];
+    let head = prop_oneof![
+        4 => Just(CHUNKED_HEAD.to_owned()),
+        1 => "[A-Z]{1,5} /[ -~]{0,9} HTTP/1\\.[01]\r\n([a-z-]{1,9}:[ -~]{0,9}\r\n){0,3}\r\n",
+        1 => "[\r\n]{0,3}POST /b HTTP/1\\.1\r\ncontent-length: [0-9]{1,20}\r\n\r\n",
+    ];
+    let request = (head, prop::collection::vec(chunk, 0..5), trailers)
+        .prop_map(|(head, chunks, trailers)| format!("{head}{}{trailers}", chunks.concat()));
+    let edit = (any::<prop::sample::Index>(), any::<u8>(), 0..3_u8);
+    let requests = prop::collection::vec(request, 1..3);
+    (requests, prop::collection::vec(edit, 0..4)).prop_map(|(requests, edits)| {
+        let mut bytes = requests.concat().into_bytes();
+        for (at, byte, kind) in edits {
+            match (kind, at.index(bytes.len().max(1))) {
+                (_, at) if at >= bytes.len() => {}
+                (0, at) => bytes[at] = byte,
+                (1, at) => bytes.insert(at, byte),
+                (_, at) => drop(bytes.remove(at)),
+            }
+        }
+        bytes
+    })
+}
+
+proptest! {
+    #![proptest_config(ProptestConfig::with_cases(1_000))]
+
+    /// Whatever callers send, no panic follows, and the result doesn't depend on how it is split.
+    #[test]
+    fn odd_requests_decode_alike_however_they_are_split(
+        bytes in odd_requests(),
+        sizes in prop::collection::vec(1..60_usize, 0..40),
+    ) {
+        let whole = decode_pieces(&bytes, &[]);
+        prop_assert_eq!(decode_pieces(&bytes, &sizes), whole.clone());
+        prop_assert_eq!(decode_pieces(&bytes, &vec![1; bytes.len()]), whole);
+    }
+}
+
 proptest! {
     /// Two requests are decoded alike, however their bytes are split into reads.
     #[test]
