rig: stand-ins of the users' store and backend servers

Cause: the rig's stubs speak the native protocol only, so no test of ours starts nodes as they are deployed and reads the users' store. A node's process is split from its spec, as those of the native clusters have another.

--- a/crates/rig/src/lib.rs
+++ b/crates/rig/src/lib.rs
@@ -14,6 +14,7 @@
 //! - [`emulator`]: plays a load through calls, balancers and gates without processes or network;
 //! - [`experiment`]: compares policies and limits under the same load;
 //! - [`soak`]: injects random faults from a seed and checks invariants;
+//! - [`site`]: stand-ins of the users' platform around nodes that start as deployed;
 //! - [`report`] and [`plot`]: tables and plots of measurements.
 
 pub mod arrivals;
@@ -28,4 +29,5 @@
 pub mod proxy;
 pub mod report;
 pub mod server;
+pub mod site;
 pub mod soak;
--- a/crates/rig/src/process.rs
+++ b/crates/rig/src/process.rs
@@ -3,6 +3,7 @@
 use std::{
     env, fs, io,
     net::SocketAddr,
+    ops::{Deref, DerefMut},
     path::{Path, PathBuf},
     process::Stdio,
     time::Duration,
@@ -76,12 +77,32 @@
     }
 }
 
-/// A node process, which is killed on drop.
+/// A process, which is killed on drop.
+#[derive(Debug)]
+pub struct Process {
+    child: Child,
+}
+
+/// A node process with its spec.
 #[derive(Debug)]
 pub struct Node {
     /// Identity and addresses of the node.
     pub spec: NodeSpec,
-    child: Child,
+    process: Process,
+}
+
+impl Deref for Node {
+    type Target = Process;
+
+    fn deref(&self) -> &Process {
+        &self.process
+    }
+}
+
+impl DerefMut for Node {
+    fn deref_mut(&mut self) -> &mut Process {
+        &mut self.process
+    }
 }
 
 impl Node {
@@ -96,14 +117,55 @@
         fs::write(&file, settings.to_string())?;
         let log = dir.join(format!("{}.log", spec.host));
         let log = fs::OpenOptions::new().create(true).append(true).open(log)?;
-        let child = Command::new(program_path("amaranthyoked"))
+        let mut command = Command::new(program_path("amaranthyoked"));
+        command
             .arg(&file)
             .stdin(Stdio::null())
             .stdout(log.try_clone()?)
-            .stderr(log)
-            .kill_on_drop(true)
-            .spawn()?;
-        Ok(Self { spec, child })
+            .stderr(log);
+        let process = Process::spawn(&mut command)?;
+        Ok(Self { spec, process })
+    }
+
+    /// Waits until the readiness endpoint of the admin API answers 200.
+    ///
+    /// # Errors
+    ///
+    /// Returns [`io::ErrorKind::TimedOut`] if the node isn't ready within 30 s.
+    pub async fn wait_ready(&self) -> io::Result<()> {
+        let client = client();
+        let url = format!("http://{}/readyz", self.spec.admin());
+        let ready = async {
+            while !client
+                .get(&url)
+                .send()
+                .await
+                .is_ok_and(|response| response.status() == 200)
+            {
+                sleep(POLL_INTERVAL).await;
+            }
+        };
+        timeout(READY_TIMEOUT, ready)
+            .await
+            .map_err(|_| io::ErrorKind::TimedOut.into())
+    }
+
+    /// State dump of the node as JSON, or `None` if it can't be read.
+    pub async fn state(&self) -> Option<Value> {
+        let url = format!("http://{}/state", self.spec.admin());
+        client().get(url).send().await.ok()?.json().await.ok()
+    }
+}
+
+impl Process {
+    /// Starts a command.
+    ///
+    /// # Errors
+    ///
+    /// Returns an error if the process can't be started.
+    pub fn spawn(command: &mut Command) -> io::Result<Self> {
+        let child = command.kill_on_drop(true).spawn()?;
+        Ok(Self { child })
     }
 
     /// Process ID, or 0 after the process has been reaped.
@@ -156,35 +218,6 @@
             .ok()
             .and_then(|status| status.code())
     }
-
-    /// Waits until the readiness endpoint of the admin API answers 200.
-    ///
-    /// # Errors
-    ///
-    /// Returns [`io::ErrorKind::TimedOut`] if the node isn't ready within 30 s.
-    pub async fn wait_ready(&self) -> io::Result<()> {
-        let client = client();
-        let url = format!("http://{}/readyz", self.spec.admin());
-        let ready = async {
-            while !client
-                .get(&url)
-                .send()
-                .await
-                .is_ok_and(|response| response.status() == 200)
-            {
-                sleep(POLL_INTERVAL).await;
-            }
-        };
-        timeout(READY_TIMEOUT, ready)
-            .await
-            .map_err(|_| io::ErrorKind::TimedOut.into())
-    }
-
-    /// State dump of the node as JSON, or `None` if it can't be read.
-    pub async fn state(&self) -> Option<Value> {
-        let url = format!("http://{}/state", self.spec.admin());
-        client().get(url).send().await.ok()?.json().await.ok()
-    }
 }
 
 /// An HTTP client that ignores the proxy settings of the environment.
