platform: an item of the store that can't be read hides no other

What callers saw: with one item whose value isn't base64, or one without a key, no change of the operators or of the listing came into force on any node while the item was there; new routes were answered 404.

Cause: pages and changes of the store were decoded as a whole, so one item that can't be decoded failed the read of all items, and with it that of the configuration behind it. Class of fault: a message that is decoded as a whole takes all its parts with one.

Change: a response is split into its items first, and each is decoded by itself. The next page begins after the greatest key that can be read; a page that shows none, or says that more follows and has nothing, fails the read, as entries would seem to vanish otherwise. `entries_unusable` names the items and the reasons whenever their set changes, not only their number; `/state` has the number.

--- a/crates/node/src/view_sync/mod.rs
+++ b/crates/node/src/view_sync/mod.rs
@@ -92,6 +92,8 @@
     failed_reads: u64,
     stale_reads: u64,
     forks: u64,
+    /// Number of the registry's items that could not be used in the last read.
+    unusable: usize,
     /// Era and revision of the listing, if the platform stores only current values.
     stamp: Option<Stamp>,
 }
@@ -236,6 +238,7 @@
             failed_reads: self.failed_reads,
             stale_reads: self.stale_reads,
             forks: self.forks,
+            unusable: self.unusable_items(),
             stamp: self.source.stamp(),
         }
     }
--- a/crates/node/src/view_sync/registry.rs
+++ b/crates/node/src/view_sync/registry.rs
@@ -4,11 +4,14 @@
 
 use fleet::{Parts, WatchStart};
 use kameo::message::{Context, Message};
-use platform::{ConfigRead, PlatformError, RegistryEntries};
+use platform::{ConfigRead, PlatformError, RegistryEntries, UnusableItem};
 use types::{Moment, Revision, Stamp};
 
 use super::{Source, ViewSync, tell};
 
+/// Maximum number of unusable items that one line of the log shows.
+const MAX_LOGGED_ITEMS: usize = 20;
+
 /// State of reading the registry since startup.
 #[derive(Debug, Default)]
 pub(crate) struct ReadProgress {
@@ -18,8 +21,8 @@
     complete: bool,
     /// Whether the last read failed.
     failing: bool,
-    /// Number of unusable entries in the last listing.
-    unusable: usize,
+    /// Items that could not be used in the last read.
+    unusable: Vec<UnusableItem>,
     /// Where the next read of the configuration's changes starts.
     watch: WatchStart,
 }
@@ -87,15 +90,20 @@
         else {
             return;
         };
-        let RegistryEntries { listing, zones_out } = entries;
+        let RegistryEntries {
+            listing,
+            zones_out,
+            unusable,
+        } = entries;
         let stamp = listing.stamp;
-        if listing.unusable.len() != progress.unusable {
-            progress.unusable = listing.unusable.len();
+        if !has_same_keys(&progress.unusable, &unusable) {
+            let shown = &unusable[..unusable.len().min(MAX_LOGGED_ITEMS)];
             log::warn!(
-                keys:? = listing.unusable, revision:% = stamp.revision;
+                count = unusable.len(), items:? = shown, revision:% = stamp.revision;
                 "entries_unusable"
             );
         }
+        progress.unusable = unusable;
         snapshot.update_listing(listing, now);
         let out = zones_out.clone();
         if snapshot.update_zones(zones_out, stamp, now) {
@@ -185,6 +193,14 @@
         }
     }
 
+    /// Number of the registry's items that could not be used in the last read.
+    pub(super) fn unusable_items(&self) -> usize {
+        match &self.source {
+            Source::Registry { progress, .. } => progress.unusable.len(),
+            Source::Notes { .. } => 0,
+        }
+    }
+
     /// Records a successful read that started at `sent_at`.
     fn record_success(&mut self, sent_at: Moment) {
         self.reads += 1;
@@ -288,6 +304,11 @@
     }
 }
 
+fn has_same_keys(before: &[UnusableItem], now: &[UnusableItem]) -> bool {
+    let keys = |items: &[UnusableItem]| items.iter().map(|i| i.key.clone()).collect::<Vec<_>>();
+    keys(before) == keys(now)
+}
+
 /// The causes of an error, the outermost first. A timeout is only named by an inner one.
 fn cause_chain(error: &PlatformError) -> String {
     let causes = std::iter::successors(std::error::Error::source(error), |e| e.source());
--- a/crates/node/src/view_sync/tests.rs
+++ b/crates/node/src/view_sync/tests.rs
@@ -215,7 +215,7 @@
         async {
             Ok(RegistryEntries {
                 listing,
-                zones_out: Vec::new(),
+                ..RegistryEntries::default()
             })
         }
         .boxed()
--- a/crates/node/src/view_sync/tests/silent_watch.rs
+++ b/crates/node/src/view_sync/tests/silent_watch.rs
@@ -51,7 +51,7 @@
         async {
             Ok(RegistryEntries {
                 listing,
-                zones_out: Vec::new(),
+                ..RegistryEntries::default()
             })
         }
         .boxed()
--- a/crates/platform/src/http.rs
+++ b/crates/platform/src/http.rs
@@ -69,47 +69,45 @@
     /// [`PlatformError`] if the request fails, the status isn't 200, or the body can't be read or
     /// decoded.
     pub async fn read<T: DeserializeOwned>(&self, path: &str) -> Result<T, PlatformError> {
-        let (value, _) = self.read_with_headers(path, MAX_RESPONSE_BYTES).await?;
-        Ok(value)
+        let (body, _) = self.read_body(path, MAX_RESPONSE_BYTES).await?;
+        serde_json::from_slice(&body).map_err(|cause| PlatformError::Decode {
+            item: SmolStr::new(path),
+            cause,
+        })
     }
 
-    /// Sends a GET request like [`read`](Self::read), and also returns the response's headers.
+    /// Sends a GET request like [`read`](Self::read), and returns the response's body and headers.
     ///
     /// # Errors
     ///
-    /// As for [`read`](Self::read), and [`PlatformError::TooLarge`] if the body exceeds `limit` bytes.
-    /// It isn't received if the response names its length.
-    pub async fn read_with_headers<T: DeserializeOwned>(
+    /// [`PlatformError`] if the request fails, the status isn't 200, or the body can't be read, such as
+    /// [`PlatformError::TooLarge`] if it exceeds `limit` bytes. It isn't received if the response names
+    /// its length.
+    pub async fn read_body(
         &self,
         path: &str,
         limit: usize,
-    ) -> Result<(T, HeaderMap), PlatformError> {
+    ) -> Result<(Vec<u8>, HeaderMap), PlatformError> {
         let url = format!("{}{path}", self.base);
         let request = self.client.get(url).timeout(READ_TIMEOUT).send();
         let mut response = request.await.map_err(PlatformError::Unreachable)?;
-        match response.status().as_u16() {
-            200 => {
-                let headers = response.headers().clone();
-                let length = response.content_length().unwrap_or_default();
-                if length > limit as u64 {
-                    return Err(PlatformError::TooLarge { limit });
-                }
-                let mut body = Vec::new();
-                while let Some(chunk) = response.chunk().await.map_err(PlatformError::Truncated)? {
-                    body.extend_from_slice(&chunk);
-                    if body.len() > limit {
-                        return Err(PlatformError::TooLarge { limit });
-                    }
-                }
-                let value = serde_json::from_slice(&body);
-                let value = value.map_err(|cause| PlatformError::Decode {
-                    item: SmolStr::new(path),
-                    cause,
-                })?;
-                Ok((value, headers))
+        let status = response.status().as_u16();
+        if status != 200 {
+            return Err(PlatformError::ErrorStatus { status });
+        }
+        let headers = response.headers().clone();
+        let length = response.content_length().unwrap_or_default();
+        if length > limit as u64 {
+            return Err(PlatformError::TooLarge { limit });
+        }
+        let mut body = Vec::new();
+        while let Some(chunk) = response.chunk().await.map_err(PlatformError::Truncated)? {
+            body.extend_from_slice(&chunk);
+            if body.len() > limit {
+                return Err(PlatformError::TooLarge { limit });
             }
-            status => Err(PlatformError::ErrorStatus { status }),
         }
+        Ok((body, headers))
     }
 }
 
--- a/crates/platform/src/lib.rs
+++ b/crates/platform/src/lib.rs
@@ -18,7 +18,7 @@
 use types::{HostId, Revision};
 
 pub use http::{HttpClient, HttpPlatform, MAX_RESPONSE_BYTES};
-pub use registry::{ConfigRead, Registry, RegistryEntries};
+pub use registry::{ConfigRead, Registry, RegistryEntries, UnusableItem};
 
 /// Page of notes after a revision, limited by the service's maximum value size.
 #[derive(Debug, Clone, Serialize, Deserialize)]
@@ -73,6 +73,11 @@
     },
     /// The registry came back from an older copy again and again while it was read.
     EraChanged,
+    /// A page names no key after which the next one begins.
+    PageStalled {
+        /// Key after which the page began.
+        after: SmolStr,
+    },
     /// The requested item doesn't exist.
     NotFound {
         /// Key of the item.
@@ -102,6 +107,12 @@
             Self::Decode { item, .. } => write!(f, "failed to decode {item}"),
             Self::InvalidHeader { name } => write!(f, "invalid value in header {name}"),
             Self::EraChanged => f.write_str("the era of the registry changed during the read"),
+            Self::PageStalled { after } => {
+                write!(
+                    f,
+                    "the page after {after} doesn't show where the next one begins"
+                )
+            }
             Self::NotFound { item } => write!(f, "{item} not found"),
         }
     }
@@ -116,6 +127,7 @@
             | Self::TooLarge { .. }
             | Self::InvalidHeader { .. }
             | Self::EraChanged
+            | Self::PageStalled { .. }
             | Self::NotFound { .. } => None,
         }
     }
--- a/crates/platform/src/registry.rs
+++ b/crates/platform/src/registry.rs
@@ -2,17 +2,29 @@
 
 use futures::future::BoxFuture;
 use note::{Listing, OperatorConfig};
+use smol_str::SmolStr;
 use types::{Stamp, ZoneId};
 
 use crate::PlatformError;
 
 /// What changes often in a registry, and is small.
-#[derive(Debug)]
+#[derive(Debug, Default)]
 pub struct RegistryEntries {
     /// Backend servers. Its stamp is that of all entries.
     pub listing: Listing,
     /// Availability zones that operators take out of service.
     pub zones_out: Vec<ZoneId>,
+    /// Items that can't be read or used, ordered by key. The others hold without them.
+    pub unusable: Vec<UnusableItem>,
+}
+
+/// An item that can't be read or used.
+#[derive(Debug, Clone, PartialEq, Eq, PartialOrd, Ord)]
+pub struct UnusableItem {
+    /// Its key, empty if that can't be read.
+    pub key: SmolStr,
+    /// What is wrong with it.
+    pub reason: SmolStr,
 }
 
 /// Result of a read of the operators' configuration.
