peers: an answer whose status isn't that of a final response is none

A reply of a node with status 65,736 became an answer with status 200: the number was cut to 16 bits.

Cause: the class is a narrowing conversion of input from outside.

Change: a status outside 200 to 999 makes the outcome unknown, as any other reply that isn't understood.

an_answer_with_an_impossible_status_is_no_answer failed before: `65736: Answer(Answer { status: 200, .. })`. No other way was found by reading for a reply to be taken for another attempt's: replies belong to one HTTP/2 stream, and outcomes are kept by incarnation, session and number.

--- a/crates/node/src/peers/convert.rs
+++ b/crates/node/src/peers/convert.rs
@@ -189,11 +189,7 @@
             },
             None => Outcome::Unknown,
         },
-        Some(R::Answer(answer)) => Outcome::Answer(Arc::new(Answer {
-            status: answer.status as u16,
-            headers: from_headers(answer.headers),
-            body: answer.body,
-        })),
+        Some(R::Answer(answer)) => from_answer(answer),
         Some(R::Unknown(peer::Unknown { late: true })) => Outcome::Expired,
         Some(R::Unknown(_)) | None => Outcome::Unknown,
     };
@@ -218,6 +214,18 @@
     }
 }
 
+/// Converts an answer. One whose status isn't that of a final response counts as unknown.
+fn from_answer(answer: peer::Answer) -> Outcome {
+    match u16::try_from(answer.status) {
+        Ok(status @ 200..=999) => Outcome::Answer(Arc::new(Answer {
+            status,
+            headers: from_headers(answer.headers),
+            body: answer.body,
+        })),
+        _ => Outcome::Unknown,
+    }
+}
+
 fn to_headers(headers: &[Header]) -> Vec<peer::Header> {
     let convert = |h: &Header| peer::Header {
         name: h.name.to_string(),
--- a/crates/node/src/peers/tests.rs
+++ b/crates/node/src/peers/tests.rs
@@ -11,10 +11,11 @@
 use gate::Load;
 use tokio::time::{Duration, timeout};
 use types::{AttemptId, Boot, Fingerprint, Moment, Outcome, Refusal, Revision, SessionId, Span};
-use wire::peer::View;
+use wire::peer::{self, View};
 
 use super::{
     Attempt, GateClient, Peer, TransportError,
+    convert::from_outcome,
     evidence::{changed_suspects, merge_evidence, suspects_for},
 };
 use crate::{
@@ -196,3 +197,19 @@
     let known = first.quarantine.borrow().latest().len();
     assert_eq!(known, 300);
 }
+
+#[test]
+fn an_answer_with_an_impossible_status_is_no_answer() {
+    // The first one has the bits of 200 in its lower half.
+    for status in [(1 << 16) + 200, 0, 99, 101, 199, 1_000, u32::MAX] {
+        let answer = peer::Answer {
+            status,
+            ..peer::Answer::default()
+        };
+        let reply = from_outcome(peer::Outcome {
+            result: Some(peer::outcome::Result::Answer(answer)),
+            ..peer::Outcome::default()
+        });
+        assert_eq!(reply.outcome, Outcome::Unknown, "{status}");
+    }
+}
