node: more headers than a map holds end no process

A request or an answer with more than about 24,000 headers, from another node, aborted the process with all requests of its callers.

Cause: the class is a panic on input from outside: HeaderMap::append panics when the map is full, and the release profile aborts.

Change: one function copies headers for requests and answers, up to 16,384, without a panic. A request beyond that isn't sent, an answer beyond that is unknown; both are logged.

a_request_with_more_headers_than_a_map_holds_is_not_sent and an_answer_with_more_headers_than_a_map_holds_is_unknown failed before: "size overflows MAX_SIZE: MaxSizeReached".

--- a/crates/node/src/backend/mod.rs
+++ b/crates/node/src/backend/mod.rs
@@ -45,6 +45,14 @@
 /// Maximum size of the body of an answer to a probe, which is read only to reuse the connection.
 const MAX_PROBE_BODY: usize = 64 << 10;
 
+/// Maximum headers of a message that is forwarded: half of what a header map holds, which leaves room
+/// for those that the node adds.
+const MAX_FORWARDED_HEADERS: usize = 16_384;
+
+/// A message has too many headers to be forwarded.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub(crate) struct TooManyHeaders;
+
 /// A request for the backend server.
 #[derive(Debug, Clone)]
 pub(crate) struct ServerRequest {
@@ -225,7 +233,8 @@
             || headers.contains_key("transfer-encoding")
     }
 
-    /// Builds the HTTP request. Returns `None` if the method or the path is invalid.
+    /// Builds the HTTP request. Returns `None` if the method or the path is invalid, or if it has too
+    /// many headers.
     fn build(
         &self,
         request: &ServerRequest,
@@ -237,7 +246,7 @@
         let mut http = Request::new(Full::new(request.body.clone()));
         (*http.method_mut(), *http.uri_mut()) = (method, uri);
         let headers = http.headers_mut();
-        copy_headers(&request.headers, headers);
+        copy_headers(&request.headers, headers).ok()?;
         add_host(headers, target.address);
         let left = deadline.saturating_duration_since(Instant::now());
         let outgoing = AttemptMetadata {
@@ -331,6 +340,7 @@
         let backend = self.clone();
         async move {
             let Some(http) = backend.build(&request, &target, deadline) else {
+                log::warn!(call:% = request.call; "request_not_sendable");
                 return Completion::Unsent.into();
             };
             let running = backend.exchange(http, request.call, target);
@@ -352,14 +362,23 @@
     }
 }
 
-fn copy_headers(from: &[Header], to: &mut HeaderMap) {
+/// Copies the headers of a message, without those whose name or value is invalid.
+///
+/// # Errors
+///
+/// [`TooManyHeaders`] if they don't fit into a header map.
+pub(crate) fn copy_headers(from: &[Header], to: &mut HeaderMap) -> Result<(), TooManyHeaders> {
+    if from.len() > MAX_FORWARDED_HEADERS {
+        return Err(TooManyHeaders);
+    }
     for header in from {
         let name = HeaderName::from_bytes(header.name.as_bytes());
         let value = HeaderValue::from_maybe_shared(header.value.clone());
         if let (Ok(name), Ok(value)) = (name, value) {
-            to.append(name, value);
+            to.try_append(name, value).map_err(|_| TooManyHeaders)?;
         }
     }
+    Ok(())
 }
 
 fn add_host(headers: &mut HeaderMap, address: SocketAddr) {
--- a/crates/node/src/backend/tests.rs
+++ b/crates/node/src/backend/tests.rs
@@ -23,6 +23,8 @@
     time::{Duration, Instant, sleep},
 };
 
+use types::Header;
+
 use super::{Backend, HttpBackend, ServerRequest, Target};
 use crate::body_budget::BodyBudget;
 
@@ -280,3 +282,21 @@
     let sent = server.sent_until_closed().await;
     assert!(sent < MAX_HEAD + SOCKET_BUFFERS, "{sent} bytes");
 }
+
+#[tokio::test]
+async fn a_request_with_more_headers_than_a_map_holds_is_not_sent() {
+    let address = serve(vec![answer(Some("first"), "1")]).await;
+    let mut large = request("first");
+    let header = |n| Header {
+        name: format!("h{n}").into(),
+        value: Bytes::from_static(b"1"),
+    };
+    large.headers = (0..40_000).map(header).collect();
+    let deadline = Instant::now() + Duration::from_secs(1);
+    let result = backend().run(large, target(address), deadline).await;
+    assert!(
+        matches!(result.completion, Completion::Unsent),
+        "{:?}",
+        result.completion
+    );
+}
--- a/crates/node/src/ingress/response.rs
+++ b/crates/node/src/ingress/response.rs
@@ -1,6 +1,9 @@
 //! Builds the response to a caller.
 
-use axum::http::{HeaderName, HeaderValue, Response, StatusCode};
+#[cfg(test)]
+mod tests;
+
+use axum::http::{Response, StatusCode};
 use bytes::Bytes;
 use call::CallOutcome;
 use dialect::{CallFailure, Dialect, Rejection};
@@ -8,6 +11,8 @@
 use rand::RngExt;
 use types::{Answer, CallId, Span};
 
+use crate::backend::{TooManyHeaders, copy_headers};
+
 /// Bounds of the time after which a caller is told to retry, before jitter.
 const MIN_RETRY_AFTER: Span = Span::from_millis(50);
 const MAX_RETRY_AFTER: Span = Span::from_millis(30_000);
@@ -41,7 +46,13 @@
 /// Builds the response to a call with this result.
 pub(super) fn respond(dialect: &dyn Dialect, call: &CallId, result: CallResult) -> Response<Bytes> {
     let failure = match result {
-        Ok(CallOutcome::Answer(answer)) => return forward_answer(dialect, call, &answer),
+        Ok(CallOutcome::Answer(answer)) => match forward_answer(dialect, call, &answer) {
+            Ok(response) => return response,
+            Err(TooManyHeaders) => {
+                log::warn!(call:% = call, headers = answer.headers.len(); "answer_not_forwardable");
+                CallFailure::Unknown { late: false }
+            }
+        },
         Ok(CallOutcome::NotRun {
             refusal,
             retry_after,
@@ -72,16 +83,14 @@
     retry_after.scale(rand::rng().random_range(1.0..2.0))
 }
 
-fn forward_answer(dialect: &dyn Dialect, call: &CallId, answer: &Answer) -> Response<Bytes> {
+fn forward_answer(
+    dialect: &dyn Dialect,
+    call: &CallId,
+    answer: &Answer,
+) -> Result<Response<Bytes>, TooManyHeaders> {
     let mut response = Response::new(answer.body.clone());
     *response.status_mut() = StatusCode::from_u16(answer.status).unwrap_or(StatusCode::BAD_GATEWAY);
-    for header in &answer.headers {
-        let name = HeaderName::from_bytes(header.name.as_bytes());
-        let value = HeaderValue::from_maybe_shared(header.value.clone());
-        if let (Ok(name), Ok(value)) = (name, value) {
-            response.headers_mut().append(name, value);
-        }
-    }
+    copy_headers(&answer.headers, response.headers_mut())?;
     dialect.set_call_id(call, response.headers_mut());
-    response
+    Ok(response)
 }
--- /dev/null
+++ b/crates/node/src/ingress/response/tests.rs
@@ -0,0 +1,28 @@
+//! Answers that no correct peer sends.
+
+use std::sync::Arc;
+
+use axum::http::StatusCode;
+use bytes::Bytes;
+use call::CallOutcome;
+use dialect::NativeDialect;
+use types::{Answer, CallId, Header};
+
+use super::respond;
+
+#[test]
+fn an_answer_with_more_headers_than_a_map_holds_is_unknown() {
+    let header = |n| Header {
+        name: format!("h{n}").into(),
+        value: Bytes::from_static(b"1"),
+    };
+    let answer = Answer {
+        status: 200,
+        headers: (0..40_000).map(header).collect(),
+        body: Bytes::new(),
+    };
+    let outcome = CallOutcome::Answer(Arc::new(answer));
+    let response = respond(&NativeDialect, &CallId::from(1), Ok(outcome));
+    assert_eq!(response.status(), StatusCode::BAD_GATEWAY);
+    assert_eq!(response.headers()["x-outcome"], "unknown");
+}
