--- a/crates/dialect/src/native.rs
+++ b/crates/dialect/src/native.rs
@@ -59,7 +59,7 @@
 
     fn write_request(&self, attempt: &AttemptMetadata<'_>, headers: &mut HeaderMap) {
         headers.insert(DEADLINE, HeaderValue::from(attempt.time_left.as_millis()));
-        headers.insert(DEPTH, HeaderValue::from(attempt.depth + 1));
+        headers.insert(DEPTH, HeaderValue::from(attempt.depth.saturating_add(1)));
         headers.insert(RETRY, HeaderValue::from(u32::from(attempt.is_retry)));
         self.set_call_id(attempt.call, headers);
     }
--- a/crates/node/src/ingress/services.rs
+++ b/crates/node/src/ingress/services.rs
@@ -209,7 +209,7 @@
         }
         self.update(service, |state| {
             let report = LoadReport {
-                load: load.running + load.waiting,
+                load: load.running.saturating_add(load.waiting),
                 allowed: load.allowed,
                 mean_latency: load.mean_latency,
                 slowdown_percent: load.slowdown_percent,
