dialect: a response's call id is read as a caller's is

An id beyond ASCII that a caller sent was malformed in the response of its backend server, so the answer would have been foreign once such ids are sent on.

Change: both are read as UTF-8. A response whose id is no UTF-8 names no call.

--- a/crates/dialect/src/lib.rs
+++ b/crates/dialect/src/lib.rs
@@ -238,7 +238,7 @@
 /// Parses the header `name`, in which a response names its call.
 pub fn parse_named_call(headers: &HeaderMap, name: &str) -> NamedCall {
     let mut ids = headers.get_all(name).iter();
-    let parse = |id: &HeaderValue| id.to_str().ok()?.parse().ok();
+    let parse = |id: &HeaderValue| std::str::from_utf8(id.as_bytes()).ok()?.parse().ok();
     match (ids.next(), ids.next()) {
         (None, _) => NamedCall::Absent,
         (Some(id), None) => parse(id).map_or(NamedCall::Malformed, NamedCall::Call),
