node: the operators' limit alone bounds the size of a head

Callers saw: 431 for a request with 129 headers or more, for one whose request line and headers together, but not its headers, exceeded max_header_bytes, and over HTTP/2 for one with over 16 KiB of headers, 32 bytes added for each (DENIED). Trailers and chunk extensions had limits of our own too. Cause: limits of the code and of a library beside the operators' limit, and a limit on headers that counted the request line. Change: the end of a head is searched once, as it arrives, and the head is parsed once, with as much room as it has lines; what has arrived of an incomplete head is checked at lengths that double, so that the work stays linear. Headers and trailers are bounded by max_header_bytes, a request line apart from them by the same size or by 8,000 bytes, as a chunk line with its extensions. Beyond 24,000 headers a request is rejected, since a HeaderMap panics from 32,768 slots on; all that is added to one is added with a check. HTTP/2 lists may have the size that the limit allows in its count, and are then checked by the count of HTTP/1.1; the limit on bodies of the operators holds there as well, and CONNECT is malformed. A request is judged by the larger of the limits when it began to arrive and when it is complete, as a change may come in between; this part has no test.

--- a/crates/node/src/ingress/framing.rs
+++ b/crates/node/src/ingress/framing.rs
@@ -7,16 +7,18 @@
 use bytes::{Buf, BufMut, Bytes, BytesMut};
 use dialect::Rejection;
 use httparse::Status;
+use note::CallerLimits;
 use smol_str::SmolStr;
 
 use super::routing::RequestHead;
 
-/// Maximum headers of one request, as in common servers.
-const MAX_HEADERS: usize = 128;
-/// Longest chunk-size line, including chunk extensions, which are rarely sent.
-const MAX_CHUNK_LINE_BYTES: usize = 256;
-/// Maximum size of the trailers of a chunked body, which are rarely sent.
-const MAX_TRAILER_BYTES: usize = 16 << 10;
+/// Maximum headers of one request: a `HeaderMap` holds 24,576, including those that a node adds.
+const MAX_HEADERS: usize = 24_000;
+/// Smallest limit for a request line (RFC 9112, section 3).
+const MIN_LINE_LIMIT: u64 = 8_000;
+/// Length of the first part of a head that is checked before its end has arrived. Each further part
+/// is twice as long.
+const FIRST_CHECKED_BYTES: usize = 64;
 
 /// The parsed head of a request, and the decoder of its body.
 #[derive(Debug)]
@@ -29,23 +31,149 @@
     pub(super) expects_continue: bool,
 }
 
-/// Takes a head of at most `max_bytes` off the front of `buffer`. Returns `None` if it is
-/// incomplete.
-pub(super) fn take_head(
-    buffer: &mut BytesMut,
-    max_bytes: u64,
-) -> Result<Option<Message>, Rejection> {
-    let mut headers = [httparse::EMPTY_HEADER; MAX_HEADERS];
+/// Maximum sizes of the parts of a request, in bytes.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub(super) struct SizeLimits {
+    /// Headers or trailers.
+    pub(super) head: u64,
+    pub(super) body: u64,
+}
+
+impl From<&CallerLimits> for SizeLimits {
+    fn from(callers: &CallerLimits) -> Self {
+        Self {
+            head: callers.head.0,
+            body: callers.body.0,
+        }
+    }
+}
+
+impl SizeLimits {
+    /// Maximum size of a request line, or of the line in front of a chunk.
+    pub(super) fn line(self) -> u64 {
+        self.head.max(MIN_LINE_LIMIT)
+    }
+}
+
+/// Finds the end of a head as it arrives. A head that comes in many pieces is neither searched nor
+/// parsed from its start for each of them.
+#[derive(Debug)]
+pub(super) struct HeadDecoder {
+    section: Section,
+    /// Length of the next part of an incomplete head that is checked.
+    next_check: usize,
+}
+
+impl Default for HeadDecoder {
+    fn default() -> Self {
+        Self {
+            section: Section::default(),
+            next_check: FIRST_CHECKED_BYTES,
+        }
+    }
+}
+
+impl HeadDecoder {
+    /// Takes a head off the front of `buffer`. Returns `None` if it is incomplete.
+    pub(super) fn take(
+        &mut self,
+        buffer: &mut BytesMut,
+        limits: SizeLimits,
+    ) -> Result<Option<Message>, Rejection> {
+        if self.section.first_line.is_none() && skip_empty_lines(buffer) {
+            self.section = Section::default();
+        }
+        let end = self.section.find_end(buffer);
+        let line = self.section.first_line.unwrap_or(buffer.len()) as u64;
+        let headers = self.section.size(buffer).saturating_sub(line);
+        if headers > limits.head || line > limits.line() {
+            return Err(Rejection::HeadTooLarge);
+        }
+        let Some(end) = end else {
+            self.check_parts(buffer)?;
+            return Ok(None);
+        };
+        let message = parse_head(&buffer[..end], self.section.lines)?;
+        buffer.advance(end);
+        *self = Self::default();
+        Ok(Some(message))
+    }
+
+    /// Rejects a malformed head before its end has arrived, which it may not have.
+    fn check_parts(&mut self, buffer: &[u8]) -> Result<(), Rejection> {
+        while let Some(part) = buffer.get(..self.next_check) {
+            let mut headers = vec![httparse::EMPTY_HEADER; self.section.lines];
+            match httparse::Request::new(&mut headers).parse(part) {
+                Ok(_) | Err(httparse::Error::TooManyHeaders) => {}
+                Err(_) => return Err(Rejection::Malformed),
+            }
+            self.next_check *= 2;
+        }
+        Ok(())
+    }
+}
+
+/// Removes empty lines in front of a request (RFC 9112, section 2.2). Returns whether there were any.
+fn skip_empty_lines(buffer: &mut BytesMut) -> bool {
+    let before = buffer.len();
+    while let [b'\n', ..] | [b'\r', b'\n', ..] = buffer[..] {
+        buffer.advance(if buffer[0] == b'\n' { 1 } else { 2 });
+    }
+    buffer.len() < before
+}
+
+/// Lines that end with an empty one, each byte of which is searched once.
+#[derive(Debug, Default)]
+struct Section {
+    /// Bytes that were searched for line ends.
+    scanned: usize,
+    /// Start of the last line.
+    last_line: usize,
+    /// Length of the first line with its end, once it is complete.
+    first_line: Option<usize>,
+    /// Number of complete lines.
+    lines: usize,
+}
+
+impl Section {
+    /// Length of the section with its empty line, once it is complete.
+    fn find_end(&mut self, buffer: &[u8]) -> Option<usize> {
+        while let Some(at) = buffer[self.scanned..].iter().position(|b| *b == b'\n') {
+            self.scanned += at + 1;
+            self.lines += 1;
+            self.first_line.get_or_insert(self.scanned);
+            if matches!(
+                buffer[self.last_line..self.scanned],
+                [b'\n'] | [b'\r', b'\n']
+            ) {
+                return Some(self.scanned);
+            }
+            self.last_line = self.scanned;
+        }
+        self.scanned = buffer.len();
+        None
+    }
+
+    /// Bytes of the section that have arrived, without its empty line.
+    fn size(&self, buffer: &[u8]) -> u64 {
+        let size = match buffer[self.last_line..self.scanned] {
+            [] | [b'\r'] | [b'\n'] | [b'\r', b'\n'] => self.last_line,
+            _ => self.scanned,
+        };
+        size as u64
+    }
+}
+
+fn parse_head(bytes: &[u8], lines: usize) -> Result<Message, Rejection> {
+    if lines > MAX_HEADERS {
+        return Err(Rejection::HeadTooLarge);
+    }
+    let mut headers = vec![httparse::EMPTY_HEADER; lines];
     let mut request = httparse::Request::new(&mut headers);
-    let consumed = match request.parse(buffer) {
-        Ok(Status::Complete(consumed)) if consumed as u64 <= max_bytes => consumed,
-        Ok(Status::Partial) if buffer.len() as u64 <= max_bytes => return Ok(None),
-        Ok(_) | Err(httparse::Error::TooManyHeaders) => return Err(Rejection::HeadTooLarge),
-        Err(_) => return Err(Rejection::Malformed),
-    };
-    let message = read_head(&request)?;
-    buffer.advance(consumed);
-    Ok(Some(message))
+    match request.parse(bytes) {
+        Ok(Status::Complete(consumed)) if consumed == bytes.len() => read_head(&request),
+        _ => Err(Rejection::Malformed),
+    }
 }
 
 fn read_head(request: &httparse::Request<'_, '_>) -> Result<Message, Rejection> {
@@ -56,7 +184,9 @@
         let name = HeaderName::from_bytes(header.name.as_bytes());
         let value = HeaderValue::from_bytes(header.value);
         match (name, value) {
-            (Ok(name), Ok(value)) => headers.append(name, value),
+            (Ok(name), Ok(value)) => headers
+                .try_append(name, value)
+                .map_err(|_| Rejection::HeadTooLarge)?,
             _ => return Err(Rejection::Malformed),
         };
     }
@@ -129,7 +259,7 @@
     /// The line end after the data of a chunk is next.
     DataEnd,
     /// Trailers are next, up to an empty line.
-    Trailers,
+    Trailers(Section),
 }
 
 impl BodyDecoder {
@@ -167,34 +297,37 @@
         }
     }
 
-    /// Takes a body of at most `max_bytes` off the front of `buffer`. Returns `None` if it is
-    /// incomplete.
+    /// Takes a body off the front of `buffer`. Returns `None` if it is incomplete.
     pub(super) fn take(
         &mut self,
         buffer: &mut BytesMut,
-        max_bytes: u64,
+        limits: SizeLimits,
     ) -> Result<Option<Bytes>, Rejection> {
         match self {
-            Self::Length(length) if *length > max_bytes => Err(Rejection::BodyTooLarge),
+            Self::Length(length) if *length > limits.body => Err(Rejection::BodyTooLarge),
             Self::Length(length) if (buffer.len() as u64) < *length => Ok(None),
             Self::Length(length) => Ok(Some(buffer.split_to(*length as usize).freeze())),
-            Self::Chunked(decoder) => decoder.take(buffer, max_bytes),
+            Self::Chunked(decoder) => decoder.take(buffer, limits),
         }
     }
 }
 
 impl ChunkDecoder {
-    /// Decodes what `buffer` holds of a body of at most `max_bytes`, and takes it off the front.
-    fn take(&mut self, buffer: &mut BytesMut, max_bytes: u64) -> Result<Option<Bytes>, Rejection> {
+    /// Decodes what `buffer` holds of a body, and takes it off the front.
+    fn take(
+        &mut self,
+        buffer: &mut BytesMut,
+        limits: SizeLimits,
+    ) -> Result<Option<Bytes>, Rejection> {
         loop {
-            let is_complete = match self.state {
-                ChunkState::Size => self.take_size(buffer, max_bytes)?,
-                ChunkState::Data(left) => self.take_data(buffer, left),
+            let is_complete = match &mut self.state {
+                ChunkState::Size => self.take_size(buffer, limits)?,
+                &mut ChunkState::Data(left) => self.take_data(buffer, left),
                 ChunkState::DataEnd => self.take_data_end(buffer)?,
-                ChunkState::Trailers if take_trailers(buffer)? => {
-                    return Ok(Some(self.decoded.split().freeze()));
-                }
-                ChunkState::Trailers => false,
+                ChunkState::Trailers(section) => match take_trailers(section, buffer, limits)? {
+                    true => return Ok(Some(self.decoded.split().freeze())),
+                    false => false,
+                },
             };
             if !is_complete {
                 return Ok(None);
@@ -203,21 +336,21 @@
     }
 
     /// Takes a chunk-size line. Returns whether it was complete.
-    fn take_size(&mut self, buffer: &mut BytesMut, max_bytes: u64) -> Result<bool, Rejection> {
+    fn take_size(&mut self, buffer: &mut BytesMut, limits: SizeLimits) -> Result<bool, Rejection> {
         match httparse::parse_chunk_size(buffer) {
-            Ok(Status::Complete((consumed, size))) if consumed <= MAX_CHUNK_LINE_BYTES => {
+            Ok(Status::Complete((consumed, size))) if consumed as u64 <= limits.line() => {
                 let total = size.checked_add(self.decoded.len() as u64);
-                if total.is_none_or(|total| total > max_bytes) {
+                if total.is_none_or(|total| total > limits.body) {
                     return Err(Rejection::BodyTooLarge);
                 }
                 buffer.advance(consumed);
                 self.state = match size {
-                    0 => ChunkState::Trailers,
+                    0 => ChunkState::Trailers(Section::default()),
                     _ => ChunkState::Data(size),
                 };
                 Ok(true)
             }
-            Ok(Status::Partial) if buffer.len() < MAX_CHUNK_LINE_BYTES => Ok(false),
+            Ok(Status::Partial) if (buffer.len() as u64) < limits.line() => Ok(false),
             _ => Err(Rejection::Malformed),
         }
     }
@@ -249,14 +382,22 @@
 }
 
 /// Takes the trailers of a chunked body, which are dropped. Returns whether they were complete.
-fn take_trailers(buffer: &mut BytesMut) -> Result<bool, Rejection> {
-    let mut headers = [httparse::EMPTY_HEADER; MAX_HEADERS];
-    match httparse::parse_headers(buffer, &mut headers) {
-        Ok(Status::Complete((consumed, _))) if consumed <= MAX_TRAILER_BYTES => {
-            buffer.advance(consumed);
+fn take_trailers(
+    section: &mut Section,
+    buffer: &mut BytesMut,
+    limits: SizeLimits,
+) -> Result<bool, Rejection> {
+    let end = section.find_end(buffer);
+    if section.size(buffer) > limits.head {
+        return Err(Rejection::HeadTooLarge);
+    }
+    let Some(end) = end else { return Ok(false) };
+    let mut headers = vec![httparse::EMPTY_HEADER; section.lines];
+    match httparse::parse_headers(&buffer[..end], &mut headers) {
+        Ok(Status::Complete((consumed, _))) if consumed == end => {
+            buffer.advance(end);
             Ok(true)
         }
-        Ok(Status::Partial) if buffer.len() < MAX_TRAILER_BYTES => Ok(false),
         _ => Err(Rejection::Malformed),
     }
 }
--- a/crates/node/src/ingress/http1.rs
+++ b/crates/node/src/ingress/http1.rs
@@ -20,6 +20,7 @@
 use bytes::{Bytes, BytesMut};
 use dialect::Rejection;
 use futures::{FutureExt, StreamExt, future::BoxFuture, stream::FuturesOrdered};
+use note::CallerLimits;
 use tokio::{
     io::{AsyncReadExt, AsyncWriteExt},
     net::TcpStream,
@@ -30,7 +31,7 @@
 
 use super::{
     Ingress,
-    framing::{self, BodyDecoder, Message},
+    framing::{self, BodyDecoder, HeadDecoder, Message, SizeLimits},
     routing::{self, RoutedCall},
 };
 use crate::body_budget::BodyReservation;
@@ -72,6 +73,10 @@
     ingress: Arc<Ingress>,
     stream: TcpStream,
     buffer: BytesMut,
+    head: HeadDecoder,
+    /// The limits that were in force when the caller began to send, or was last answered. A change
+    /// doesn't reject what it has sent by then.
+    limits: CallerLimits,
     /// A request that waits for its body, or for requests in front of it.
     pending: Option<PendingRequest>,
     in_flight: FuturesOrdered<BoxFuture<'static, Outgoing>>,
@@ -94,9 +99,12 @@
     closing: watch::Receiver<bool>,
 ) -> io::Result<()> {
     let now = ingress.board.clock.now();
+    let limits = ingress.board.view.borrow().state.callers.clone();
     let connection = Connection {
         ingress,
         stream,
+        head: HeadDecoder::default(),
+        limits,
         buffer: BytesMut::with_capacity(2 << 10),
         pending: None,
         in_flight: FuturesOrdered::new(),
@@ -127,9 +135,13 @@
                     }
                 }
                 read = self.stream.read_buf(&mut self.buffer), if may_read => {
-                    if read? == 0 {
+                    let read = read?;
+                    if read == 0 {
                         return Ok(());
                     }
+                    if self.pending.is_none() && self.buffer.len() == read {
+                        self.note_limits();
+                    }
                     self.is_new = false;
                     self.last_active = self.now();
                 }
@@ -166,6 +178,20 @@
         self.ingress.board.clock.now()
     }
 
+    fn note_limits(&mut self) {
+        self.limits
+            .clone_from(&self.ingress.board.view.borrow().state.callers);
+    }
+
+    /// The larger of the limits in force now and when the caller began to send.
+    fn size_limits(&self) -> SizeLimits {
+        let callers = &self.ingress.board.view.borrow().state.callers;
+        SizeLimits {
+            head: callers.head.max(self.limits.head).0,
+            body: callers.body.max(self.limits.body).0,
+        }
+    }
+
     fn is_idle(&self) -> bool {
         self.in_flight.is_empty() && self.pending.is_none() && self.buffer.is_empty()
     }
@@ -201,8 +227,8 @@
         if self.buffer.is_empty() || self.in_flight.len() >= MAX_IN_FLIGHT {
             return Ok(false);
         }
-        let max_bytes = self.ingress.board.view.borrow().state.callers.head.0;
-        match framing::take_head(&mut self.buffer, max_bytes) {
+        let limits = self.size_limits();
+        match self.head.take(&mut self.buffer, limits) {
             Ok(Some(message)) => {
                 self.head_started = None;
                 if message.expects_continue && !message.body.is_empty() {
@@ -213,6 +239,11 @@
                 self.pending = Some(self.route(message));
                 Ok(true)
             }
+            // Only empty lines have arrived.
+            Ok(None) if self.buffer.is_empty() => {
+                self.head_started = None;
+                Ok(false)
+            }
             Ok(None) => {
                 let now = self.now();
                 self.head_started.get_or_insert(now);
@@ -257,15 +288,11 @@
         let Some(mut pending) = self.pending.take() else {
             return false;
         };
-        let max_bytes = match &pending.routed {
-            Ok(routed) => routed
-                .limits
-                .body
-                .0
-                .min(routing::max_body_bytes(&self.ingress.board)),
-            Err(_) => routing::max_body_bytes(&self.ingress.board),
-        };
-        let size = pending.body.min_bytes(self.buffer.len()).min(max_bytes);
+        let mut limits = self.size_limits();
+        if let Ok(routed) = &pending.routed {
+            limits.body = limits.body.min(routed.limits.body.0);
+        }
+        let size = pending.body.min_bytes(self.buffer.len()).min(limits.body);
         if let Err(rejection) = self
             .ingress
             .body_budget
@@ -280,7 +307,7 @@
             self.pending = Some(pending);
             return false;
         }
-        match pending.body.take(&mut self.buffer, max_bytes) {
+        match pending.body.take(&mut self.buffer, limits) {
             Ok(Some(body)) => {
                 self.all_overlap = overlaps && (self.all_overlap || self.in_flight.is_empty());
                 self.is_ending = !pending.keep_alive;
@@ -363,6 +390,9 @@
         let bytes = framing::encode_response(&outgoing.response, outgoing.omit_body, keep_alive);
         timeout(WRITE_TIMEOUT, self.stream.write_all(&bytes)).await??;
         self.last_active = self.now();
+        if self.is_idle() {
+            self.note_limits();
+        }
         Ok(keep_alive)
     }
 
@@ -370,11 +400,13 @@
     /// the connection waits for.
     fn read_deadline(&self) -> Moment {
         let callers = &self.ingress.board.view.borrow().state.callers;
+        let head_ms = callers.head_ms.max(self.limits.head_ms);
+        let idle_ms = callers.idle_ms.max(self.limits.idle_ms);
         match (&self.pending, self.head_started) {
             (Some(pending), _) if self.in_flight.is_empty() => pending.deadline,
-            (None, Some(started_at)) => started_at + Span::from_millis(callers.head_ms),
+            (None, Some(started_at)) => started_at + Span::from_millis(head_ms),
             (None, None) if self.in_flight.is_empty() => {
-                self.last_active + Span::from_millis(callers.idle_ms)
+                self.last_active + Span::from_millis(idle_ms)
             }
             _ => Moment::MAX,
         }
--- a/crates/node/src/ingress/http2.rs
+++ b/crates/node/src/ingress/http2.rs
@@ -2,7 +2,10 @@
 
 use std::{convert::Infallible, sync::Arc};
 
-use axum::http::{HeaderValue, Method, Request, Response, header::CONTENT_LENGTH, request::Parts};
+use axum::http::{
+    HeaderMap, HeaderName, HeaderValue, Method, Request, Response, header::CONTENT_LENGTH,
+    request::Parts,
+};
 use bytes::Bytes;
 use dialect::Rejection;
 use http_body_util::{BodyExt, Full, LengthLimitError, Limited};
@@ -17,6 +20,7 @@
 
 use super::{
     Ingress,
+    framing::SizeLimits,
     routing::{self, RequestHead},
 };
 use crate::body_budget::BodyReservation;
@@ -27,9 +31,11 @@
     stream: TcpStream,
     mut closing: watch::Receiver<bool>,
 ) -> hyper::Result<()> {
+    let max_head = ingress.board.view.borrow().state.callers.head.0;
     let service = service_fn(move |request| handle(Arc::clone(&ingress), request));
-    let connection =
-        http2::Builder::new(TokioExecutor::new()).serve_connection(TokioIo::new(stream), service);
+    let connection = http2::Builder::new(TokioExecutor::new())
+        .max_header_list_size(header_list_size(max_head))
+        .serve_connection(TokioIo::new(stream), service);
     let mut connection = std::pin::pin!(connection);
     tokio::select! {
         served = connection.as_mut() => return served,
@@ -38,6 +44,21 @@
     connection.await
 }
 
+/// Size in HTTP/2's count of any head that the limit of `max_head` bytes allows.
+fn header_list_size(max_head: u64) -> u32 {
+    /// Largest ratio between the two counts: a header takes three bytes in HTTP/1.1, besides its name
+    /// and value, and 32 in HTTP/2 (RFC 9113, section 6.5.2).
+    const MAX_RATIO: u64 = 9;
+    let limits = SizeLimits {
+        head: max_head,
+        body: 0,
+    };
+    let size = max_head
+        .saturating_mul(MAX_RATIO)
+        .saturating_add(limits.line());
+    u32::try_from(size).unwrap_or(u32::MAX)
+}
+
 async fn handle(
     ingress: Arc<Ingress>,
     request: Request<Incoming>,
@@ -46,15 +67,23 @@
     let (parts, body) = request.into_parts();
     let is_head = parts.method == Method::HEAD;
     let head = request_head(parts);
+    let limits = SizeLimits::from(&ingress.board.view.borrow().state.callers);
     let call = routing::call_id(ingress.dialect.as_ref(), &head.headers);
     let mut routed = routing::route_call(&ingress, &call, &head, started_at);
+    if head.method == "CONNECT" {
+        routed = Err(Rejection::Malformed);
+    }
+    if header_bytes(&head.headers) > limits.head || head.target.len() as u64 > limits.line() {
+        routed = Err(Rejection::HeadTooLarge);
+    }
     let mut reservation = BodyReservation::default();
     let size = body.size_hint().lower();
     if let Err(rejection) = ingress.body_budget.reserve(size, &mut reservation) {
         routed = Err(rejection);
     }
     if let Ok(routed_call) = &mut routed {
-        let read_body = Limited::new(body, routed_call.limits.body.0 as usize).collect();
+        let max_bytes = routed_call.limits.body.0.min(limits.body);
+        let read_body = Limited::new(body, max_bytes as usize).collect();
         let deadline = ingress.board.clock.instant(routed_call.deadline);
         match timeout_at(deadline, read_body).await {
             Ok(Ok(whole)) => routed_call.set_body(whole.to_bytes()),
@@ -81,6 +110,14 @@
     Response::from_parts(parts, Bytes::new())
 }
 
+/// Size that headers have in HTTP/1.1.
+fn header_bytes(headers: &HeaderMap) -> u64 {
+    let size = |(name, value): (&HeaderName, &HeaderValue)| {
+        name.as_str().len() + ":".len() + value.len() + "\r\n".len()
+    };
+    headers.iter().map(size).sum::<usize>() as u64
+}
+
 fn request_head(parts: Parts) -> RequestHead {
     let Parts {
         method,
--- a/crates/node/src/ingress/routing.rs
+++ b/crates/node/src/ingress/routing.rs
@@ -88,11 +88,6 @@
         .unwrap_or_else(|| CallId::from(rand::random::<u128>()))
 }
 
-/// Largest body that is read for any service, in bytes.
-pub(super) fn max_body_bytes(board: &Board) -> u64 {
-    board.view.borrow().state.callers.body.0
-}
-
 /// Checks and routes a request whose head was complete at `now`.
 pub(super) fn route_call(
     ingress: &Ingress,
--- a/crates/node/src/ingress/tests.rs
+++ b/crates/node/src/ingress/tests.rs
@@ -7,18 +7,21 @@
 use dialect::Rejection;
 use proptest::prelude::*;
 
-use super::framing::take_head;
+use super::framing::{HeadDecoder, Message, SizeLimits};
 use crate::body_budget::{BodyBudget, BodyReservation};
 
-const MAX_HEAD_BYTES: u64 = 4_096;
 const MAX_BODY_BYTES: u64 = 1_024;
+const LIMITS: SizeLimits = SizeLimits {
+    head: 4_096,
+    body: MAX_BODY_BYTES,
+};
 
 /// Takes one complete request off the buffer. Returns its path and its body.
 fn take_request(buffer: &mut BytesMut) -> Result<Option<(String, Vec<u8>)>, Rejection> {
-    let Some(mut message) = take_head(buffer, MAX_HEAD_BYTES)? else {
+    let Some(mut message) = HeadDecoder::default().take(buffer, LIMITS)? else {
         return Ok(None);
     };
-    let body = message.body.take(buffer, MAX_BODY_BYTES)?;
+    let body = message.body.take(buffer, LIMITS)?;
     Ok(body.map(|body| (message.head.target.to_string(), body.to_vec())))
 }
 
@@ -65,6 +68,81 @@
     assert_eq!(decode(chunked), Err(Rejection::BodyTooLarge));
 }
 
+/// The head of one request, with `max_bytes` of headers allowed.
+fn decode_head(text: &str, max_bytes: u64) -> Result<Message, Rejection> {
+    let limits = SizeLimits {
+        head: max_bytes,
+        ..LIMITS
+    };
+    let taken = HeadDecoder::default().take(&mut BytesMut::from(text), limits)?;
+    Ok(taken.expect("the head is complete"))
+}
+
+#[test]
+fn the_number_of_headers_is_not_limited_but_by_their_size() {
+    for count in [129, 300, 4_000] {
+        let fields = "a:\r\n".repeat(count);
+        let text = format!("GET / HTTP/1.1\r\n{fields}\r\n");
+        let message = decode_head(&text, 16 << 10).expect("the head is valid");
+        assert_eq!(message.head.headers.len(), count);
+        let chunked = format!(
+            "{CHUNKED_HEAD}1\r\nx\r\n0\r\n{}\r\n",
+            "a:\r\n".repeat(count / 4)
+        );
+        assert_eq!(decode(&chunked), Ok(Some(("/a".into(), b"x".to_vec()))));
+    }
+    let names: String = (0..70_000).map(|n| format!("n{n}:\r\n")).collect();
+    let text = format!("GET / HTTP/1.1\r\n{names}\r\n");
+    let rejected = decode_head(&text, 1 << 20).map(|message| message.head.headers.len());
+    assert_eq!(rejected, Err(Rejection::HeadTooLarge));
+}
+
+#[test]
+fn the_limit_of_a_head_counts_its_headers_and_its_request_line_apart() {
+    let text = |path: usize, value: usize| {
+        let (path, value) = ("p".repeat(path), "v".repeat(value));
+        format!("GET /{path} HTTP/1.1\r\nx: {value}\r\n\r\n")
+    };
+    let largest = 1_024 - "x: \r\n".len();
+    assert!(decode_head(&text(10, largest), 1_024).is_ok());
+    assert!(decode_head(&text(7_000, largest), 1_024).is_ok());
+    assert!(decode_head(&text(12_000, 10), 16 << 10).is_ok());
+    for (path, value) in [(10, largest + 1), (9_000, 10)] {
+        let rejected = decode_head(&text(path, value), 1_024).map(|_| ());
+        assert_eq!(rejected, Err(Rejection::HeadTooLarge), "{path} {value}");
+    }
+    let endless = format!("GET /{}", "p".repeat(9_000));
+    assert_eq!(decode(&endless), Err(Rejection::HeadTooLarge));
+}
+
+#[test]
+fn odd_but_valid_heads_are_taken() {
+    for head in [
+        "\r\n\r\nPOST /a HTTP/1.1\r\nTransfer-Encoding:  \tCHUNKED \t\r\n\r\n",
+        "POST /a HTTP/1.0\r\ntransfer-encoding: chunked\r\n\r\n",
+        "POST /a HTTP/1.1\r\nx:\r\ny: \u{e9}\r\nTransfer-Encoding:chunked\r\n\r\n",
+    ] {
+        let extension = format!(";x=\"{}\"", "y".repeat(1_000));
+        let text = format!("{head}3{extension}\r\nabc\r\n0\r\n\r\n");
+        assert_eq!(
+            decode(&text),
+            Ok(Some(("/a".into(), b"abc".to_vec()))),
+            "{head}"
+        );
+    }
+}
+
+#[test]
+fn bodies_of_exactly_the_limit_are_taken() {
+    let body = "b".repeat(MAX_BODY_BYTES as usize);
+    let counted = format!("POST /a HTTP/1.1\r\ncontent-length: {MAX_BODY_BYTES}\r\n\r\n{body}");
+    let chunked = format!("{CHUNKED_HEAD}{MAX_BODY_BYTES:x}\r\n{body}\r\n0\r\n\r\n");
+    for text in [counted, chunked] {
+        let expected = ("/a".to_owned(), body.clone().into_bytes());
+        assert_eq!(decode(&text), Ok(Some(expected)));
+    }
+}
+
 #[test]
 fn bodies_beyond_the_budget_are_refused_until_reservations_are_released() {
     let budget = BodyBudget::default();
@@ -102,6 +180,7 @@
 fn decode_pieces(bytes: &[u8], sizes: &[usize]) -> (Vec<(String, Vec<u8>)>, Option<Rejection>) {
     let mut left = bytes;
     let mut buffer = BytesMut::new();
+    let mut decoder = HeadDecoder::default();
     let mut message = None;
     let mut found = Vec::new();
     for size in sizes.iter().copied().chain([usize::MAX]) {
@@ -110,13 +189,13 @@
         left = rest;
         loop {
             if message.is_none() {
-                message = match take_head(&mut buffer, MAX_HEAD_BYTES) {
+                message = match decoder.take(&mut buffer, LIMITS) {
                     Ok(taken) => taken,
                     Err(rejection) => return (found, Some(rejection)),
                 };
             }
             let Some(partial) = &mut message else { break };
-            match partial.body.take(&mut buffer, MAX_BODY_BYTES) {
+            match partial.body.take(&mut buffer, LIMITS) {
                 Ok(Some(body)) => found.push((partial.head.target.to_string(), body.to_vec())),
                 Ok(None) => break,
                 Err(rejection) => return (found, Some(rejection)),
@@ -148,10 +227,15 @@
             let text = format!("{CHUNKED_HEAD}{first}{size}\r\nxyz\r\n0\r\n\r\n");
             assert_eq!(decode(&text), Err(rejection), "{first:?} {size}");
             let mut buffer = BytesMut::from(text.as_str());
-            let head = take_head(&mut buffer, MAX_HEAD_BYTES).expect("the head is valid");
+            let limits = SizeLimits {
+                body: u64::MAX,
+                ..LIMITS
+            };
+            let head = HeadDecoder::default().take(&mut buffer, limits);
+            let head = head.expect("the head is valid");
             let mut body = head.expect("the head is complete").body;
             assert!(
-                !matches!(body.take(&mut buffer, u64::MAX), Ok(Some(_))),
+                !matches!(body.take(&mut buffer, limits), Ok(Some(_))),
                 "{first:?} {size} without a limit"
             );
         }
@@ -241,6 +325,7 @@
             3\r\nabc\r\n0\r\n\r\nPOST /b HTTP/1.1\r\ncontent-length: 2\r\n\r\nde";
         let mut left = &text[..];
         let mut buffer = BytesMut::new();
+        let mut decoder = HeadDecoder::default();
         let mut message = None;
         let mut found = Vec::new();
         for cut in cuts.into_iter().chain([usize::MAX]) {
@@ -249,12 +334,12 @@
             left = rest;
             loop {
                 if message.is_none() {
-                    message = take_head(&mut buffer, MAX_HEAD_BYTES).expect("the head is valid");
+                    message = decoder.take(&mut buffer, LIMITS).expect("the head is valid");
                 }
                 let Some(partial) = &mut message else { break };
                 let Some(body) = partial
                     .body
-                    .take(&mut buffer, MAX_BODY_BYTES)
+                    .take(&mut buffer, LIMITS)
                     .expect("the body is valid")
                 else {
                     break;
