node: a target keeps its query, and in absolute form names the host

Cause: the path was searched up to the first slash after "://" only, and the parser of the client drops a fragment. Change: the authority ends at the first slash or question mark, and takes the place of Host (RFC 9112, section 3.2.2). A target that the client wouldn't send as it came is malformed, and so is CONNECT. Targets with #, <, > or, in a query, a double quote, or, in a path, a grave accent, or bytes that are no UTF-8, stay 400: the client can't send them.

--- a/crates/node/src/ingress/framing.rs
+++ b/crates/node/src/ingress/framing.rs
@@ -8,7 +8,7 @@
 use dialect::Rejection;
 use httparse::Status;
 use note::CallerLimits;
-use smol_str::SmolStr;
+use smol_str::{SmolStr, format_smolstr};
 
 use super::routing::RequestHead;
 
@@ -178,7 +178,7 @@
 
 fn read_head(request: &httparse::Request<'_, '_>) -> Result<Message, Rejection> {
     let method = SmolStr::new(request.method.unwrap_or_default());
-    let target = origin_form(request.path.unwrap_or_default())?;
+    let (target, authority) = split_target(&method, request.path.unwrap_or_default())?;
     let mut headers = HeaderMap::with_capacity(request.headers.len());
     for header in request.headers.iter() {
         let name = HeaderName::from_bytes(header.name.as_bytes());
@@ -193,6 +193,9 @@
     if headers.get_all("host").iter().count() > 1 {
         return Err(Rejection::Malformed);
     }
+    if let Some(authority) = authority {
+        headers.insert("host", authority);
+    }
     let http_1_1 = request.version == Some(1);
     Ok(Message {
         body: BodyDecoder::from_headers(&headers)?,
@@ -210,16 +213,27 @@
     })
 }
 
-/// Path and query of a request target in origin form or absolute form.
-fn origin_form(target: &str) -> Result<SmolStr, Rejection> {
-    let path = match target.split_once("://") {
-        _ if target.starts_with('/') => target,
-        Some((_, rest)) => rest.find('/').map_or("/", |at| &rest[at..]),
+/// Path and query of a request target, and its authority if it is in absolute form.
+fn split_target(method: &str, target: &str) -> Result<(SmolStr, Option<HeaderValue>), Rejection> {
+    let (path, authority) = match target.split_once("://") {
+        _ if method == "CONNECT" => return Err(Rejection::Malformed),
+        _ if target.starts_with('/') || (method, target) == ("OPTIONS", "*") => {
+            (SmolStr::new(target), None)
+        }
+        Some((_, rest)) => {
+            let (authority, path) = rest.split_at(rest.find(['/', '?']).unwrap_or(rest.len()));
+            let host = authority.rsplit('@').next().unwrap_or_default();
+            let host = HeaderValue::from_str(host).map_err(|_| Rejection::Malformed)?;
+            let slash = if path.starts_with('/') { "" } else { "/" };
+            (format_smolstr!("{slash}{path}"), Some(host))
+        }
         None => return Err(Rejection::Malformed),
     };
+    let is_whole = |uri: &Uri| uri.path_and_query().is_some_and(|p| p.as_str() == path);
+    let has_host = authority.as_ref().is_none_or(|host| !host.is_empty());
     match path.parse::<Uri>() {
-        Ok(_) => Ok(SmolStr::new(path)),
-        Err(_) => Err(Rejection::Malformed),
+        Ok(uri) if is_whole(&uri) && has_host => Ok((path, authority)),
+        _ => Err(Rejection::Malformed),
     }
 }
 
--- a/crates/node/src/ingress/tests.rs
+++ b/crates/node/src/ingress/tests.rs
@@ -115,6 +115,49 @@
     assert_eq!(decode(&endless), Err(Rejection::HeadTooLarge));
 }
 
+#[test]
+fn targets_keep_their_path_and_query_and_name_their_host() {
+    let cases = [
+        ("GET", "http://h:80/a?b", "/a?b", "h:80"),
+        ("GET", "http://h", "/", "h"),
+        ("GET", "http://h:80?b=/c", "/?b=/c", "h:80"),
+        ("GET", "HTTP://user@H?b", "/?b", "H"),
+        ("GET", "/a?b=http://c/d", "/a?b=http://c/d", "other"),
+        ("GET", "//a", "//a", "other"),
+        ("GET", "/a?", "/a?", "other"),
+        (
+            "GET",
+            "/a\"{|}\\^?b={|}\\^`",
+            "/a\"{|}\\^?b={|}\\^`",
+            "other",
+        ),
+        ("OPTIONS", "*", "*", "other"),
+    ];
+    for (method, target, path, host) in cases {
+        let text = format!("{method} {target} HTTP/1.1\r\nhost: other\r\n\r\n");
+        let message = decode_head(&text, 1_024).map_err(|rejection| (target, rejection));
+        let head = message.expect("the head is valid").head;
+        assert_eq!(head.target, path, "{target}");
+        assert_eq!(head.headers["host"], host, "{target}");
+    }
+}
+
+#[test]
+fn targets_that_no_server_would_get_unchanged_are_malformed() {
+    for line in [
+        "GET /a#b",
+        "GET *",
+        "GET a",
+        "CONNECT h:443",
+        "CONNECT /a",
+        "GET http://",
+    ] {
+        let text = format!("{line} HTTP/1.1\r\nhost: h\r\n\r\n");
+        let rejected = decode_head(&text, 1_024).map(|message| message.head.target);
+        assert_eq!(rejected, Err(Rejection::Malformed), "{line}");
+    }
+}
+
 #[test]
 fn odd_but_valid_heads_are_taken() {
     for head in [
