node: a length that is repeated with the same value is taken

Callers saw: 400 for two equal Content-Length headers, or one with the value "3, 3" (DENIED). Cause: any repetition counted as ambiguous. Change: equal lengths count once, as RFC 9110, section 8.6 allows. Lengths that differ, an empty element, or a length beside a coding stay 400. The test of ambiguous lengths had "3, 3" in its list; it now has "3, 4", "3," and "3, 3" beside a coding in its place.

--- a/crates/node/src/ingress/framing.rs
+++ b/crates/node/src/ingress/framing.rs
@@ -278,19 +278,12 @@
 
 impl BodyDecoder {
     fn from_headers(headers: &HeaderMap) -> Result<Self, Rejection> {
-        let mut lengths = headers.get_all("content-length").iter();
+        let lengths: Vec<_> = headers.get_all("content-length").iter().collect();
         let codings: Vec<_> = headers.get_all("transfer-encoding").iter().collect();
-        match (lengths.next(), codings.as_slice()) {
-            (None, []) => Ok(Self::Length(0)),
-            (Some(length), []) if lengths.next().is_none() => {
-                let text = length.to_str().map_err(|_| Rejection::Malformed)?;
-                let digits = !text.is_empty() && text.bytes().all(|b| b.is_ascii_digit());
-                match text.parse() {
-                    Ok(length) if digits => Ok(Self::Length(length)),
-                    _ => Err(Rejection::Malformed),
-                }
-            }
-            (None, [coding]) if coding.as_bytes().eq_ignore_ascii_case(b"chunked") => {
+        match (lengths.as_slice(), codings.as_slice()) {
+            ([], []) => Ok(Self::Length(0)),
+            (lengths, []) => parse_length(lengths).map(Self::Length),
+            ([], [coding]) if coding.as_bytes().eq_ignore_ascii_case(b"chunked") => {
                 Ok(Self::Chunked(ChunkDecoder::default()))
             }
             _ => Err(Rejection::Malformed),
@@ -326,6 +319,25 @@
     }
 }
 
+/// Parses the length of a body, which may be repeated if it is the same each time (RFC 9110, section
+/// 8.6).
+fn parse_length(values: &[&HeaderValue]) -> Result<u64, Rejection> {
+    let mut length = None;
+    for value in values {
+        let text = value.to_str().map_err(|_| Rejection::Malformed)?;
+        for digits in text.split(',').map(|part| part.trim_matches([' ', '\t'])) {
+            let is_number = !digits.is_empty() && digits.bytes().all(|b| b.is_ascii_digit());
+            match digits.parse() {
+                Ok(number) if is_number && length.is_none_or(|known| known == number) => {
+                    length = Some(number);
+                }
+                _ => return Err(Rejection::Malformed),
+            }
+        }
+    }
+    length.ok_or(Rejection::Malformed)
+}
+
 impl ChunkDecoder {
     /// Decodes what `buffer` holds of a body, and takes it off the front.
     fn take(
--- a/crates/node/src/ingress/tests.rs
+++ b/crates/node/src/ingress/tests.rs
@@ -46,7 +46,9 @@
         "content-length: 3\r\ntransfer-encoding: chunked\r\n",
         "content-length: 3\r\ncontent-length: 4\r\n",
         "content-length: +3\r\n",
-        "content-length: 3, 3\r\n",
+        "content-length: 3, 4\r\n",
+        "content-length: 3,\r\n",
+        "content-length: 3, 3\r\ntransfer-encoding: chunked\r\n",
         "transfer-encoding: gzip, chunked\r\n",
         "transfer-encoding: chunked\r\ntransfer-encoding: chunked\r\n",
         "host: a\r\nhost: b\r\n",
@@ -115,6 +117,18 @@
     assert_eq!(decode(&endless), Err(Rejection::HeadTooLarge));
 }
 
+#[test]
+fn equal_lengths_that_are_repeated_count_once() {
+    for headers in [
+        "content-length: 3\r\ncontent-length: 3\r\n",
+        "content-length: 3, 3\r\n",
+        "content-length: 3 ,3\r\ncontent-length: 3\r\n",
+    ] {
+        let text = format!("POST /a HTTP/1.1\r\n{headers}\r\nabc");
+        assert_eq!(decode(&text), Ok(Some(("/a".into(), b"abc".to_vec()))));
+    }
+}
+
 #[test]
 fn targets_keep_their_path_and_query_and_name_their_host() {
     let cases = [
