node: only a caller that expects 100-continue is told to continue

Callers saw: "100 Continue" in answer to any Expect header, also over HTTP/1.0, which knows no interim answers. A connection of HTTP/1.0 stayed open after a body in chunks, whose end is uncertain there (RFC 9112, section 6.1). Cause: the presence of the header was checked, not its value or the version. Change: the value is read as a list, in any case; other expectations are ignored. Such a connection is closed. Result: the new test failed before: "assertion `left == right` failed: HTTP/1.1 tea left: true right: false".

--- a/crates/node/src/ingress/framing.rs
+++ b/crates/node/src/ingress/framing.rs
@@ -197,14 +197,16 @@
         headers.insert("host", authority);
     }
     let http_1_1 = request.version == Some(1);
+    let body = BodyDecoder::from_headers(&headers)?;
+    let is_counted = matches!(body, BodyDecoder::Length(_));
     Ok(Message {
-        body: BodyDecoder::from_headers(&headers)?,
-        keep_alive: if http_1_1 {
-            !has_token(&headers, "close")
-        } else {
-            has_token(&headers, "keep-alive")
+        body,
+        // The framing of a chunked body isn't certain in HTTP/1.0 (RFC 9112, section 6.1).
+        keep_alive: match http_1_1 {
+            true => !has_token(&headers, "connection", "close"),
+            false => has_token(&headers, "connection", "keep-alive") && is_counted,
         },
-        expects_continue: headers.contains_key("expect"),
+        expects_continue: http_1_1 && has_token(&headers, "expect", "100-continue"),
         head: RequestHead {
             method,
             target,
@@ -237,8 +239,9 @@
     }
 }
 
-fn has_token(headers: &HeaderMap, token: &str) -> bool {
-    let mut values = headers.get_all("connection").iter();
+/// Whether a header that is a list has an element.
+fn has_token(headers: &HeaderMap, name: &str, token: &str) -> bool {
+    let mut values = headers.get_all(name).iter();
     values.any(|value| {
         let text = value.to_str().unwrap_or_default();
         text.split(',')
--- a/crates/node/src/ingress/tests.rs
+++ b/crates/node/src/ingress/tests.rs
@@ -172,6 +172,23 @@
     }
 }
 
+#[test]
+fn a_caller_is_told_to_continue_only_if_it_waits_for_that() {
+    let cases = [
+        ("HTTP/1.1", "100-continue", true),
+        ("HTTP/1.1", "100-Continue", true),
+        ("HTTP/1.1", "tea, 100-continue", true),
+        ("HTTP/1.1", "tea", false),
+        ("HTTP/1.1", "", false),
+        ("HTTP/1.0", "100-continue", false),
+    ];
+    for (version, value, expected) in cases {
+        let text = format!("POST / {version}\r\nexpect: {value}\r\ncontent-length: 1\r\n\r\n");
+        let message = decode_head(&text, 1_024).expect("the head is valid");
+        assert_eq!(message.expects_continue, expected, "{version} {value}");
+    }
+}
+
 #[test]
 fn odd_but_valid_heads_are_taken() {
     for head in [
@@ -187,6 +204,9 @@
             "{head}"
         );
     }
+    let old = "POST /a HTTP/1.0\r\nconnection: keep-alive\r\ntransfer-encoding: chunked\r\n\r\n";
+    let message = decode_head(old, 1_024).expect("the head is valid");
+    assert!(!message.keep_alive, "its length isn't certain");
 }
 
 #[test]
