fleet: tell peers that operators have written a held zone again

A node that had read that operators had written the zone again had the same digest as the others, so nobody pulled, and each node that hadn't read the store itself put the zone back in when its hold ended. Class: a digest that leaves out something by which the state will differ later.

Change: the digest also covers the zones that are out only because they are held. A node that reads them in the registry has a new view, tells its neighbours, and these pull the newer stamp. Without held zones, or once all are confirmed, the digest is what it was. The end of a hold that changes nothing makes no new view any more.

--- a/crates/fleet/src/snapshot.rs
+++ b/crates/fleet/src/snapshot.rs
@@ -29,20 +29,24 @@
 //! - A removed backend server that the copy still lists returns only with a further heartbeat.
 //! - An older configuration doesn't replace a newer one. Versions order it, not stamps.
 //! - Zones that were out of service remain so, in addition to those that the copy names. A node that
-//!   starts meanwhile adopts them from its peers.
+//!   starts meanwhile adopts them from its peers. Once operators have written a zone again, the nodes
+//!   that have read it differ from the others in their digest, so all learn of it from peers in time.
 //!
 //! An answer of an older era changes nothing but a configuration with a newer version, whichever
 //! way it comes.
 
+mod parts;
+
 use std::{
     collections::{BTreeMap, BTreeSet},
     sync::Arc,
 };
 
 use note::{Digest, ListedServer, Listing, OperatorConfig, ServerStatus, State, View};
-use serde::{Deserialize, Serialize};
 use types::{Boot, Era, Moment, Revision, ServerId, Span, Stamp, ZoneId};
 
+pub use parts::{Digests, EraChange, HeldZones, Parts};
+
 /// Time after a failed read during which entries that disappear are retained: up to one second
 /// until the registry recovers and is read again, and two seconds within which the platform
 /// guarantees that live backend servers are listed again.
@@ -54,54 +58,6 @@
 /// several times the fleet size that is expected in two years.
 const MAX_TOMBSTONES: usize = 4_096;
 
-/// The parts of a snapshot that a peer lacks.
-#[derive(Debug, Clone, Default, PartialEq, Serialize, Deserialize)]
-pub struct Parts {
-    /// Revision of the sender's view.
-    pub revision: Revision,
-    /// The backend servers, unless the peer has the same ones.
-    pub listing: Option<Listing>,
-    /// The operators' configuration, unless the peer has the same one. It may be large.
-    #[serde(rename = "orders")]
-    pub config: Option<OperatorConfig>,
-    /// Availability zones that the sender keeps out of service after a change of era.
-    #[serde(default)]
-    pub held: Option<HeldZones>,
-}
-
-/// Availability zones that were out of service before a change of era.
-#[derive(Debug, Clone, Default, PartialEq, Serialize, Deserialize)]
-pub struct HeldZones {
-    /// The new era.
-    pub era: Era,
-    /// The zones.
-    pub zones: Vec<ZoneId>,
-    /// Time for which they are still kept out of service.
-    pub left: Span,
-}
-
-/// Digests of both parts, without the values that change with each heartbeat.
-#[derive(Debug, Clone, Copy, Default, PartialEq, Eq)]
-pub struct Digests {
-    /// Digest of the backend servers.
-    pub listing: Digest,
-    /// Digest of the operators' configuration, with the zones kept out of service.
-    pub config: Digest,
-}
-
-/// A change of era: the registry came back from an older copy of its contents.
-#[derive(Debug, Clone, Copy, PartialEq, Eq)]
-pub struct EraChange {
-    /// Stamp of the last listing of the old era.
-    pub before: Stamp,
-    /// Stamp of the first listing of the new era.
-    pub after: Stamp,
-    /// Number of backend servers that the copy lacks and that are retained.
-    pub retained: usize,
-    /// Number of backend servers in the copy that weren't known.
-    pub added: usize,
-}
-
 /// What is known of a removed backend server.
 #[derive(Debug, Clone, Copy)]
 struct Tombstone {
@@ -258,15 +214,15 @@
     /// whether the view changed.
     pub fn expire(&mut self, now: Moment) -> bool {
         let servers = !self.retained.is_empty() && now >= self.retain_until;
-        let zones = !self.held_zones.is_empty() && now >= self.hold_until;
+        let held = !self.held_zones.is_empty() && now >= self.hold_until;
         if servers {
             let retained = std::mem::take(&mut self.retained);
             self.add_tombstones(&retained);
         }
-        if zones {
+        if held {
             self.held_zones.clear();
-            self.update_config_digest();
         }
+        let zones = held && self.update_config_digest();
         if servers || zones {
             self.rebuild(self.listing.stamp.revision);
         }
@@ -405,22 +361,38 @@
 
     /// Rebuilds the view if the effective configuration changed, and returns whether it did.
     fn apply_config(&mut self) -> bool {
-        let before = self.digests.config;
-        self.update_config_digest();
-        let changed = self.digests.config != before;
+        let changed = self.update_config_digest();
         if changed {
             self.rebuild(self.config.stamp.revision);
         }
         changed
     }
 
-    fn update_config_digest(&mut self) {
-        self.digests.config = Digest::of(&OperatorConfig {
+    /// Zones that are out of service only because they are held.
+    fn unconfirmed_zones(&self) -> Vec<&ZoneId> {
+        let is_listed = |zone: &&ZoneId| self.config.zones_out.contains(zone);
+        let held = self.held_zones.iter();
+        held.filter(|zone| !is_listed(zone)).collect()
+    }
+
+    /// Updates the digest of the configuration, and returns whether it changed.
+    ///
+    /// It covers the zones that are held only. A node that knows that operators have written them again
+    /// therefore differs from the others until these know it too, although the same zones are out.
+    fn update_config_digest(&mut self) -> bool {
+        let effective = OperatorConfig {
             stamp: Stamp::default(),
             checked: Stamp::default(),
             zones_out: self.zones_out(),
             ..self.config.clone()
-        });
+        };
+        let unconfirmed = self.unconfirmed_zones();
+        let digest = match unconfirmed.is_empty() {
+            true => Digest::of(&effective),
+            false => Digest::of(&(&effective, unconfirmed)),
+        };
+        let before = std::mem::replace(&mut self.digests.config, digest);
+        before != digest
     }
 
     /// Raises the tombstones of removed backend servers to the entries that are first seen in a new
--- a/crates/fleet/tests/era.rs
+++ b/crates/fleet/tests/era.rs
@@ -162,6 +162,37 @@
     assert_eq!(expiry, old.next_expiry().expect("a held zone"));
 }
 
+#[test]
+fn zones_that_operators_wrote_again_are_known_to_peers_before_held_ones_expire() {
+    let mut nodes = [Snapshot::default(), Snapshot::default()];
+    for node in &mut nodes {
+        node.update_config(config(stamp(1, 100), 7, &["nadi"]), NOW);
+        node.update_zones(Vec::new(), stamp(2, 90), after(100));
+    }
+    let [reader, other] = &mut nodes;
+    assert_eq!(reader.digests(), other.digests());
+    let written = config(stamp(2, 95), 7, &["nadi"]).zones_out;
+    let is_new = reader.update_zones(written, stamp(2, 95), after(1_900));
+    assert!(is_new, "peers are told");
+    assert_ne!(reader.digests(), other.digests(), "a comparison shows it");
+    other.merge(reader.parts(other.digests(), after(1_950)), after(1_950));
+    assert_eq!(reader.digests(), other.digests());
+    for node in &mut nodes {
+        assert!(!node.expire(after(3_100)), "nothing changes");
+        assert_eq!(zones_out(node), ["nadi"]);
+    }
+}
+
+#[test]
+fn zones_that_stay_out_by_the_registry_alone_make_no_other_view() {
+    let mut drilled = Snapshot::default();
+    drilled.update_config(config(stamp(1, 100), 7, &["nadi"]), NOW);
+    drilled.update_config(config(stamp(2, 95), 7, &["nadi"]), after(100));
+    let mut started = Snapshot::default();
+    started.update_config(config(stamp(2, 95), 7, &["nadi"]), after(200));
+    assert_eq!(drilled.digests(), started.digests());
+}
+
 #[test]
 fn held_zones_are_not_extended_by_peers() {
     let mut snapshot = Snapshot::default();
