ingress: judge a request by one view

Cause: the route table and the services followed the view in another task. Between the two, a request was routed by the older table, or by none on a node that had just become ready, its service was looked up in the newer view (404), and a new service had no servers (503). A call that a newer view overtook on its way was given up, though it had not run. The gate's actor heard of views by its mailbox, so a request could overtake the news. Class: state derived from a shared value, updated by its own task and read beside that value.

Change: a request takes the view from the board under the lock of the routes, and routes and services are brought to that view first. The routed call keeps its view: the trial of a suspect and the limit on the body come from it (over HTTP/2 the operators' limit on bodies now holds, too). A call that wasn't run since its service isn't the one any more, or since gates with another view refused it, is routed again, by the view then in force and with the time left; only while it certainly hasn't run, so at most once holds, and without a second deposit in the retry budget. The gate applies the board's view before it judges an attempt.

--- a/crates/node/src/gate_actor/state.rs
+++ b/crates/node/src/gate_actor/state.rs
@@ -149,6 +149,10 @@
     }
 
     pub(super) fn run(&mut self, msg: RunAttempt) {
+        // The message that tells of a new view may be behind this one.
+        if self.hosts_revision != self.board.view.borrow().revision {
+            self.refresh();
+        }
         let id = msg.offer.id;
         let now = self.board.clock.now();
         if let Some(server) = self.server_id().cloned() {
--- a/crates/node/src/gate_actor/tests/actor.rs
+++ b/crates/node/src/gate_actor/tests/actor.rs
@@ -159,6 +159,16 @@
     opened: OpenedSession,
     seq: u64,
     floor: u64,
+) -> (AttemptId, oneshot::Receiver<Reply>) {
+    offer_to(actor, opened, server(), (seq, floor))
+}
+
+/// Offers a request that is meant for `server`.
+fn offer_to(
+    actor: &mut GateActor,
+    opened: OpenedSession,
+    server: ServerId,
+    (seq, floor): (u64, u64),
 ) -> (AttemptId, oneshot::Receiver<Reply>) {
     let id = AttemptId {
         boot: opened.boot,
@@ -175,7 +185,7 @@
             refusal: None,
             rank: Rank::default(),
         },
-        server: server(),
+        server,
         route: SmolStr::default(),
         idempotent: true,
         known_limit: None,
@@ -225,3 +235,14 @@
     let load = actor.gate.load(actor.board.clock.now());
     assert_eq!((load.running, load.waiting), (1, 0), "the last one runs");
 }
+
+#[tokio::test]
+async fn a_request_that_overtakes_the_news_of_a_view_is_judged_by_that_view() {
+    let mut actor = actor();
+    let opened = actor.open_session(Boot(9));
+    let other: ServerId = "other".parse().expect("a valid id");
+    actor.board.view.send_replace(view(3, &other));
+    let (_, mut replied) = offer_to(&mut actor, opened, other, (1, 1));
+    assert!(replied.try_recv().is_err(), "it runs");
+    assert_eq!(actor.gate.load(actor.board.clock.now()).running, 1);
+}
--- a/crates/node/src/ingress/driver.rs
+++ b/crates/node/src/ingress/driver.rs
@@ -4,6 +4,8 @@
 //! future drops that too. The requests that cancel open attempts must complete even after the
 //! caller has its answer or has disconnected, so they run in separate tasks that own their data.
 
+mod logs;
+
 use std::{
     pin::Pin,
     sync::{Arc, OnceLock},
@@ -16,9 +18,8 @@
     stream::FuturesUnordered,
 };
 use gate::Rank;
-use route::ServerState;
 use tokio::time::{Sleep, sleep_until};
-use types::{Moment, Outcome, Refusal, ServerId, Span};
+use types::{Moment, Outcome, Refusal, Revision, ServerId, Span};
 
 use super::{
     Ingress,
@@ -28,21 +29,32 @@
     suspects::find_trial,
 };
 use crate::{
-    gate_actor::{Reply, outcome_name},
+    gate_actor::Reply,
     peers::{Peer, TransportError},
     view_sync::PeerReport,
 };
 
+/// How a call has ended.
+#[derive(Debug)]
+pub(super) struct CallEnd {
+    pub(super) outcome: CallOutcome,
+    /// Revision of the gate that last refused an attempt for a reason that may be gone in another view.
+    pub(super) refused_at: Option<Revision>,
+}
+
 /// Sends a call's attempts until it has an outcome. For a `trial`, only one is sent.
 pub(super) async fn run_attempts(
     ingress: &Arc<Ingress>,
     routed: Arc<RoutedCall>,
     trial: Option<Trial>,
-) -> CallOutcome {
-    let latency =
-        ingress
-            .services
-            .begin_call(&routed.service, &routed.latency_key, routed.limits.retries);
+) -> CallEnd {
+    let retry_ratio = match routed.is_rerouted {
+        true => 0.0,
+        false => routed.limits.retries,
+    };
+    let latency = ingress
+        .services
+        .begin_call(&routed.service, &routed.latency_key, retry_ratio);
     let request = CallRequest {
         idempotent: routed.idempotent,
         is_retry: routed.request.is_retry || trial.is_some(),
@@ -58,11 +70,15 @@
         service_time: latency.service_time(),
         trial,
         broken: false,
+        refused_at: None,
         routed,
         attempts: Vec::new(),
         events: FuturesUnordered::new(),
     };
-    driver.run().await
+    CallEnd {
+        outcome: driver.run().await,
+        refused_at: driver.refused_at,
+    }
 }
 
 /// State of an attempt of the call.
@@ -99,6 +115,8 @@
     trial: Option<Trial>,
     /// Whether an attempt has ended without a known outcome: its backend server may have ended.
     broken: bool,
+    /// See [`CallEnd`].
+    refused_at: Option<Revision>,
     /// Time that such a request usually spends at the backend server.
     service_time: Span,
     attempts: Vec<AttemptState>,
@@ -173,6 +191,7 @@
                 self.record_reply(attempt, &reply, sent_at, now);
                 self.log_reply(attempt, &reply, now.since(sent_at));
                 let outcome = reply.outcome;
+                self.refused_at = self.elsewhere(&outcome, reply.revision).or(self.refused_at);
                 if outcome == Outcome::Unknown {
                     self.broken = true;
                     let found = || find_trial(&self.ingress.board, &self.routed.request);
@@ -224,6 +243,21 @@
         }
     }
 
+    /// Revision of a gate that refused an attempt for a reason that may be gone in another view than the gate's:
+    /// its server isn't there, or takes nothing new by a view that is ahead of the call's.
+    fn elsewhere(&self, outcome: &Outcome, gate: Revision) -> Option<Revision> {
+        let Outcome::NotRun { refusal, .. } = outcome else {
+            return None;
+        };
+        let is_ahead = gate > self.routed.view.revision;
+        let is_elsewhere = match refusal {
+            Refusal::Misplaced => true,
+            Refusal::Leaving => is_ahead,
+            _ => false,
+        };
+        is_elsewhere.then_some(gate)
+    }
+
     fn apply_refusal(
         &mut self,
         attempt: AttemptIndex,
@@ -236,50 +270,6 @@
         })
     }
 
-    fn log_sent(
-        &self,
-        attempt: AttemptIndex,
-        server: &ServerId,
-        fail_fast: bool,
-        server_state: Option<&ServerState>,
-    ) {
-        let board = &self.ingress.board;
-        let now = board.clock.now();
-        let reported = server_state.filter(|s| s.reported_at > Moment(0));
-        log::info!(
-            call:% = self.routed.request.call, attempt, service:% = self.routed.service,
-            server:% = server, choosy = fail_fast,
-            local = server_state.map(|s| s.member.local),
-            open = server_state.map(|s| s.open_attempts),
-            load = reported.map(|s| s.report.load),
-            pace = reported.map(|s| s.report.slowdown_percent),
-            report_ms = reported.map(|s| now.since(s.reported_at).as_millis()),
-            left_ms = self.routed.deadline.since(now).as_millis(),
-            suspect = self.trial.as_ref().map(|trial| trial.request.to_string()),
-            view:% = board.view.borrow().revision;
-            "attempt_sent"
-        );
-    }
-
-    fn log_reply(&self, attempt: AttemptIndex, reply: &Reply, took: Span) {
-        let load = reply.load;
-        log::info!(
-            call:% = self.routed.request.call, attempt, server:% = self.attempts[attempt].server,
-            outcome = outcome_name(&reply.outcome), took_us = took.0, ran_us = reply.service_time.0,
-            running = load.running, waiting = load.waiting, allowed = load.allowed,
-            pace = load.slowdown_percent, view:% = reply.revision;
-            "attempt_heard"
-        );
-    }
-
-    fn log_transport_error(&self, attempt: AttemptIndex, error: TransportError) {
-        let server = &self.attempts[attempt].server;
-        log::warn!(
-            call:% = self.routed.request.call, attempt, server:% = server, fault = error.name();
-            "attempt_unheard"
-        );
-    }
-
     fn record_no_reply(&self, attempt: AttemptIndex, error: TransportError, now: Moment) {
         self.log_transport_error(attempt, error);
         let server = &self.attempts[attempt].server;
--- a/crates/node/src/ingress/http1.rs
+++ b/crates/node/src/ingress/http1.rs
@@ -290,7 +290,7 @@
         };
         let mut limits = self.size_limits();
         if let Ok(routed) = &pending.routed {
-            limits.body = limits.body.min(routed.limits.body.0);
+            limits.body = routed.max_body.max(limits.body.min(routed.limits.body.0));
         }
         let size = pending.body.min_bytes(self.buffer.len()).min(limits.body);
         if let Err(rejection) = self
--- a/crates/node/src/ingress/http2.rs
+++ b/crates/node/src/ingress/http2.rs
@@ -82,8 +82,7 @@
         routed = Err(rejection);
     }
     if let Ok(routed_call) = &mut routed {
-        let max_bytes = routed_call.limits.body.0.min(limits.body);
-        let read_body = Limited::new(body, max_bytes as usize).collect();
+        let read_body = Limited::new(body, routed_call.max_body as usize).collect();
         let deadline = ingress.board.clock.instant(routed_call.deadline);
         match timeout_at(deadline, read_body).await {
             Ok(Ok(whole)) => routed_call.set_body(whole.to_bytes()),
--- a/crates/node/src/ingress/mod.rs
+++ b/crates/node/src/ingress/mod.rs
@@ -3,7 +3,7 @@
 //! A connection ([`http1`], [`http2`]) reads a request, and [`routing`] checks it and finds its
 //! service. [`suspects`] holds it back if it
 //! may end backend servers. [`driver`] sends its attempts, using the state kept for the service ([`services`]), and
-//! [`response`] builds the answer. If the caller disconnects, the future of its request is dropped,
+//! [`response`] builds the answer. A call that isn't run since the view has changed is routed again ([`reroute`]). If the caller disconnects, the future of its request is dropped,
 //! which cancels its open attempts.
 
 #[cfg(test)]
@@ -14,6 +14,7 @@
 mod http1;
 mod http2;
 mod outgoing;
+mod reroute;
 mod response;
 mod routing;
 mod services;
@@ -22,7 +23,7 @@
 use std::{
     collections::HashSet,
     net::SocketAddr,
-    sync::{Arc, Mutex, MutexGuard},
+    sync::{Arc, Mutex},
     time::Duration,
 };
 
@@ -33,6 +34,7 @@
 use dialect::{Dialect, Rejection};
 use futures::FutureExt;
 use kameo::actor::ActorRef;
+use note::View;
 use route::RouteTable;
 use tokio::{
     net::{TcpListener, TcpStream},
@@ -65,6 +67,13 @@
 /// First bytes of the HTTP/2 connection preface. No HTTP/1.1 request starts with them.
 const HTTP2_PREFACE: &[u8] = b"PRI ";
 
+/// A view, and its routes.
+#[derive(Default)]
+pub(crate) struct ViewRoutes {
+    view: Arc<View>,
+    table: RouteTable,
+}
+
 /// State shared by all connections from callers.
 pub(crate) struct Ingress {
     pub(crate) board: Arc<Board>,
@@ -73,7 +82,8 @@
     pub(crate) local_service: Option<ServiceId>,
     pub(crate) peers: Peers,
     pub(crate) services: Services,
-    pub(crate) route_table: Mutex<RouteTable>,
+    /// The routes of a view. Requests lock it with [`Ingress::with_routes`].
+    pub(crate) routes: Mutex<ViewRoutes>,
     pub(crate) metrics: Arc<Metrics>,
     pub(crate) view_sync: ActorRef<ViewSync>,
     /// Limits the memory that callers' bodies use.
@@ -87,8 +97,7 @@
         let mut hosts = self.board.hosts.subscribe();
         let mut leaving = self.board.leaving.subscribe();
         loop {
-            self.route_table().set_routes(&self.board.view().state);
-            self.services.refresh(&self.board);
+            self.refresh_services();
             self.peers.retain(&self.node_addresses());
             let changed = tokio::select! {
                 changed = view.changed() => changed,
@@ -101,10 +110,29 @@
         }
     }
 
-    fn route_table(&self) -> MutexGuard<'_, RouteTable> {
-        self.route_table
+    /// Calls `judge` with the view in force and its routes.
+    ///
+    /// The routes and the services are updated here, not by the task that watches the board, so that a request
+    /// is judged by one view throughout, and by none before the newest one.
+    fn with_routes<T>(&self, judge: impl FnOnce(&Arc<View>, &mut RouteTable) -> T) -> T {
+        let mut routes = self
+            .routes
             .lock()
-            .expect("no thread panics while holding this lock")
+            .expect("no thread panics while holding this lock");
+        // Read under the lock, so that no older view replaces a newer one.
+        let view = self.board.view();
+        if !Arc::ptr_eq(&view, &routes.view) {
+            routes.table.set_routes(&view.state);
+            self.services.refresh(&self.board, &view.state);
+            routes.view = view;
+        }
+        let ViewRoutes { view, table } = &mut *routes;
+        judge(view, table)
+    }
+
+    /// Updates the services from the view and from the status of hosts and servers.
+    fn refresh_services(&self) {
+        self.with_routes(|view, _| self.services.refresh(&self.board, &view.state));
     }
 
     fn is_stopping(&self) -> bool {
@@ -138,7 +166,7 @@
                 refusal: Refusal::Stopping,
                 retry_after: Span::default(),
             }),
-            Ok(routed) => Ok(suspects::run_call(self, routed).await),
+            Ok(routed) => reroute::run_call(self, routed).await,
             Err(rejection) => Err(rejection),
         };
         let took = self.board.clock.now().since(started_at);
--- a/crates/node/src/ingress/routing.rs
+++ b/crates/node/src/ingress/routing.rs
@@ -3,10 +3,10 @@
 use std::sync::Arc;
 
 use axum::http::HeaderMap;
-use board::{Board, Phase};
+use board::Phase;
 use bytes::Bytes;
 use dialect::{Dialect, Rejection, RequestMetadata};
-use note::{HostRoute, Limits, Service};
+use note::{HostRoute, Limits, Service, View};
 use route::service_for_trial;
 use smol_str::SmolStr;
 use types::{CallId, Fingerprint, Header, Moment, ServiceId, Span};
@@ -32,19 +32,37 @@
 }
 
 impl RequestHead {
-    fn path(&self) -> &str {
-        self.target.split('?').next().unwrap_or_default()
-    }
-
     fn host(&self) -> &str {
         let host = self.headers.get("host").and_then(|v| v.to_str().ok());
         host.unwrap_or_default()
     }
 }
 
+/// What a call has from its caller, whichever view it is routed by.
+#[derive(Debug, Clone)]
+struct Origin {
+    host: SmolStr,
+    /// Time that the caller gives the call, if it says so.
+    time_left: Option<Span>,
+    /// When the head of the request was complete.
+    started_at: Moment,
+    /// Whether the caller is a backend server that is running another request.
+    nested: bool,
+}
+
+/// Where a view sends a request.
+struct Destination {
+    view: Arc<View>,
+    service: Service,
+    /// `None` if the path of the request names its service.
+    route: Option<Arc<HostRoute>>,
+}
+
 /// A call that can run once its body has been read.
 #[derive(Debug, Clone)]
 pub(super) struct RoutedCall {
+    /// The view that the call was routed by. Everything below is from this view.
+    pub(super) view: Arc<View>,
     pub(super) service: ServiceId,
     /// `None` if the path of the request names its service.
     pub(super) route: Option<Arc<HostRoute>>,
@@ -54,6 +72,8 @@
     /// Whether the caller is a backend server that is running another request.
     pub(super) nested: bool,
     pub(super) limits: Limits,
+    /// Largest body of the request, in bytes.
+    pub(super) max_body: u64,
     pub(super) idempotent: bool,
     /// Maximum number of attempts that may reach a backend server.
     pub(super) max_attempts: u32,
@@ -64,19 +84,83 @@
     /// 0 is the most urgent.
     pub(super) priority: u32,
     pub(super) request: ServerRequest,
+    /// Whether the call was routed before, by an older view, and wasn't run.
+    pub(super) is_rerouted: bool,
+    origin: Origin,
 }
 
 impl RoutedCall {
+    fn new(destination: Destination, request: ServerRequest, origin: Origin) -> Self {
+        let Destination {
+            view,
+            service,
+            route,
+        } = destination;
+        let timeout = match &route {
+            Some(route) => Span::from_millis(route.timeout_ms),
+            None => MAX_TIMEOUT,
+        };
+        let default = match &route {
+            Some(_) => timeout,
+            None => service.limits.timeout(),
+        };
+        let deadline = origin.started_at + origin.time_left.unwrap_or(default).min(timeout);
+        let objective =
+            |route: &Arc<HostRoute>| origin.started_at + Span::from_millis(route.objective_ms);
+        let key = route
+            .as_ref()
+            .map_or(service.id.as_str(), |r| r.id.as_str());
+        Self {
+            latency_key: SmolStr::new(key),
+            idempotent: match &route {
+                Some(route) => route.idempotent,
+                None => service.is_idempotent(&request.method, path_of(&request.path)),
+            },
+            max_attempts: route.as_ref().map_or(DEFAULT_ATTEMPTS, |r| r.attempts),
+            deadline,
+            objective: route.as_ref().map_or(deadline, objective),
+            priority: route.as_ref().map_or(0, |r| r.priority),
+            nested: origin.nested,
+            max_body: service.limits.body.min(view.state.callers.body).0,
+            limits: service.limits,
+            service: service.id,
+            is_rerouted: false,
+            view,
+            route,
+            request,
+            origin,
+        }
+    }
+
     pub(super) fn set_body(&mut self, body: Bytes) {
         self.request.body = body;
     }
 
     /// Sends a suspect to the service of its route that has its trial.
-    pub(super) fn move_to_trial(&mut self, board: &Board, request: Fingerprint) {
+    pub(super) fn move_to_trial(&mut self, request: Fingerprint) {
         let route = self.route.as_ref();
         let service = route.and_then(|route| service_for_trial(route, request));
-        if let Some(service) = service.and_then(|id| find_service(board, id)) {
-            (self.service, self.limits) = (service.id, service.limits);
+        if let Some(service) = service.and_then(|id| self.view.state.service(id)) {
+            self.service = service.id.clone();
+            self.limits = service.limits.clone();
+        }
+    }
+
+    /// Routes the call by the view in force. The time that it has counts from its start.
+    pub(super) fn route_again(&self, ingress: &Ingress) -> Result<Self, Rejection> {
+        let destination = find_destination(ingress, &self.origin.host, &self.request.path)?;
+        let routed = Self::new(destination, self.request.clone(), self.origin.clone());
+        Ok(Self {
+            is_rerouted: true,
+            ..routed
+        })
+    }
+
+    /// Whether another routing of the call may choose this service as well.
+    pub(super) fn may_use(&self, service: &ServiceId) -> bool {
+        match &self.route {
+            Some(route) => route.parts.iter().any(|part| part.service == *service),
+            None => self.service == *service,
         }
     }
 }
@@ -95,8 +179,7 @@
     head: &RequestHead,
     now: Moment,
 ) -> Result<RoutedCall, Rejection> {
-    let board = &ingress.board;
-    if board.phase() == Phase::Joining {
+    if ingress.board.phase() == Phase::Joining {
         return Err(Rejection::Joining);
     }
     let metadata = ingress
@@ -106,79 +189,41 @@
     if metadata.depth > MAX_DEPTH {
         return Err(Rejection::TooDeep);
     }
-    if board.view.borrow().state.is_addressed_by_path() {
-        return call_by_path(ingress, call, head, &metadata, now);
-    }
-    let found = ingress.route_table().find(head.host(), head.path());
-    let route = found.ok_or(Rejection::NoRoute)?;
-    call_by_route(ingress, call, head, &metadata, &route, now)
-}
-
-/// Builds the call from the route of the request.
-fn call_by_route(
-    ingress: &Ingress,
-    call: &CallId,
-    head: &RequestHead,
-    metadata: &RequestMetadata,
-    route: &Arc<HostRoute>,
-    now: Moment,
-) -> Result<RoutedCall, Rejection> {
-    let id = ingress
-        .route_table()
-        .pick_service(route)
-        .ok_or(Rejection::NoRoute)?;
-    let service = find_service(&ingress.board, &id).ok_or(Rejection::NoRoute)?;
-    let timeout = Span::from_millis(route.timeout_ms);
-    let remaining = metadata.time_left.unwrap_or(timeout).min(timeout);
-    Ok(RoutedCall {
-        idempotent: route.idempotent,
-        max_attempts: route.attempts,
-        deadline: now + remaining,
-        objective: now + Span::from_millis(route.objective_ms),
-        priority: route.priority,
-        request: server_request(ingress, call, head, metadata),
-        latency_key: SmolStr::new(route.id.as_str()),
+    let destination = find_destination(ingress, head.host(), &head.target)?;
+    let origin = Origin {
+        host: SmolStr::new(head.host()),
+        time_left: metadata.time_left,
+        started_at: now,
         nested: metadata.depth > 0,
-        limits: service.limits,
-        service: id,
-        route: Some(Arc::clone(route)),
-    })
+    };
+    let request = server_request(ingress, call, head, &metadata);
+    Ok(RoutedCall::new(destination, request, origin))
 }
 
-/// Builds the call of a request whose first path segment names the service.
-fn call_by_path(
-    ingress: &Ingress,
-    call: &CallId,
-    head: &RequestHead,
-    metadata: &RequestMetadata,
-    now: Moment,
-) -> Result<RoutedCall, Rejection> {
-    let segment = head.path().split('/').nth(1);
-    let id: Option<ServiceId> = segment.and_then(|name| name.parse().ok());
-    let service = id.and_then(|id| find_service(&ingress.board, &id));
-    let service = service.ok_or(Rejection::NoRoute)?;
-    let deadline = now
-        + metadata
-            .time_left
-            .unwrap_or(service.limits.timeout())
-            .min(MAX_TIMEOUT);
-    Ok(RoutedCall {
-        idempotent: service.is_idempotent(&head.method, head.path()),
-        max_attempts: DEFAULT_ATTEMPTS,
-        deadline,
-        objective: deadline,
-        priority: 0,
-        request: server_request(ingress, call, head, metadata),
-        latency_key: SmolStr::new(service.id.as_str()),
-        nested: metadata.depth > 0,
-        limits: service.limits,
-        service: service.id,
-        route: None,
+/// Finds where the view in force sends a request.
+fn find_destination(ingress: &Ingress, host: &str, target: &str) -> Result<Destination, Rejection> {
+    let path = path_of(target);
+    ingress.with_routes(|view, routes| {
+        let route = match view.state.is_addressed_by_path() {
+            true => None,
+            false => Some(routes.find(host, path).ok_or(Rejection::NoRoute)?),
+        };
+        let service = match &route {
+            Some(route) => routes.pick_service(route),
+            None => path.split('/').nth(1).and_then(|name| name.parse().ok()),
+        };
+        let service = service.and_then(|id| view.state.service(&id));
+        Ok(Destination {
+            view: Arc::clone(view),
+            service: service.ok_or(Rejection::NoRoute)?.clone(),
+            route,
+        })
     })
 }
 
-fn find_service(board: &Board, id: &ServiceId) -> Option<Service> {
-    board.view.borrow().state.service(id).cloned()
+/// The path of a target, without its query.
+fn path_of(target: &str) -> &str {
+    target.split('?').next().unwrap_or_default()
 }
 
 fn server_request(
--- a/crates/node/src/ingress/services.rs
+++ b/crates/node/src/ingress/services.rs
@@ -104,41 +104,32 @@
             .unwrap_or_default()
     }
 
-    /// Updates services and their backend servers from the board.
-    pub(crate) fn refresh(&self, board: &Board) {
-        let view = board.view();
+    /// Updates services and their backend servers from the state of a view, and from the hosts and
+    /// leaving servers on the board.
+    pub(crate) fn refresh(&self, board: &Board, state: &State) {
         let mut states = self.states();
-        states.retain(|id, _| view.state.services.contains_key(id));
+        states.retain(|id, _| state.services.contains_key(id));
         let exists = |latency_key: &SmolStr| {
-            let is_route = view
-                .state
-                .routes
-                .keys()
-                .any(|id| id.as_str() == latency_key);
-            is_route
-                || view
-                    .state
-                    .services
-                    .keys()
-                    .any(|id| id.as_str() == latency_key)
+            let is_route = state.routes.keys().any(|id| id.as_str() == latency_key);
+            is_route || state.services.keys().any(|id| id.as_str() == latency_key)
         };
         self.latencies()
             .retain(|latency_key, _| exists(latency_key));
-        let nodes = view.state.servers.len();
-        for id in view.state.services.keys() {
-            let state = states
+        let nodes = state.servers.len();
+        for id in state.services.keys() {
+            let service = states
                 .entry(id.clone())
                 .or_insert_with(|| self.new_state(nodes));
             if let Some(fleet_burst) = self.retry_policy.fleet_burst {
-                state.retry_budget.resize(fleet_burst, nodes);
+                service.retry_budget.resize(fleet_burst, nodes);
             }
-            state
+            service
                 .balancer
-                .set_members(members(&view.state, board, id), self.boot);
+                .set_members(members(state, board, id), self.boot);
             let is_current = |server: &ServerId, known: &mut KnownLimit| {
-                view.state.incarnation_of(server) == Some(known.incarnation)
+                state.incarnation_of(server) == Some(known.incarnation)
             };
-            state.limits.retain(is_current);
+            service.limits.retain(is_current);
         }
     }
 
--- a/crates/node/src/ingress/suspects.rs
+++ b/crates/node/src/ingress/suspects.rs
@@ -8,7 +8,12 @@
 use tokio::time::sleep;
 use types::{Refusal, Span};
 
-use super::{Ingress, driver, routing::RoutedCall, services::Trial};
+use super::{
+    Ingress,
+    driver::{self, CallEnd},
+    routing::RoutedCall,
+    services::Trial,
+};
 use crate::{backend::ServerRequest, fingerprint::RequestIdentity};
 
 /// Time between two checks whether the trial of an equal request has ended.
@@ -18,9 +23,8 @@
 const BLOCKED_RETRY_AFTER: Span = Span::from_millis(30_000);
 
 /// Runs a call to its end. A suspect request waits while an equal one is on trial.
-pub(super) async fn run_call(ingress: &Arc<Ingress>, routed: RoutedCall) -> CallOutcome {
+pub(super) async fn run_call(ingress: &Arc<Ingress>, mut routed: Arc<RoutedCall>) -> CallEnd {
     let identity = RequestIdentity::new(&routed.request);
-    let mut routed = Arc::new(routed);
     loop {
         let now = ingress.board.clock.now();
         let trial = match identity.verdict(&ingress.board, now) {
@@ -32,11 +36,11 @@
             Verdict::Blocked => return hold_back(ingress, &routed, &identity, BLOCKED_RETRY_AFTER),
         };
         if let Some(trial) = &trial {
-            Arc::make_mut(&mut routed).move_to_trial(&ingress.board, trial.request);
+            Arc::make_mut(&mut routed).move_to_trial(trial.request);
         }
-        let outcome = driver::run_attempts(ingress, Arc::clone(&routed), trial).await;
+        let end = driver::run_attempts(ingress, Arc::clone(&routed), trial).await;
         let is_refused = matches!(
-            outcome,
+            end.outcome,
             CallOutcome::NotRun {
                 refusal: Refusal::Quarantined,
                 ..
@@ -44,7 +48,7 @@
         );
         let now = ingress.board.clock.now();
         if !is_refused || now + TRIAL_POLL_INTERVAL >= routed.objective {
-            return outcome;
+            return end;
         }
         sleep(TRIAL_POLL_INTERVAL.duration()).await;
     }
@@ -78,15 +82,19 @@
     routed: &RoutedCall,
     identity: &RequestIdentity,
     left: Span,
-) -> CallOutcome {
+) -> CallEnd {
     ingress.metrics.record_suspects("held", 1);
     log::info!(
         call:% = routed.request.call, service:% = routed.service,
         request:% = identity.fingerprint(), left_ms = left.as_millis();
         "request_held_back"
     );
-    CallOutcome::NotRun {
+    let outcome = CallOutcome::NotRun {
         refusal: Refusal::Quarantined,
         retry_after: left,
+    };
+    CallEnd {
+        outcome,
+        refused_at: None,
     }
 }
--- a/crates/node/src/ingress/tests/fixtures.rs
+++ b/crates/node/src/ingress/tests/fixtures.rs
@@ -1,20 +1,21 @@
 //! An ingress whose only peers are stand-ins, and views to put in force.
 
-use std::sync::Arc;
+use std::{net::SocketAddr, sync::Arc};
 
 use adapter::SiteDialect;
 use axum::http::{HeaderMap, HeaderValue};
-use board::{Board, Phase};
+use board::{Board, Identity, Phase};
 use dialect::{Rejection, ResponseMetadata};
+use fleet::Lease;
 use futures::{FutureExt, future::BoxFuture};
 use gate::Completion;
 use note::{
-    HostRoute, Limits, ListedServer, Listing, OperatorConfig, Server, ServerStatus, Service, State,
-    View, WeightedService,
+    CallerLimits, HostRoute, Limits, ListedServer, Listing, OperatorConfig, Server, ServerStatus,
+    Service, State, View, WeightedService,
 };
 use platform::{HostList, NotePage, Platform, PlatformError};
 use tokio::time::Instant;
-use types::{Boot, Moment, Rate, Revision, Span};
+use types::{Answer, Boot, Moment, Rate, Revision, Span};
 
 use super::super::{
     Ingress, RetryPolicy, Services,
@@ -30,12 +31,16 @@
     view_sync::{self, Source, SyncOptions},
 };
 
-/// A backend server that no request reaches.
-struct UnusedBackend;
+/// A backend server that answers each request with status 200.
+struct SoundBackend;
 
-impl Backend for UnusedBackend {
+impl Backend for SoundBackend {
     fn run(&self, _: ServerRequest, _: Target, _: Instant) -> BoxFuture<'static, RequestResult> {
-        async { Completion::Unsent.into() }.boxed()
+        let answer = Answer {
+            status: 200,
+            ..Answer::default()
+        };
+        async { Completion::Answered(Arc::new(answer)).into() }.boxed()
     }
 
     fn probe(&self, _: Target) -> BoxFuture<'static, Result<ResponseMetadata, ProbeError>> {
@@ -60,8 +65,11 @@
 pub(super) fn ingress() -> Arc<Ingress> {
     let board = board();
     board.phase.send_replace(Phase::Ready);
+    let mut lease = Lease::new(Span::from_millis(60_000));
+    lease.renew(board.clock.now());
+    board.lease.send_replace(lease);
     let metrics = Arc::new(Metrics::new());
-    let gate_actor = gate_actor::spawn(&board, Arc::new(UnusedBackend), &metrics, 1.0);
+    let gate_actor = gate_actor::spawn(&board, Arc::new(SoundBackend), &metrics, 1.0);
     let options = SyncOptions {
         seeds: Vec::new(),
         reads: Rate::new(1.0).expect("a valid rate"),
@@ -76,7 +84,7 @@
         local_service: None,
         peers: Peers::new(board, gate_actor),
         services,
-        route_table: Default::default(),
+        routes: Default::default(),
         metrics,
         view_sync,
         body_budget: BodyBudget::default(),
@@ -112,15 +120,14 @@
 }
 
 /// A listed backend server of a service, under the service's name.
-fn listed(service: &Service, port: u16) -> ListedServer {
-    let address = ([127, 0, 0, 1], port).into();
+fn listed(service: &Service, host: &str, node: SocketAddr) -> ListedServer {
     let server = Server {
         id: service.id.as_str().parse().expect("a valid id"),
         service: service.id.clone(),
         zone: "zone".parse().expect("a valid id"),
-        host: service.id.as_str().parse().expect("a valid id"),
-        node: address,
-        address,
+        host: host.parse().expect("a valid id"),
+        node,
+        address: node,
         status: ServerStatus::In,
         boot: Boot(1),
         slots: None,
@@ -128,19 +135,28 @@
     ListedServer { server, seq: 1 }
 }
 
-/// The view of a registry with one backend server for each service.
-pub(super) fn view(revision: u64, services: &[&str], routes: Vec<HostRoute>) -> Arc<View> {
-    let services: Vec<Service> = services.iter().map(|id| service(id)).collect();
-    let servers = services.iter().zip(9_001..);
+/// The view of a registry with a backend server beside this node, of this service.
+pub(super) fn view(revision: u64, id: &str, routes: Vec<HostRoute>) -> Arc<View> {
+    limited_view(revision, id, routes, CallerLimits::default())
+}
+
+/// As [`view`], with limits on callers' requests.
+pub(super) fn limited_view(
+    revision: u64,
+    id: &str,
+    routes: Vec<HostRoute>,
+    callers: CallerLimits,
+) -> Arc<View> {
+    let service = service(id);
+    let Identity { host, node, .. } = board().identity.clone();
     let listing = Listing {
-        servers: servers
-            .map(|(service, port)| listed(service, port))
-            .collect(),
+        servers: vec![listed(&service, host.as_str(), node)],
         ..Listing::default()
     };
     let config = OperatorConfig {
-        services,
+        services: vec![service],
         routes,
+        callers,
         ..OperatorConfig::default()
     };
     let revision = Revision(revision);
--- a/crates/node/src/lifecycle.rs
+++ b/crates/node/src/lifecycle.rs
@@ -171,7 +171,7 @@
         local_service: settings.service.clone(),
         peers: Peers::new(Arc::clone(&board), gate_actor.clone()),
         services: Services::new(board.identity.boot, settings.policy, retries),
-        route_table: Mutex::default(),
+        routes: Mutex::default(),
         metrics,
         view_sync: view_sync.clone(),
         body_budget,
