platform: a configuration that contradicts itself is refused as a whole

What callers saw: a route to a service that the configuration doesn't have took the place of a sound one, which was then answered 404 by every node; with limits of 0 all requests got 431, with a timeout or attempts of 0 all got 503.

Cause: the adapter checked the JSON types of a configuration and nothing else. Class of fault: external input is taken without being checked against itself.

Each resource is decoded by itself, so that the faults of all are named and unknown fields may nest deeply. A read says which versions it refused, and a node logs and counts each once (`config_refused`, `refused_configs`); /state shows the version in force, the stamp up to which it has been compared and the last refusal. The one in force stays. The stamp advances over a refused version, so it isn't read again. A configuration without routes is valid.

--- a/crates/fleet/src/snapshot.rs
+++ b/crates/fleet/src/snapshot.rs
@@ -236,7 +236,7 @@
         servers.into_iter().chain(zones).min()
     }
 
-    /// Version of the configuration, 0 if there is none yet.
+    /// Version of the configuration in force, 0 if there is none yet.
     pub fn config_version(&self) -> u64 {
         self.config.version
     }
--- a/crates/node/src/metrics.rs
+++ b/crates/node/src/metrics.rs
@@ -27,6 +27,7 @@
     control: Counter<u64>,
     malformed_limits: Counter<u64>,
     suspects: Counter<u64>,
+    refused_configs: Counter<u64>,
     call_seconds: Histogram<f64>,
     attempt_seconds: Histogram<f64>,
     /// Held because the instruments stop when the provider is dropped.
@@ -63,6 +64,10 @@
                 .u64_counter("suspects")
                 .with_description("Requests under which backend servers end, by event")
                 .build(),
+            refused_configs: meter
+                .u64_counter("refused_configs")
+                .with_description("Versions of the operators' configuration that are invalid")
+                .build(),
             call_seconds: meter
                 .f64_histogram("call_seconds")
                 .with_description("Call times by ending")
@@ -114,6 +119,11 @@
         }
     }
 
+    /// Counts a version of the operators' configuration that is invalid.
+    pub(crate) fn record_refused_config(&self) {
+        self.refused_configs.add(1, &[]);
+    }
+
     /// Counts a control message that this node sends.
     pub(crate) fn record_control_message(&self, kind: &'static str) {
         self.control.add(1, &[KeyValue::new("kind", kind)]);
--- a/crates/node/src/view_sync/mod.rs
+++ b/crates/node/src/view_sync/mod.rs
@@ -35,7 +35,7 @@
 use crate::{metrics::Metrics, timer::WakeTimer};
 
 pub(crate) use exchange::checked_stamp;
-pub(crate) use source::{Source, SyncOptions};
+pub(crate) use source::{RegistryDump, Source, SyncOptions};
 
 /// Capacity of the actor's mailbox, in messages.
 const MAILBOX_MESSAGES: usize = 4_096;
@@ -92,10 +92,10 @@
     failed_reads: u64,
     stale_reads: u64,
     forks: u64,
-    /// Number of the registry's items that could not be used in the last read.
-    unusable: usize,
     /// Era and revision of the listing, if the platform stores only current values.
     stamp: Option<Stamp>,
+    /// What was read of the registry, if the platform is one.
+    registry: Option<RegistryDump>,
 }
 
 /// The timer fired.
@@ -238,8 +238,8 @@
             failed_reads: self.failed_reads,
             stale_reads: self.stale_reads,
             forks: self.forks,
-            unusable: self.unusable_items(),
             stamp: self.source.stamp(),
+            registry: self.source.dump(),
         }
     }
 }
--- a/crates/node/src/view_sync/registry.rs
+++ b/crates/node/src/view_sync/registry.rs
@@ -4,13 +4,16 @@
 
 use fleet::{Parts, WatchStart};
 use kameo::message::{Context, Message};
-use platform::{ConfigRead, PlatformError, RegistryEntries, UnusableItem};
+use note::OperatorConfig;
+use platform::{ConfigRead, PlatformError, RefusedVersion, RegistryEntries, UnusableItem};
 use types::{Moment, Revision, Stamp};
 
 use super::{Source, ViewSync, tell};
 
 /// Maximum number of unusable items that one line of the log shows.
 const MAX_LOGGED_ITEMS: usize = 20;
+/// Maximum number of faults of a configuration that one line of the log shows.
+const MAX_LOGGED_FAULTS: usize = 20;
 
 /// State of reading the registry since startup.
 #[derive(Debug, Default)]
@@ -25,6 +28,20 @@
     unusable: Vec<UnusableItem>,
     /// Where the next read of the configuration's changes starts.
     watch: WatchStart,
+    /// Version of the configuration that was refused last.
+    refused: Option<RefusedVersion>,
+    /// Error of the last read of the configuration, as logged.
+    config_error: Option<String>,
+}
+
+impl ReadProgress {
+    pub(super) fn unusable_items(&self) -> usize {
+        self.unusable.len()
+    }
+
+    pub(super) fn refused(&self) -> Option<&RefusedVersion> {
+        self.refused.as_ref()
+    }
 }
 
 /// The first part of a read has ended.
@@ -73,7 +90,7 @@
             Err(error @ (PlatformError::NotFound { .. } | PlatformError::Decode { .. })) => {
                 self.record_success(msg.sent_at);
                 self.renew_lease(msg.sent_at);
-                log::error!(error:% = error, cause = cause_chain(&error); "registry_unusable");
+                self.record_config_error(&error);
             }
             Err(error) => self.record_failure(&error, msg.sent_at),
         }
@@ -123,24 +140,64 @@
             return;
         };
         progress.complete = true;
-        match config {
-            ConfigRead::Unchanged(stamp) => {
-                let checked = stamp.max(entries);
-                snapshot.confirm_config(checked);
-                progress.watch.on_unchanged(checked, now);
-            }
-            ConfigRead::Changed(mut config) => {
-                progress.watch.on_read(config.checked);
-                config.checked = config.checked.max(entries);
-                let version = config.version;
-                if snapshot.update_from_registry(*config, now) {
-                    log::info!(version; "orders_read");
-                }
+        progress.config_error = None;
+        let is_unchanged = matches!(config, ConfigRead::Unchanged(_));
+        let (stamp, changed, refused) = match config {
+            ConfigRead::Unchanged(stamp) => (stamp, None, Vec::new()),
+            ConfigRead::Changed(config) => (config.checked, Some(*config), Vec::new()),
+            ConfigRead::Refused(read) => (read.checked, read.valid, read.refused),
+        };
+        let checked = stamp.max(entries);
+        match is_unchanged {
+            true => progress.watch.on_unchanged(checked, now),
+            false => progress.watch.on_read(stamp),
+        }
+        if let Some(config) = changed {
+            let version = config.version;
+            let config = OperatorConfig { checked, ..config };
+            if snapshot.update_from_registry(config, now) {
+                log::info!(version; "orders_read");
             }
         }
+        snapshot.confirm_config(checked);
+        refused.into_iter().for_each(|r| self.record_refused(r));
         self.log_era_change();
     }
 
+    /// Logs and counts a refused version of the configuration, once while it is the last one.
+    fn record_refused(&mut self, refused: RefusedVersion) {
+        let Source::Registry {
+            snapshot, progress, ..
+        } = &mut self.source
+        else {
+            return;
+        };
+        if progress.refused.as_ref() == Some(&refused) {
+            return;
+        }
+        self.metrics.record_refused_config();
+        let shown = refused.faults.iter().take(MAX_LOGGED_FAULTS);
+        let shown: Vec<String> = shown.map(ToString::to_string).collect();
+        log::error!(
+            version:? = refused.version, in_force = snapshot.config_version(),
+            count = refused.faults.len(), faults = shown.join("; ");
+            "config_refused"
+        );
+        progress.refused = Some(refused);
+    }
+
+    /// Logs a read that found no configuration, once until it changes.
+    fn record_config_error(&mut self, error: &PlatformError) {
+        let Source::Registry { progress, .. } = &mut self.source else {
+            return;
+        };
+        let text = format!("{error}: {}", cause_chain(error));
+        if progress.config_error.as_ref() != Some(&text) {
+            log::error!(error:% = error, cause = cause_chain(error); "registry_unusable");
+            progress.config_error = Some(text);
+        }
+    }
+
     /// Adopts the stamp up to which a peer with the same view has compared the configuration.
     pub(super) fn confirm_config(&mut self, checked: Stamp) {
         let now = self.board.clock.now();
@@ -193,14 +250,6 @@
         }
     }
 
-    /// Number of the registry's items that could not be used in the last read.
-    pub(super) fn unusable_items(&self) -> usize {
-        match &self.source {
-            Source::Registry { progress, .. } => progress.unusable.len(),
-            Source::Notes { .. } => 0,
-        }
-    }
-
     /// Records a successful read that started at `sent_at`.
     fn record_success(&mut self, sent_at: Moment) {
         self.reads += 1;
--- a/crates/node/src/view_sync/source.rs
+++ b/crates/node/src/view_sync/source.rs
@@ -3,7 +3,8 @@
 use std::{net::SocketAddr, sync::Arc};
 
 use fleet::{Digests, History, Snapshot};
-use platform::{Platform, Registry};
+use platform::{Platform, RefusedVersion, Registry};
+use serde::Serialize;
 use types::{Moment, Rate, Span, Stamp};
 
 use super::registry::ReadProgress;
@@ -78,6 +79,21 @@
         }
     }
 
+    pub(super) fn dump(&self) -> Option<RegistryDump> {
+        let Self::Registry {
+            snapshot, progress, ..
+        } = self
+        else {
+            return None;
+        };
+        Some(RegistryDump {
+            version: snapshot.config_version(),
+            checked: self.checked(),
+            refused: progress.refused().cloned(),
+            unusable: progress.unusable_items(),
+        })
+    }
+
     pub(super) fn view(&self) -> &Arc<note::View> {
         match self {
             Self::Notes { history, .. } => history.view(),
@@ -86,6 +102,19 @@
     }
 }
 
+/// What a node read of a registry, as the admin API shows it.
+#[derive(Debug, Clone, Serialize)]
+pub(crate) struct RegistryDump {
+    /// Version of the configuration in force, 0 if there is none yet.
+    version: u64,
+    /// Stamp up to which the configuration has been compared with the registry, by this node or a peer.
+    checked: Stamp,
+    /// Version that this node refused last.
+    refused: Option<RefusedVersion>,
+    /// Number of items that could not be used in the last read.
+    unusable: usize,
+}
+
 /// Options of the synchronization.
 #[derive(Debug, Clone)]
 pub(crate) struct SyncOptions {
--- a/crates/node/src/view_sync/tests.rs
+++ b/crates/node/src/view_sync/tests.rs
@@ -16,7 +16,8 @@
 use futures::{FutureExt, future::BoxFuture};
 use note::{Listing, OperatorConfig};
 use platform::{
-    ConfigRead, HostList, NotePage, Platform, PlatformError, Registry, RegistryEntries,
+    ConfigRead, HostList, NotePage, Platform, PlatformError, RefusedRead, RefusedVersion, Registry,
+    RegistryEntries,
 };
 use tokio::{net::TcpListener, time::timeout};
 use tonic::{
@@ -30,7 +31,7 @@
     peer_server::{Peer, PeerServer},
 };
 
-use super::{Source, SyncOptions, spawn};
+use super::{Dump, Source, SyncOptions, spawn};
 use crate::{fixtures::board, metrics::Metrics};
 
 /// Number of reads after which the fake stops answering, so that a loop of reads ends.
@@ -261,3 +262,57 @@
     let quarantine = board.quarantine.borrow();
     assert!(quarantine.evidence(Fingerprint(7)).is_some());
 }
+
+/// A registry whose configuration is invalid.
+#[derive(Default)]
+struct RefusingRegistry {
+    reads: AtomicU64,
+}
+
+impl Registry for RefusingRegistry {
+    fn entries(&self) -> BoxFuture<'_, Result<RegistryEntries, PlatformError>> {
+        FastRegistry.entries()
+    }
+
+    fn config(&self, _: Option<Stamp>) -> BoxFuture<'_, Result<ConfigRead, PlatformError>> {
+        self.reads.fetch_add(1, Ordering::Relaxed);
+        let config = OperatorConfig::default();
+        let refused = RefusedVersion {
+            version: Some(config.version),
+            faults: note::check_config(&config),
+        };
+        let read = RefusedRead {
+            checked: Stamp::without_era(Revision(5)),
+            refused: vec![refused],
+            valid: None,
+        };
+        async { Ok(ConfigRead::Refused(Box::new(read))) }.boxed()
+    }
+}
+
+#[tokio::test]
+async fn a_refused_configuration_is_counted_once_and_shown_with_its_faults() {
+    let registry = Arc::new(RefusingRegistry::default());
+    let metrics = Arc::new(Metrics::new());
+    let view_sync = spawn(
+        &board(),
+        Source::registry(Arc::clone(&registry) as _),
+        &metrics,
+        SyncOptions {
+            seeds: Vec::new(),
+            reads: Rate::new(READS_PER_SECOND as f64).expect("a valid rate"),
+            lease: Span::from_millis(3_000),
+        },
+    );
+    while registry.reads.load(Ordering::Relaxed) < 4 {
+        tokio::time::sleep(Duration::from_millis(10)).await;
+    }
+    let text = metrics.prometheus_text();
+    let counters = text.lines().filter(|l| l.starts_with("refused_configs"));
+    let counts: Vec<_> = counters.filter_map(|l| l.rsplit(' ').next()).collect();
+    assert_eq!(counts, ["1"], "{text}");
+    let dump = view_sync.ask(Dump).await.expect("a dump");
+    let dump = serde_json::to_value(&dump).expect("JSON");
+    assert_eq!(dump["registry"]["refused"]["faults"][0]["place"], "version");
+    assert_eq!(dump["registry"]["version"], 0);
+}
--- a/crates/note/src/check.rs
+++ b/crates/note/src/check.rs
@@ -11,7 +11,7 @@
 
 use crate::{
     parse::Note,
-    state::{Entry, MAX_BODY_BYTES, Server, Service, State, WeightedService},
+    state::{Entry, HostRoute, MAX_BODY_BYTES, Server, Service, State},
 };
 
 /// Maximum slots or connections that a note may configure for one backend server.
@@ -44,6 +44,8 @@
     InUse,
     /// Another backend server has the same host, node address or backend address.
     Shared,
+    /// Another route has the same host and path prefix.
+    SamePath,
     /// A path prefix doesn't start and end with a slash.
     NoPrefix,
     /// A number is outside the allowed range.
@@ -53,6 +55,11 @@
         /// Maximum, inclusive.
         most: u64,
     },
+    /// The place can't be read.
+    Unreadable {
+        /// Decoding error.
+        reason: SmolStr,
+    },
 }
 
 impl fmt::Display for Problem {
@@ -73,16 +80,19 @@
             Self::NoZone => f.write_str("names an availability zone that does not exist"),
             Self::InUse => f.write_str("is still used by backend servers"),
             Self::Shared => f.write_str("has the host, node or address of another backend server"),
+            Self::SamePath => f.write_str("has the host and path of another route"),
             Self::NoPrefix => f.write_str("must begin and end with a slash"),
             Self::Range { least, most } => write!(f, "must be from {least} to {most}"),
+            Self::Unreadable { reason } => write!(f, "can't be read: {reason}"),
         }
     }
 }
 
-/// A problem at one place of a note.
+/// A problem at one place of a note or configuration.
 #[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
 pub struct Fault {
-    /// Path within the note, such as `add.servers[2].zone`.
+    /// Path within the note, such as `add.servers[2].zone`, or within the configuration, such as
+    /// `routes[NAME].timeout_ms`.
     pub place: SmolStr,
     /// What is wrong at that place.
     pub problem: Problem,
@@ -111,12 +121,12 @@
 }
 
 #[derive(Debug, Default)]
-struct Faults {
-    list: Vec<Fault>,
+pub(crate) struct Faults {
+    pub(crate) list: Vec<Fault>,
 }
 
 impl Faults {
-    fn add(&mut self, place: impl Into<SmolStr>, problem: Problem) {
+    pub(crate) fn add(&mut self, place: impl Into<SmolStr>, problem: Problem) {
         self.list.push(Fault {
             place: place.into(),
             problem,
@@ -197,36 +207,51 @@
 fn check_routes(note: &Note, next: &State, faults: &mut Faults) {
     for (action, list) in [("add", &note.add.routes), ("change", &note.change.routes)] {
         for (index, route) in list.iter().enumerate() {
-            let place = |field| format_smolstr!("{action}.routes[{index}].{field}");
-            let exists = |part: &WeightedService| next.services.contains_key(&part.service);
-            if !route.parts.iter().all(exists) {
-                faults.add(place("parts"), Problem::NoService);
-            }
-            if !route.path.starts_with('/') || !route.path.ends_with('/') {
-                faults.add(place("path"), Problem::NoPrefix);
-            }
-            let weight: u64 = route.parts.iter().map(|p| u64::from(p.weight)).sum();
-            let ranges = [
-                ("parts", weight, 1, u64::from(u32::MAX)),
-                ("attempts", u64::from(route.attempts), 1, 100),
-                ("timeout_ms", route.timeout_ms, 1, 3_600_000),
-                (
-                    "objective_ms",
-                    route.objective_ms,
-                    1,
-                    route.timeout_ms.max(1),
-                ),
-            ];
-            check_ranges(
-                &format_smolstr!("{action}.routes[{index}]"),
-                &ranges,
-                faults,
-            );
+            let place = format_smolstr!("{action}.routes[{index}]");
+            let exists = |service: &ServiceId| next.services.contains_key(service);
+            let most = RouteLimits {
+                attempts: 100,
+                timeout_ms: 3_600_000,
+                objective_ms: route.timeout_ms.max(1),
+            };
+            check_route(&place, route, exists, most, faults);
         }
     }
 }
 
-fn check_ranges(place: &str, ranges: &[(&str, u64, u64, u64)], faults: &mut Faults) {
+/// Upper bounds of a route, inclusive.
+#[derive(Debug, Clone, Copy)]
+pub(crate) struct RouteLimits {
+    pub(crate) attempts: u64,
+    pub(crate) timeout_ms: u64,
+    pub(crate) objective_ms: u64,
+}
+
+/// Checks a route by itself. `exists` tells whether a service does.
+pub(crate) fn check_route(
+    place: &str,
+    route: &HostRoute,
+    exists: impl Fn(&ServiceId) -> bool,
+    most: RouteLimits,
+    faults: &mut Faults,
+) {
+    if !route.parts.iter().all(|part| exists(&part.service)) {
+        faults.add(format_smolstr!("{place}.parts"), Problem::NoService);
+    }
+    if !route.path.starts_with('/') || !route.path.ends_with('/') {
+        faults.add(format_smolstr!("{place}.path"), Problem::NoPrefix);
+    }
+    let weight: u64 = route.parts.iter().map(|p| u64::from(p.weight)).sum();
+    let ranges = [
+        ("parts", weight, 1, u64::from(u32::MAX)),
+        ("attempts", u64::from(route.attempts), 1, most.attempts),
+        ("timeout_ms", route.timeout_ms, 1, most.timeout_ms),
+        ("objective_ms", route.objective_ms, 1, most.objective_ms),
+    ];
+    check_ranges(place, &ranges, faults);
+}
+
+pub(crate) fn check_ranges(place: &str, ranges: &[(&str, u64, u64, u64)], faults: &mut Faults) {
     for (field, value, least, most) in ranges.iter().copied() {
         if !(least..=most).contains(&value) {
             faults.add(
@@ -249,15 +274,10 @@
         ("timeout_ms", limits.timeout_ms, 1, 3_600_000),
         ("warm_ms", limits.warm_ms, 0, 3_600_000),
         ("body", limits.body.0, 0, MAX_BODY_BYTES),
-        (
-            "cold_rate",
-            limits.cold_rate.per_second().ceil() as u64,
-            0,
-            1_000_000,
-        ),
         ("probes", limits.probes.per_second().ceil() as u64, 0, 1_000),
     ];
     check_ranges(place, &ranges, faults);
+    check_cold_rate(place, service, faults);
     for (field, share) in [("retries", limits.retries), ("usable", limits.usable)] {
         if !(0.0..=1.0).contains(&share) {
             faults.add(
@@ -268,6 +288,11 @@
     }
 }
 
+pub(crate) fn check_cold_rate(place: &str, service: &Service, faults: &mut Faults) {
+    let rate = service.limits.cold_rate.per_second().ceil() as u64;
+    check_ranges(place, &[("cold_rate", rate, 0, 1_000_000)], faults);
+}
+
 fn check_references(note: &Note, next: &State, faults: &mut Faults) {
     for (action, list) in [("add", &note.add.servers), ("change", &note.change.servers)] {
         for (index, server) in list.iter().enumerate() {
--- a/crates/note/src/lib.rs
+++ b/crates/note/src/lib.rs
@@ -12,15 +12,17 @@
 //! the size of the state bounds what it reads.
 //!
 //! If the platform stores only current values instead of a history, the state is assembled from a
-//! [`Listing`] and an [`OperatorConfig`].
+//! [`Listing`] and an [`OperatorConfig`], which [`check_config()`] validates.
 
 mod check;
+mod config_check;
 mod parse;
 mod registry;
 mod state;
 mod view;
 
 pub use check::{Fault, Problem, check};
+pub use config_check::check_config;
 pub use parse::{Batch, Note, NoteError, Withdrawal, parse};
 pub use registry::{ListedServer, Listing, OperatorConfig};
 pub use state::{
--- a/crates/platform/src/lib.rs
+++ b/crates/platform/src/lib.rs
@@ -18,7 +18,8 @@
 use types::{HostId, Revision};
 
 pub use http::{HttpClient, HttpPlatform, MAX_RESPONSE_BYTES};
-pub use registry::{ConfigRead, Registry, RegistryEntries, UnusableItem};
+pub use registry::UnusableItem;
+pub use registry::{ConfigRead, RefusedRead, RefusedVersion, Registry, RegistryEntries};
 
 /// Page of notes after a revision, limited by the service's maximum value size.
 #[derive(Debug, Clone, Serialize, Deserialize)]
--- a/crates/platform/src/registry.rs
+++ b/crates/platform/src/registry.rs
@@ -1,7 +1,8 @@
 //! Registry that publishes only current values.
 
 use futures::future::BoxFuture;
-use note::{Listing, OperatorConfig};
+use note::{Fault, Listing, OperatorConfig};
+use serde::Serialize;
 use smol_str::SmolStr;
 use types::{Stamp, ZoneId};
 
@@ -34,6 +35,28 @@
     Unchanged(Stamp),
     /// The present configuration, with the stamp in `checked` and without zones.
     Changed(Box<OperatorConfig>),
+    /// At least one version is invalid.
+    Refused(Box<RefusedRead>),
+}
+
+/// Result of a read in which a version of the configuration is invalid.
+#[derive(Debug)]
+pub struct RefusedRead {
+    /// Stamp up to which the configuration has been read.
+    pub checked: Stamp,
+    /// The invalid versions.
+    pub refused: Vec<RefusedVersion>,
+    /// The newest valid version among those read, as in [`ConfigRead::Changed`].
+    pub valid: Option<OperatorConfig>,
+}
+
+/// An invalid version of the operators' configuration.
+#[derive(Debug, Clone, PartialEq, Serialize)]
+pub struct RefusedVersion {
+    /// Its number, `None` if that can't be read.
+    pub version: Option<u64>,
+    /// What is wrong with it.
+    pub faults: Vec<Fault>,
 }
 
 /// Reader of a registry.
@@ -43,6 +66,7 @@
 
     /// Reads the operators' configuration, which may be large, if it has changed since `known`.
     ///
-    /// Fails with [`PlatformError::NotFound`] before the first one is written.
+    /// Only valid ones are returned, others as refused. Fails with [`PlatformError::NotFound`] before
+    /// the first one is written.
     fn config(&self, known: Option<Stamp>) -> BoxFuture<'_, Result<ConfigRead, PlatformError>>;
 }
