--- a/crates/node/src/backend/tests/framing.rs
+++ b/crates/node/src/backend/tests/framing.rs
@@ -127,7 +127,7 @@
             let address = serve_cases(cases.collect()).await;
             for at in 0..=size {
                 let answer = fetch(address, at, "GET").await;
-                let received = framed.text[framed.head.min(at)..at].as_bytes();
+                let received = &framed.text.as_bytes()[framed.head.min(at)..at];
                 let ended = framed.close_delimited && end == End::Close && at >= framed.head;
                 let expected = match () {
                     () if ended => Some((200, received.to_vec())),
