rig: soak on the users' platform, under every trouble of the store

Operators add, move and drop routes, change timeouts and take zones out and back, with odd items and invalid versions unless `--even`. Faults of the store (refused, 503, 429, silent, slow, lost answers, for all or single nodes; forgotten history; an older copy with a risen era), of processes (kill, SIGTERM, SIGHUP, freeze) and of servers (crash, leaving, late copies, cut answers, resets) come in series from the seed, or each trouble of the store once (`--troubles`, `--single`). Every node is asked on routes just added, moved, removed and never there, and callers keep connections. What callers and servers saw is judged by CONFIG (late, fallen back, invalid), DENIED, TWICE, REFUSED, MIXED, LOST, EVAC and DRAIN, with the users' bounds and exemptions. `--seeds N` prints a line for each seed.

--- a/crates/rig/src/main.rs
+++ b/crates/rig/src/main.rs
@@ -7,7 +7,9 @@
     capacity, emulator,
     experiment::{self, Scenario},
     platform::Platform,
-    server, soak,
+    server,
+    site::soak as site_soak,
+    soak,
 };
 
 mod demo;
@@ -85,6 +87,17 @@
         /// Second octet of all addresses; concurrent soaks need different ones
         #[bpaf(long, argument("OCTET"), fallback(100))]
         net: u8,
+        /// Play on the users' platform, from SEED on, and print one line for each seed
+        site: bool,
+        /// With --site: number of seeds
+        #[bpaf(long, argument("COUNT"), fallback(1))]
+        seeds: u64,
+        /// With --site: play each trouble of the store once, for all nodes
+        troubles: bool,
+        /// With --site: play each trouble of the store once, for single nodes
+        single: bool,
+        /// With --site: write no odd items and no invalid configurations
+        even: bool,
     },
     /// Measure the control-plane overhead per node at several fleet sizes
     #[bpaf(command)]
@@ -153,12 +166,39 @@
             };
             capacity::run(&sizes, Duration::from_secs(seconds)).await
         }
+        Command::Soak {
+            seed,
+            minutes,
+            nodes,
+            net,
+            site: true,
+            seeds,
+            troubles,
+            single,
+            even,
+            ..
+        } => {
+            let plan = match () {
+                () if troubles => site_soak::Plan::Troubles,
+                () if single => site_soak::Plan::SingleTroubles,
+                () => site_soak::Plan::Drawn(Duration::from_secs_f64(minutes * 60.0)),
+            };
+            run_site_soaks((seed..seed + seeds).map(|seed| site_soak::Options {
+                seed,
+                plan,
+                odd: !even,
+                nodes,
+                net: (net, 0),
+            }))
+            .await
+        }
         Command::Soak {
             seed,
             minutes,
             nodes,
             rate,
             net,
+            ..
         } => {
             run_soak(&soak::Options {
                 seed,
@@ -207,6 +247,20 @@
     }
 }
 
+async fn run_site_soaks(soaks: impl Iterator<Item = site_soak::Options>) -> io::Result<()> {
+    let mut failed = 0;
+    for options in soaks {
+        let report = site_soak::run(&options).await?;
+        println!("seed {}: {report}", options.seed);
+        report.violations.iter().for_each(|v| println!("  {v}"));
+        failed += usize::from(!report.violations.is_empty());
+    }
+    match failed {
+        0 => Ok(()),
+        count => Err(io::Error::other(format!("{count} seeds broke rules"))),
+    }
+}
+
 /// Scenarios by their names on the command line.
 const SCENARIOS: [(&str, Scenario); 7] = [
     ("steady", Scenario::Steady),
--- a/crates/rig/src/site/cluster.rs
+++ b/crates/rig/src/site/cluster.rs
@@ -267,6 +267,9 @@
                     let text = format!("node-{index} ended at its start, see its log");
                     return Err(io::Error::other(text));
                 }
+                () if self.has_failed() => {
+                    return Err(io::Error::other("a stand-in could not listen"));
+                }
                 () if start.elapsed() > READY_TIMEOUT => return Err(io::ErrorKind::TimedOut.into()),
                 () => sleep(POLL_INTERVAL).await,
             }
@@ -274,6 +277,22 @@
         Ok(())
     }
 
+    /// Whether a stand-in has ended, as it could not listen.
+    pub fn has_failed(&self) -> bool {
+        self.task.is_finished() || self.servers.iter().any(Server::has_failed)
+    }
+
+    /// Kills the nodes and ends the stand-ins.
+    pub async fn stop(mut self) {
+        for node in &mut self.nodes {
+            node.kill().await;
+        }
+        for server in &mut self.servers {
+            server.crash().await;
+        }
+        self.task.abort();
+    }
+
     /// Whether a node says that it is ready.
     pub async fn is_ready(&self, index: usize) -> bool {
         let address = self.layout.address(index + 1, READINESS_PORT);
--- a/crates/rig/src/site/http1.rs
+++ b/crates/rig/src/site/http1.rs
@@ -1,8 +1,20 @@
 //! HTTP/1.1 messages as they are on the wire, so that faults can be put in at any byte.
 
-use std::io;
+use std::{
+    io,
+    net::SocketAddr,
+    time::{Duration, Instant},
+};
 
-use tokio::io::{AsyncBufRead, AsyncBufReadExt, AsyncReadExt};
+use tokio::{
+    io::{AsyncBufRead, AsyncBufReadExt, AsyncReadExt},
+    net::TcpListener,
+    time::sleep,
+};
+
+/// Time for which an address may still be in use by a stand-in that has just ended.
+const BIND_TIMEOUT: Duration = Duration::from_secs(5);
+const BIND_INTERVAL: Duration = Duration::from_millis(10);
 
 /// Longest line or body that is read. Nothing that the stand-ins exchange comes near it.
 const MAX_BYTES: u64 = 16 << 20;
@@ -152,6 +164,25 @@
     Ok(size > 0)
 }
 
+/// Binds an address, once those that used it have ended.
+///
+/// # Errors
+///
+/// Returns an error if the address can't be bound within 5 s.
+pub async fn bind(address: SocketAddr) -> io::Result<TcpListener> {
+    let start = Instant::now();
+    loop {
+        match TcpListener::bind(address).await {
+            Err(error)
+                if error.kind() == io::ErrorKind::AddrInUse && start.elapsed() < BIND_TIMEOUT =>
+            {
+                sleep(BIND_INTERVAL).await;
+            }
+            bound => return bound,
+        }
+    }
+}
+
 /// A response with a length, as bytes. `headers` is a block of lines that each end with CR LF.
 pub fn response(status: &str, headers: &str, body: &[u8]) -> Vec<u8> {
     let length = body.len();
--- a/crates/rig/src/site/mod.rs
+++ b/crates/rig/src/site/mod.rs
@@ -6,6 +6,7 @@
 //! - [`template`]: fills the deploy file's template;
 //! - [`cluster`]: store, backend servers and node processes of one small deployment;
 //! - [`caller`]: callers that keep their connections;
+//! - [`soak`]: changes and faults from a seed, judged by the users' rules;
 //! - [`http1`]: messages as they are on the wire.
 //!
 //! Apart from `platform/` and `deploy/`, only this module knows names of the users' platform.
@@ -15,5 +16,6 @@
 pub mod config;
 pub mod http1;
 pub mod server;
+pub mod soak;
 pub mod store;
 pub mod template;
--- a/crates/rig/src/site/server.rs
+++ b/crates/rig/src/site/server.rs
@@ -10,18 +10,18 @@
     time::{Duration, Instant, SystemTime, UNIX_EPOCH},
 };
 
-use rand::RngExt;
+use rand::{RngExt, SeedableRng, rngs::SmallRng};
 use serde_json::json;
 use tokio::{
     io::{AsyncBufReadExt, AsyncWriteExt, BufReader},
-    net::{TcpListener, TcpStream},
+    net::TcpStream,
     sync::{Semaphore, SemaphorePermit},
     task::{JoinHandle, JoinSet},
     time::{interval, sleep, timeout_at},
 };
 
 use super::{
-    http1::{Message, read_message, response},
+    http1::{Message, bind, read_message, response},
     store::{Ack, Store},
 };
 
@@ -97,6 +97,8 @@
     pub run_at: Option<Instant>,
     /// Whether it was meant for another server.
     pub misdirected: bool,
+    /// Status of the whole answer that the server made.
+    pub answered: Option<u16>,
 }
 
 /// What has reached all servers, in order. Clones share it.
@@ -153,6 +155,7 @@
     place: Place,
     behavior: Mutex<Behavior>,
     journal: Journal,
+    rng: Mutex<SmallRng>,
 }
 
 /// A backend server, which ends on drop.
@@ -174,6 +177,7 @@
     /// Creates a server that doesn't run yet.
     pub fn new(place: Place, behavior: Behavior, journal: Journal) -> Self {
         let shared = Shared {
+            rng: Mutex::new(SmallRng::seed_from_u64(place.index as u64)),
             place,
             behavior: Mutex::new(behavior),
             journal,
@@ -196,9 +200,9 @@
         self.life.as_ref().map_or("", |life| &life.id)
     }
 
-    /// Whether it runs.
-    pub fn is_running(&self) -> bool {
-        self.task.is_some()
+    /// Whether it has ended without having been told to, as it could not listen.
+    pub fn has_failed(&self) -> bool {
+        self.task.as_ref().is_some_and(JoinHandle::is_finished)
     }
 
     /// Changes the behavior.
@@ -238,18 +242,24 @@
         }
     }
 
-    /// Registers that the server leaves, and returns once the store has acknowledged it.
-    pub async fn drain(&self, store: &Store) -> Option<Ack> {
-        let life = self.life.as_ref()?;
-        life.is_draining.store(true, Ordering::SeqCst);
-        Some(self.shared.register(life, store).await)
+    /// Registers that the server leaves. The result is ready once the store has acknowledged it.
+    pub fn drain(&self, store: &Store) -> impl Future<Output = Option<Ack>> + Send + use<> {
+        let (shared, life, store) = (Arc::clone(&self.shared), self.life.clone(), store.clone());
+        async move {
+            let life = life?;
+            life.is_draining.store(true, Ordering::SeqCst);
+            Some(shared.register(&life, &store).await)
+        }
     }
 
-    /// Ends the server after it has left, and deletes its entry.
-    pub async fn leave(&mut self, store: &Store) {
+    /// Ends the server after it has left. The result is ready once its entry is deleted.
+    pub async fn leave(&mut self, store: &Store) -> impl Future<Output = ()> + Send + use<> {
         self.crash().await;
-        if let Some(life) = &self.life {
-            store.delete(&key(life)).await;
+        let (life, store) = (self.life.clone(), store.clone());
+        async move {
+            if let Some(life) = life {
+                store.delete(&key(&life)).await;
+            }
         }
     }
 }
@@ -283,7 +293,8 @@
     /// Whether something that happens in a share of cases happens now.
     fn happens(&self, share: impl Fn(&Behavior) -> f64) -> bool {
         let share = share(&self.behavior());
-        share > 0.0 && rand::rng().random_bool(share)
+        let mut rng = self.rng.lock().expect("mutex isn't poisoned");
+        share > 0.0 && rng.random_bool(share)
     }
 
     async fn beat(&self, life: &Life, store: &Store) {
@@ -311,7 +322,7 @@
     }
 
     async fn serve(self: Arc<Self>, life: Arc<Life>) -> io::Result<()> {
-        let listener = TcpListener::bind(self.place.address).await?;
+        let listener = bind(self.place.address).await?;
         let mut connections = JoinSet::new();
         loop {
             tokio::select! {
@@ -368,9 +379,17 @@
             path: request.target().to_owned(),
             run_at: None,
             misdirected,
+            answered: None,
         });
         let headers = self.headers(life, id);
-        let refuse = |status| Reply::Bytes(response(status, &(headers.clone() + NOT_RUN), b""));
+        let answered = |status: &str| {
+            let code = status.split(' ').next().and_then(|code| code.parse().ok());
+            self.journal.arrivals()[number].answered = code;
+        };
+        let refuse = |status| {
+            answered(status);
+            Reply::Bytes(response(status, &(headers.clone() + NOT_RUN), b""))
+        };
         match () {
             () if misdirected => return refuse("421 Misdirected Request"),
             () if id.is_empty() => return refuse("400 Bad Request"),
@@ -392,30 +411,30 @@
         };
         match () {
             () if is_closed => Reply::Reset,
-            () if end > deadline => Reply::Bytes(response(
-                "504 Gateway Timeout",
-                &self.headers(life, id),
-                b"",
-            )),
-            () => self.success(life, id),
+            () if end > deadline => {
+                answered(TIMED_OUT);
+                Reply::Bytes(response(TIMED_OUT, &self.headers(life, id), b""))
+            }
+            () if self.happens(|b| b.cut_answers) => {
+                let mut bytes = self.success(life, id, "");
+                bytes.truncate(bytes.len() - self.place.service.len());
+                Reply::Last(bytes)
+            }
+            () if life.is_draining.load(Ordering::SeqCst) => {
+                answered("200");
+                Reply::Last(self.success(life, id, "Connection: close\r\n"))
+            }
+            () => {
+                answered("200");
+                Reply::Bytes(self.success(life, id, ""))
+            }
         }
     }
 
-    fn success(&self, life: &Life, id: &str) -> Reply {
-        let headers = self.headers(life, id);
+    fn success(&self, life: &Life, id: &str, more: &str) -> Vec<u8> {
+        let headers = self.headers(life, id) + more;
         let body = body_of(id, &self.place.service);
-        let mut bytes = response("200 OK", &headers, body.as_bytes());
-        if self.happens(|b| b.cut_answers) {
-            bytes.truncate(bytes.len() - body.len() / 2);
-            return Reply::Last(bytes);
-        }
-        match life.is_draining.load(Ordering::SeqCst) {
-            true => {
-                let headers = headers + "Connection: close\r\n";
-                Reply::Last(response("200 OK", &headers, body.as_bytes()))
-            }
-            false => Reply::Bytes(bytes),
-        }
+        response("200 OK", &headers, body.as_bytes())
     }
 
     /// Headers of an answer to a request.
@@ -492,6 +511,7 @@
     }
 }
 
+const TIMED_OUT: &str = "504 Gateway Timeout";
 /// Header of an answer to a request that wasn't run.
 const NOT_RUN: &str = "X-Not-Executed: 1\r\n";
 
--- /dev/null
+++ b/crates/rig/src/site/soak/load.rs
@@ -0,0 +1,128 @@
+//! Callers of a soak: some ask for what was just changed, others keep their connections.
+
+use std::{
+    net::SocketAddr,
+    sync::{Arc, Mutex},
+    time::{Duration, Instant},
+};
+
+use rand::{RngExt, SeedableRng, rngs::SmallRng};
+use tokio::time::sleep;
+
+use super::{
+    HOST,
+    operator::{ONCE, SERVICES, SharedHistory, TRAP},
+};
+use crate::site::caller::{Answer, Connection, Request, Sample, ask_once};
+
+/// Time between two requests that ask for changes, at one node.
+const ASK_INTERVAL: Duration = Duration::from_millis(80);
+/// Versions whose changes are asked for.
+const RECENT: usize = 3;
+/// Time after which a caller connects again that had no connection.
+const CONNECT_PAUSE: Duration = Duration::from_millis(50);
+
+/// Requests and answers of all callers.
+#[derive(Debug, Clone, Default)]
+pub(super) struct Samples(Arc<Mutex<Vec<Sample>>>);
+
+impl Samples {
+    fn push(&self, node: usize, request: Request, sent: Instant, answer: Answer) {
+        // Without a connection nothing was asked.
+        if answer != Answer::Unconnected {
+            let mut samples = self.0.lock().expect("mutex isn't poisoned");
+            samples.push(Sample {
+                node,
+                request,
+                sent,
+                ended: Instant::now(),
+                answer,
+            });
+        }
+    }
+
+    pub(super) fn take(&self) -> Vec<Sample> {
+        std::mem::take(&mut self.0.lock().expect("mutex isn't poisoned"))
+    }
+}
+
+/// A caller of one node.
+pub(super) struct Caller {
+    pub(super) node: usize,
+    pub(super) target: SocketAddr,
+    pub(super) history: SharedHistory,
+    pub(super) samples: Samples,
+    pub(super) until: Instant,
+    pub(super) seed: u64,
+}
+
+impl Caller {
+    /// Asks for routes that were just added, moved or removed, that stay, or that never existed.
+    pub(super) async fn ask_changes(self) {
+        let mut rng = SmallRng::seed_from_u64(self.seed ^ self.node as u64);
+        while Instant::now() < self.until {
+            let route = self.draw_route(&mut rng);
+            let request = Request::get(HOST, &format!("/{route}/x"));
+            let sent = Instant::now();
+            let answer = ask_once(self.target, &request).await;
+            self.samples.push(self.node, request, sent, answer);
+            sleep(ASK_INTERVAL).await;
+        }
+    }
+
+    fn draw_route(&self, rng: &mut SmallRng) -> String {
+        let history = self.history.lock();
+        let versions = &history.versions;
+        let age = rng.random_range(1..=RECENT).min(versions.len());
+        // Either the routes of a recent version, or those of the one before it.
+        let version = &versions[versions.len() - age];
+        let names: Vec<&String> = version.routes.keys().collect();
+        match rng.random_range(0..10) {
+            0 => "never".to_owned(),
+            1 => TRAP.to_owned(),
+            _ => names[rng.random_range(0..names.len())].clone(),
+        }
+    }
+
+    /// Keeps a connection for requests on the routes that stay until the node closes it or is gone.
+    pub(super) async fn keep_asking(self) {
+        let mut rng = SmallRng::seed_from_u64(self.seed ^ (self.node as u64) << 8);
+        while Instant::now() < self.until {
+            match Connection::open(self.target).await {
+                Ok(connection) => self.use_connection(connection, &mut rng).await,
+                Err(_) => sleep(CONNECT_PAUSE).await,
+            }
+        }
+    }
+
+    async fn use_connection(&self, mut connection: Connection, rng: &mut SmallRng) {
+        while Instant::now() < self.until {
+            let service = SERVICES[rng.random_range(0..SERVICES.len())];
+            let work = rng.random_range(1..=120);
+            let request = match rng.random_bool(0.5) {
+                true => Request::get(HOST, &format!("/get-{service}/work-{work}/x")),
+                false => {
+                    let path = format!("/{ONCE}{service}/work-{work}/x");
+                    Request::post(HOST, &path, b"entry")
+                }
+            };
+            let sent = Instant::now();
+            let answer = connection.ask(&request).await;
+            let is_last = matches!(answer, Answer::Cut | Answer::None | Answer::Mixed(_));
+            self.samples.push(self.node, request.clone(), sent, answer);
+            if is_last || connection.is_closing {
+                return;
+            }
+            let pause = Duration::from_millis(rng.random_range(5..60));
+            let (bytes, has_ended) = connection.unasked(pause).await;
+            if bytes > 0 {
+                let text = format!("{bytes} bytes on a connection with no request waiting");
+                self.samples
+                    .push(self.node, request, sent, Answer::Mixed(text));
+            }
+            if bytes > 0 || has_ended {
+                return;
+            }
+        }
+    }
+}
--- /dev/null
+++ b/crates/rig/src/site/soak/operator.rs
@@ -0,0 +1,221 @@
+//! The operators' changes, and what of them may be in force when.
+
+use std::{
+    collections::BTreeMap,
+    sync::{Arc, Mutex, MutexGuard},
+    time::Instant,
+};
+
+use rand::{RngExt, SeedableRng, rngs::SmallRng};
+use serde_json::json;
+
+use super::HOST;
+use crate::site::{
+    config::{CallerLimits, Config, ODD_NEIGHBOR, Route, evacuate, publish_bytes, take_back},
+    server::ODD_ENTRY,
+    store::Store,
+};
+
+/// Services of the deployment.
+pub(super) const SERVICES: [&str; 2] = ["left", "right"];
+/// A route that only invalid versions have.
+pub(super) const TRAP: &str = "trap";
+/// Begin of the names of routes whose requests may run once.
+pub(super) const ONCE: &str = "post-";
+/// Largest number of routes that come and go.
+const MAX_ROUTES: usize = 10;
+
+/// A sound version of the configuration.
+#[derive(Debug, Clone)]
+pub(super) struct Version {
+    pub(super) number: u64,
+    pub(super) sent: Instant,
+    pub(super) ack: Option<Instant>,
+    /// Services by the names of the routes.
+    pub(super) routes: BTreeMap<String, String>,
+}
+
+/// A zone taken out of service.
+#[derive(Debug, Clone)]
+pub(super) struct Evacuation {
+    pub(super) zone: String,
+    pub(super) ack: Option<Instant>,
+    /// When its end was sent.
+    pub(super) back: Option<Instant>,
+}
+
+/// All changes up to now.
+#[derive(Debug, Clone, Default)]
+pub(super) struct History {
+    pub(super) versions: Vec<Version>,
+    pub(super) evacuations: Vec<Evacuation>,
+    /// Identifiers of servers that leave, with the acknowledgements.
+    pub(super) drains: Vec<(String, Instant)>,
+}
+
+/// The history, shared by those who add to it and those who draw requests from it.
+#[derive(Debug, Clone, Default)]
+pub(super) struct SharedHistory(Arc<Mutex<History>>);
+
+impl SharedHistory {
+    pub(super) fn lock(&self) -> MutexGuard<'_, History> {
+        self.0.lock().expect("mutex isn't poisoned")
+    }
+}
+
+pub(super) struct Operator {
+    store: Store,
+    history: SharedHistory,
+    config: Config,
+    zones: Vec<String>,
+    zone_out: Option<String>,
+    rng: SmallRng,
+    /// Number of the next route.
+    next: u32,
+    /// Whether odd items and invalid versions are written too.
+    odd: bool,
+}
+
+impl Operator {
+    pub(super) fn new(
+        store: Store,
+        history: SharedHistory,
+        zones: Vec<String>,
+        seed: u64,
+        odd: bool,
+    ) -> Self {
+        let mut routes = Vec::new();
+        for service in SERVICES {
+            routes.push(Route::new(&format!("get-{service}"), HOST, service));
+            let mut route = Route::new(&format!("{ONCE}{service}"), HOST, service);
+            route.idempotent = false;
+            routes.push(route);
+        }
+        let config = Config {
+            version: 1,
+            routes,
+            services: SERVICES.map(str::to_owned).to_vec(),
+            limits: CallerLimits::default(),
+        };
+        Self {
+            store,
+            history,
+            config,
+            zones,
+            zone_out: None,
+            rng: SmallRng::seed_from_u64(seed ^ 0x0b),
+            next: 0,
+            odd,
+        }
+    }
+
+    /// Publishes the present configuration as a new version.
+    pub(super) async fn publish(&mut self) {
+        self.config.version += self.rng.random_range(1..9);
+        let routes = self.config.routes.iter();
+        let routes = routes.map(|r| (r.name.clone(), r.parts[0].0.clone()));
+        let version = Version {
+            number: self.config.version,
+            sent: Instant::now(),
+            ack: None,
+            routes: routes.collect(),
+        };
+        let index = {
+            let mut history = self.history.lock();
+            history.versions.push(version);
+            history.versions.len() - 1
+        };
+        let ack = self.config.publish(&self.store).await;
+        self.history.lock().versions[index].ack = Some(ack.at);
+    }
+
+    /// Writes again what is in force, after the store came back from an older copy.
+    pub(super) async fn repeat(&mut self) {
+        self.config.publish(&self.store).await;
+        for zone in &self.zones {
+            match self.zone_out == Some(zone.clone()) {
+                true => evacuate(&self.store, zone).await,
+                false => take_back(&self.store, zone).await,
+            };
+        }
+    }
+
+    /// Makes one change.
+    pub(super) async fn change(&mut self) {
+        let fixed = 2 * SERVICES.len();
+        let added = self.config.routes.len() - fixed;
+        let draw = self.rng.random_range(0..12);
+        let any = || fixed..fixed + added;
+        match draw {
+            0 | 1 if self.odd => return self.write_odd(draw == 0).await,
+            2 => return self.evacuate_or_back().await,
+            3..=5 if added > 0 => {
+                let index = self.rng.random_range(any());
+                let part = &mut self.config.routes[index].parts[0].0;
+                *part = SERVICES[usize::from(part == SERVICES[0])].to_owned();
+            }
+            6 | 7 if added > 0 => {
+                let index = self.rng.random_range(any());
+                self.config.routes.remove(index);
+            }
+            8 if added > 0 => {
+                let index = self.rng.random_range(any());
+                let timeout = self.rng.random_range(900..1_800);
+                self.config.routes[index].timeout = json!(format!("{timeout}ms"));
+            }
+            _ => {
+                if added == MAX_ROUTES {
+                    self.config.routes.remove(fixed);
+                }
+                let service = SERVICES[self.rng.random_range(0..SERVICES.len())];
+                let route = Route::new(&format!("r{}", self.next), HOST, service);
+                self.next += 1;
+                self.config.routes.push(route);
+            }
+        }
+        self.publish().await;
+    }
+
+    async fn evacuate_or_back(&mut self) {
+        match self.zone_out.take() {
+            Some(zone) => {
+                if let Some(last) = self.history.lock().evacuations.last_mut() {
+                    last.back = Some(Instant::now());
+                }
+                take_back(&self.store, &zone).await;
+            }
+            None => {
+                let zone = self.zones[self.rng.random_range(0..self.zones.len())].clone();
+                self.zone_out = Some(zone.clone());
+                let ack = evacuate(&self.store, &zone).await;
+                self.history.lock().evacuations.push(Evacuation {
+                    zone,
+                    ack: Some(ack.at),
+                    back: None,
+                });
+            }
+        }
+    }
+
+    /// Writes an odd item, or an invalid version, which a sound one with a new number follows.
+    async fn write_odd(&mut self, is_item: bool) {
+        if is_item {
+            let key = [ODD_ENTRY, ODD_NEIGHBOR][self.rng.random_range(0..2)];
+            let value = [json!("@@@"), json!(null), json!(7)][self.rng.random_range(0..3)].clone();
+            self.store.put_raw(key, &json!({ "value": value }));
+            return;
+        }
+        let mut invalid = self.config.clone();
+        invalid.version += 1;
+        invalid.routes.push(Route::new(TRAP, HOST, SERVICES[0]));
+        match self.rng.random_range(0..4) {
+            0 => invalid.routes[0].parts[0].0 = "nowhere".to_owned(),
+            1 => invalid.routes[1].attempts = json!(0),
+            2 => invalid.limits.head_bytes = json!(0),
+            _ => invalid.routes[2].prefix = "nowhere".to_owned(),
+        }
+        publish_bytes(&self.store, &invalid.to_bytes()).await;
+        self.config.version += 1;
+        self.publish().await;
+    }
+}
--- a/crates/rig/src/site/store/serve.rs
+++ b/crates/rig/src/site/store/serve.rs
@@ -4,14 +4,14 @@
 
 use tokio::{
     io::{AsyncReadExt, AsyncWriteExt, BufReader},
-    net::{TcpListener, TcpStream},
+    net::TcpStream,
     sync::watch,
     task::JoinSet,
     time::{interval, sleep},
 };
 
 use super::{EXPIRY_INTERVAL, Store, Trouble};
-use crate::site::http1::{read_message, response};
+use crate::site::http1::{bind, read_message, response};
 
 impl Store {
     /// Serves each node at its address, in the order of the nodes, until the future is dropped.
@@ -37,7 +37,7 @@
         let mut trouble = self.troubles[node].subscribe();
         loop {
             wait_for(&mut trouble, |t| t != Trouble::Refused).await;
-            let listener = TcpListener::bind(address).await?;
+            let listener = bind(address).await?;
             let mut connections = JoinSet::new();
             loop {
                 tokio::select! {
--- /dev/null
+++ b/crates/rig/tests/site_soak.rs
@@ -0,0 +1,64 @@
+//! Short soaks on the users' platform, judged by the users' rules.
+
+use std::{io, time::Duration};
+
+use rig::site::soak::{self, Options, Plan};
+
+const NODES: usize = 6;
+
+async fn run_soak(options: Options) -> io::Result<()> {
+    let report = soak::run(&options).await?;
+    println!("seed {}: {report}", options.seed);
+    let lines: Vec<String> = report.violations.iter().map(ToString::to_string).collect();
+    assert!(lines.is_empty(), "seed {}: {lines:#?}", options.seed);
+    assert!(report.faults > 0 && report.versions > 1);
+    Ok(())
+}
+
+#[tokio::test(flavor = "multi_thread", worker_threads = 2)]
+async fn changes_hold_under_every_trouble_of_the_store() -> io::Result<()> {
+    run_soak(Options {
+        seed: 1,
+        plan: Plan::Troubles,
+        odd: false,
+        nodes: NODES,
+        net: (94, 0),
+    })
+    .await
+}
+
+#[tokio::test(flavor = "multi_thread", worker_threads = 2)]
+async fn changes_hold_while_the_store_turns_single_nodes_away() -> io::Result<()> {
+    run_soak(Options {
+        seed: 1,
+        plan: Plan::SingleTroubles,
+        odd: false,
+        nodes: NODES,
+        net: (94, 1),
+    })
+    .await
+}
+
+#[tokio::test(flavor = "multi_thread", worker_threads = 2)]
+async fn rules_hold_under_faults_from_a_seed() -> io::Result<()> {
+    run_soak(Options {
+        seed: 3,
+        plan: Plan::Drawn(Duration::from_secs(24)),
+        odd: false,
+        nodes: NODES,
+        net: (94, 2),
+    })
+    .await
+}
+
+#[tokio::test(flavor = "multi_thread", worker_threads = 2)]
+async fn rules_hold_beside_odd_items_and_invalid_versions() -> io::Result<()> {
+    run_soak(Options {
+        seed: 1,
+        plan: Plan::Drawn(Duration::from_secs(24)),
+        odd: true,
+        nodes: NODES,
+        net: (94, 3),
+    })
+    .await
+}
