--- a/crates/rig/tests/responses.rs
+++ b/crates/rig/tests/responses.rs
@@ -2,8 +2,8 @@
 
 use std::{io, net::SocketAddr};
 
-use futures::future::join_all;
-use reqwest::Client;
+use futures::{future::join_all, stream};
+use reqwest::{Body, Client};
 use rig::{
     cluster::{Cluster, cluster},
     process::client,
@@ -37,14 +37,18 @@
     response.json().await.ok()
 }
 
-#[tokio::test]
-async fn multiplexed_responses_match_their_requests() -> io::Result<()> {
-    let cluster = start_limited("responses-multiplexed", 50).await?;
-    let client = Client::builder()
+fn http2_client() -> Client {
+    Client::builder()
         .no_proxy()
         .http2_prior_knowledge()
         .build()
-        .expect("failed to build the HTTP client");
+        .expect("failed to build the HTTP client")
+}
+
+#[tokio::test]
+async fn multiplexed_responses_match_their_requests() -> io::Result<()> {
+    let cluster = start_limited("responses-multiplexed", 50).await?;
+    let client = http2_client();
     let target = cluster.target(0);
     let echoes = join_all((0..100).map(|number| fetch_echo(&client, target, number))).await;
     for (number, echo) in echoes.into_iter().enumerate() {
@@ -86,6 +90,31 @@
     Ok(())
 }
 
+#[tokio::test]
+async fn http2_request_with_truncated_body_is_not_run() -> io::Result<()> {
+    let cluster = start_limited("responses-truncated-stream", 107).await?;
+    let url = format!("http://{}/draws/x", cluster.target(0));
+    let part = || -> io::Result<&[u8]> { Ok(b"ten bytes.") };
+    let reset = Body::wrap_stream(stream::iter([part(), Err(io::ErrorKind::Other.into())]));
+    let short = Body::wrap_stream(stream::iter([part()]));
+    for (length, body) in [(None, reset), (Some(100), short)] {
+        let mut request = http2_client().post(&url).header("x-request-id", REQUEST_ID);
+        if let Some(length) = length {
+            request = request.header("content-length", length);
+        }
+        let response = request.body(body).send().await;
+        let status = response.map(|response| response.status().as_u16());
+        assert!(!matches!(status, Ok(200)), "{length:?}: {status:?}");
+    }
+    let runs: u64 = cluster
+        .servers
+        .iter()
+        .map(|s| s.run_count(REQUEST_ID))
+        .sum();
+    assert_eq!(runs, 0);
+    Ok(())
+}
+
 #[tokio::test]
 async fn slow_request_body_is_refused_at_the_deadline() -> io::Result<()> {
     let cluster = start_limited("responses-slow-request", 53).await?;
