fleet: entries of services that aren't named are no members

What callers saw: a change of the configuration was in force late while other writers had entries of their own services in the registry; with twelve beside six nodes, nobody read the registry for 2.66 s in one minute of virtual time.

Cause: the nodes of all listed servers were members of the gossip. The ones of servers that belong to another system don't exist: they got turns to read the registry, which nobody used, and slots of neighbours. Such an entry with a newer incarnation also hid the server at its address. Class of fault: external input is taken without being checked against itself.

Change: State::nodes names the nodes of the services that exist, or all until the first configuration is known, and the gossip's members are these. Only entries of such services tell which incarnation at an address is the newest. A node beside a server of a service that was withdrawn still compares with the others and has turns of its own, but the others push nothing to it.

--- a/crates/node/src/view_sync/mod.rs
+++ b/crates/node/src/view_sync/mod.rs
@@ -309,8 +309,8 @@
             "invariant: the revision of the view never decreases"
         );
         self.log_view();
-        let servers = view.state.servers.values().map(|e| e.item.node);
-        let members = servers.chain(self.seeds.iter().copied()).collect();
+        let nodes = view.state.nodes();
+        let members = nodes.chain(self.seeds.iter().copied()).collect();
         let revision = view.revision;
         self.board.view.send_replace(Arc::clone(view));
         self.gossip.set_members(members);
--- a/crates/note/src/registry.rs
+++ b/crates/note/src/registry.rs
@@ -120,8 +120,9 @@
             };
             state.zones.insert(id.clone(), Entry { item, changed });
         }
-        let newest = newest_boots(listing);
-        let live = servers.filter(|s| newest.get(&s.address) == Some(&s.boot));
+        let newest = newest_boots(listing, &state);
+        let is_live = |s: &&Server| newest.get(&s.address).is_none_or(|boot| *boot == s.boot);
+        let live = servers.filter(is_live);
         for item in live.cloned() {
             state
                 .servers
@@ -132,10 +133,11 @@
 }
 
 /// Returns the newest incarnation at each address. Older incarnations have ended, even if their
-/// entries have not expired yet.
-fn newest_boots(listing: &Listing) -> BTreeMap<SocketAddr, Boot> {
+/// entries have not expired yet. Entries of services that don't exist show nothing.
+fn newest_boots(listing: &Listing, state: &State) -> BTreeMap<SocketAddr, Boot> {
     let mut newest = BTreeMap::new();
-    for server in listing.servers.iter().map(|listed| &listed.server) {
+    let servers = listing.servers.iter().map(|listed| &listed.server);
+    for server in servers.filter(|s| state.is_service(&s.service)) {
         let boot: &mut Boot = newest.entry(server.address).or_default();
         *boot = server.boot.max(*boot);
     }
--- a/crates/note/src/state.rs
+++ b/crates/note/src/state.rs
@@ -313,6 +313,19 @@
             .max_by_key(|s| s.boot)
     }
 
+    /// Addresses of the nodes beside the backend servers of all services. A registry may also list
+    /// backend servers of other services, which get no requests and may have no node.
+    pub fn nodes(&self) -> impl Iterator<Item = SocketAddr> {
+        let servers = self.servers.values().map(|e| &e.item);
+        let named = servers.filter(|s| self.is_service(&s.service));
+        named.map(|s| s.node)
+    }
+
+    /// Whether there is such a service. Until the services are known, there may be any.
+    pub(crate) fn is_service(&self, id: &ServiceId) -> bool {
+        self.services.is_empty() || self.services.contains_key(id)
+    }
+
     /// Returns the limits of a backend server: those of its service, with its own number of slots.
     pub fn limits_of(&self, server: &Server) -> Option<Limits> {
         let limits = self.service(&server.service)?.limits.clone();
