platform: keepalive probes of the store's connections are set in whole seconds

What callers saw: `tcp set_keepalive error: Invalid argument` in the log at each connection to the store, and an idle connection that died was found only by the next read, which then failed.

Cause: the kernel takes the interval of the probes in whole seconds, and half a second became 0, which it refuses. The probes stayed at its default of two hours. Class of fault: the result of setting an option isn't looked at; the other place that sets these options, crates/node/src/socket.rs, has whole seconds and passes the error on, and connections between nodes use pings of HTTP/2.

Change: an interval of one second and one probe. A dead idle connection is closed after two seconds; one with a request in progress ends after a second of silence, as before.

--- a/crates/platform/src/http.rs
+++ b/crates/platform/src/http.rs
@@ -20,12 +20,13 @@
 pub const MAX_RESPONSE_BYTES: usize = 16 << 20;
 /// Timeout of the TCP handshake, which the platform normally completes within milliseconds.
 const CONNECT_TIMEOUT: Duration = Duration::from_millis(500);
-/// Idle time before the first TCP keepalive probe, and time between two probes. With
-/// [`KEEPALIVE_RETRIES`] probes, a dead connection is detected well within the two seconds within
-/// which a registry change must be in force.
-const KEEPALIVE_INTERVAL: Duration = Duration::from_millis(500);
+/// Idle time before the first TCP keepalive probe, and time between two probes. The kernel takes whole
+/// seconds only. With [`KEEPALIVE_RETRIES`] probes, an idle connection that is dead is closed after the
+/// two seconds within which a registry change must be in force; one with a request in progress ends by
+/// [`SILENCE_TIMEOUT`] before.
+const KEEPALIVE_INTERVAL: Duration = Duration::from_millis(1_000);
 /// Number of unanswered keepalive probes after which a connection is closed.
-const KEEPALIVE_RETRIES: u32 = 2;
+const KEEPALIVE_RETRIES: u32 = 1;
 /// Time that sent data may stay unacknowledged before the connection is closed, shorter than the
 /// same two seconds.
 const USER_TIMEOUT: Duration = Duration::from_millis(1_500);
