node: a head larger than the read-ahead is read to its end

Cause: a connection stopped reading at 64 KiB beyond the body being received, whatever the limit on heads. Change: it reads at least as far as the largest head.

--- a/crates/node/src/ingress/http1.rs
+++ b/crates/node/src/ingress/http1.rs
@@ -44,7 +44,7 @@
 /// Duration of a lingering close, in which the caller's input is read and discarded after the last
 /// answer: a few round trips to the caller.
 const LINGER_TIMEOUT: Duration = Duration::from_millis(500);
-/// Bytes that are read beyond the body being received: a few heads of the largest usual size.
+/// Least bytes that are read beyond the body being received: a few heads of the largest usual size.
 const READ_AHEAD_BYTES: usize = 64 << 10;
 /// Time to receive the body of a request that is already rejected. The caller may be slow, but
 /// nothing depends on the body any more.
@@ -206,7 +206,10 @@
             Some(pending) => pending.body.min_bytes(self.buffer.len()) as usize,
             None => 0,
         };
-        self.buffer.len() < body.saturating_add(READ_AHEAD_BYTES)
+        let limits = self.size_limits();
+        let head = limits.line().saturating_add(limits.head) as usize;
+        let ahead = READ_AHEAD_BYTES.max(head.saturating_add(b"\r\n".len()));
+        self.buffer.len() < body.saturating_add(ahead)
     }
 
     /// Takes all complete requests off the buffer and starts them.
