node: a connection keeps no memory of the bodies that it has carried

Over HTTP/2, bodies without a declared length were read without asking the memory budget. Cause: a body was split off the one buffer of its connection, which kept the whole allocation until the connection closed, after the budget had its reservation back. A request that waited behind others was held in that buffer, and the answer's body was copied to be written. Change: a body has a buffer of its own, of its declared length, which is read into directly and goes with the request. The buffer of the connection holds heads and the read-ahead only and is given back when it is empty. A body in parts is put into one buffer as it comes, within its reservation, over HTTP/2 and from backend servers alike. Answers are written without a copy. Of many streams over HTTP/2 without a length that grow at the same time, all may be refused with 503; one alone is served.

--- a/crates/node/src/backend/mod.rs
+++ b/crates/node/src/backend/mod.rs
@@ -37,7 +37,7 @@
 
 use pool::{Pool, SendError, Sent};
 
-use crate::body_budget::{BodyBudget, BodyReservation};
+use crate::body_budget::{BodyBudget, BodyError, BodyReservation};
 
 /// Timeout of a probe: the interval between probes at the usual rate of four a second.
 const PROBE_TIMEOUT: Duration = Duration::from_millis(250);
@@ -276,7 +276,9 @@
                 value: Bytes::copy_from_slice(length.as_bytes()),
             });
         }
-        match collect_body(body, limit, &self.body_budget).await {
+        let mut reservation = BodyReservation::default();
+        let reading = self.body_budget.collect(body, limit, &mut reservation);
+        match reading.await {
             Ok(body) => Completion::Answered(Arc::new(Answer {
                 status: parts.status.as_u16(),
                 headers,
@@ -424,43 +426,6 @@
     .collect()
 }
 
-/// Why the body of an answer was not read to its end.
-enum BodyError {
-    /// It exceeds the size limit.
-    TooLarge,
-    /// Other bodies use the memory that it needs.
-    NoBufferSpace,
-    /// The connection broke, or what came was no body.
-    Cut(hyper::Error),
-}
-
-/// Reads a body of at most `limit` bytes, whose memory is reserved while it is read.
-async fn collect_body(
-    mut body: Incoming,
-    limit: u64,
-    budget: &BodyBudget,
-) -> Result<Bytes, BodyError> {
-    let mut reservation = BodyReservation::default();
-    let mut chunks: Vec<Bytes> = Vec::new();
-    let mut size = 0;
-    while let Some(frame) = body.frame().await {
-        let Ok(chunk) = frame.map_err(BodyError::Cut)?.into_data() else {
-            continue;
-        };
-        size += chunk.len() as u64;
-        if size > limit {
-            return Err(BodyError::TooLarge);
-        }
-        let reserved = budget.reserve(size, &mut reservation);
-        reserved.map_err(|_| BodyError::NoBufferSpace)?;
-        chunks.push(chunk);
-    }
-    match chunks.len() {
-        1 => Ok(chunks.remove(0)),
-        _ => Ok(chunks.concat().into()),
-    }
-}
-
 /// The answer that replaces one whose body exceeds the service's limit.
 fn answer_too_large() -> Answer {
     Answer {
--- a/crates/node/src/body_budget.rs
+++ b/crates/node/src/body_budget.rs
@@ -8,7 +8,10 @@
 
 use std::sync::Arc;
 
+use bytes::{BufMut, Bytes, BytesMut};
 use dialect::Rejection;
+use http_body_util::BodyExt;
+use hyper::body::{Body, Incoming};
 use tokio::sync::{OwnedSemaphorePermit, Semaphore};
 
 /// Maximum bytes reserved at once: a quarter of the memory of the smallest node. A body is copied
@@ -32,6 +35,17 @@
     units: u64,
 }
 
+/// Why a body was not read to its end.
+#[derive(Debug)]
+pub(crate) enum BodyError {
+    /// It exceeds the size limit.
+    TooLarge,
+    /// Other bodies use the memory that it needs.
+    NoBufferSpace,
+    /// The connection broke, or what came was no body.
+    Cut(hyper::Error),
+}
+
 impl Default for BodyBudget {
     fn default() -> Self {
         Self {
@@ -71,4 +85,44 @@
         reservation.units = units;
         Ok(())
     }
+    /// Reads a body of at most `limit` bytes, for which `reservation` is extended as it arrives.
+    ///
+    /// # Errors
+    ///
+    /// Why it was not read to its end.
+    pub(crate) async fn collect(
+        &self,
+        mut body: Incoming,
+        limit: u64,
+        reservation: &mut BodyReservation,
+    ) -> Result<Bytes, BodyError> {
+        let length = body.size_hint().lower();
+        // A body that comes in one part isn't copied.
+        let mut first = Bytes::new();
+        let mut whole = BytesMut::new();
+        while let Some(frame) = body.frame().await {
+            let Ok(part) = frame.map_err(BodyError::Cut)?.into_data() else {
+                continue;
+            };
+            let size = (first.len() + whole.len() + part.len()) as u64;
+            if size.max(length) > limit {
+                return Err(BodyError::TooLarge);
+            }
+            self.reserve(size.max(length), reservation)
+                .map_err(|_| BodyError::NoBufferSpace)?;
+            if first.is_empty() && whole.is_empty() {
+                first = part;
+                continue;
+            }
+            if whole.is_empty() {
+                whole.reserve(size.max(length) as usize);
+                whole.put(std::mem::take(&mut first));
+            }
+            whole.put(part);
+        }
+        match whole.is_empty() {
+            true => Ok(first),
+            false => Ok(whole.freeze()),
+        }
+    }
 }
--- a/crates/node/src/ingress/framing.rs
+++ b/crates/node/src/ingress/framing.rs
@@ -4,7 +4,7 @@
 //! request with an ambiguous length is malformed, which prevents request smuggling.
 
 use axum::http::{HeaderMap, HeaderName, HeaderValue, Response, StatusCode, Uri};
-use bytes::{Buf, BufMut, Bytes, BytesMut};
+use bytes::{Buf, BufMut, Bytes, BytesMut, buf::Limit};
 use dialect::Rejection;
 use httparse::Status;
 use note::CallerLimits;
@@ -252,12 +252,20 @@
 /// Decodes a request's body as it arrives.
 #[derive(Debug)]
 pub(super) enum BodyDecoder {
-    /// A body with this many bytes.
-    Length(u64),
+    /// A body with a length.
+    Length(CountedBody),
     /// A body with the chunked transfer coding.
     Chunked(ChunkDecoder),
 }
 
+/// A body with a length.
+#[derive(Debug, Default)]
+pub(super) struct CountedBody {
+    received: BytesMut,
+    /// Bytes that are still to come.
+    left: u64,
+}
+
 /// Decoder of a chunked body.
 #[derive(Debug, Default)]
 pub(super) struct ChunkDecoder {
@@ -284,8 +292,11 @@
         let lengths: Vec<_> = headers.get_all("content-length").iter().collect();
         let codings: Vec<_> = headers.get_all("transfer-encoding").iter().collect();
         match (lengths.as_slice(), codings.as_slice()) {
-            ([], []) => Ok(Self::Length(0)),
-            (lengths, []) => parse_length(lengths).map(Self::Length),
+            ([], []) => Ok(Self::empty()),
+            (lengths, []) => Ok(Self::Length(CountedBody {
+                received: BytesMut::new(),
+                left: parse_length(lengths)?,
+            })),
             ([], [coding]) if coding.as_bytes().eq_ignore_ascii_case(b"chunked") => {
                 Ok(Self::Chunked(ChunkDecoder::default()))
             }
@@ -293,35 +304,73 @@
         }
     }
 
-    /// Whether the request has no body.
+    /// The decoder of a request without a body.
+    pub(super) fn empty() -> Self {
+        Self::Length(CountedBody::default())
+    }
+
+    /// Whether no byte of a body has come or is to come.
     pub(super) fn is_empty(&self) -> bool {
-        matches!(self, Self::Length(0))
+        matches!(self, Self::Length(body) if body.size() == 0)
     }
 
     /// Bytes that the body needs at least: its declared length, or for a chunked body the bytes
     /// decoded so far and the bytes `buffered` on the connection.
     pub(super) fn min_bytes(&self, buffered: usize) -> u64 {
         match self {
-            Self::Length(length) => *length,
+            Self::Length(body) => body.size(),
             Self::Chunked(decoder) => (decoder.decoded.len() + buffered) as u64,
         }
     }
 
-    /// Takes a body off the front of `buffer`. Returns `None` if it is incomplete.
+    /// Space for the next bytes from the connection, if all of them belong to the body as they are.
+    pub(super) fn space(&mut self) -> Option<Limit<&mut BytesMut>> {
+        match self {
+            Self::Length(body) if body.left > 0 && body.received.capacity() > 0 => {
+                Some((&mut body.received).limit(usize::try_from(body.left).unwrap_or(usize::MAX)))
+            }
+            _ => None,
+        }
+    }
+
+    /// Counts bytes that were read into [`space`](Self::space).
+    pub(super) fn add_received(&mut self, bytes: usize) {
+        if let Self::Length(body) = self {
+            body.left -= bytes as u64;
+        }
+    }
+
+    /// Decodes what has arrived, and takes it off the front of `buffer`. Returns the body once it is
+    /// complete.
     pub(super) fn take(
         &mut self,
         buffer: &mut BytesMut,
         limits: SizeLimits,
     ) -> Result<Option<Bytes>, Rejection> {
         match self {
-            Self::Length(length) if *length > limits.body => Err(Rejection::BodyTooLarge),
-            Self::Length(length) if (buffer.len() as u64) < *length => Ok(None),
-            Self::Length(length) => Ok(Some(buffer.split_to(*length as usize).freeze())),
+            Self::Length(body) if body.size() > limits.body => Err(Rejection::BodyTooLarge),
+            Self::Length(body) => Ok(body.take(buffer)),
             Self::Chunked(decoder) => decoder.take(buffer, limits),
         }
     }
 }
 
+impl CountedBody {
+    /// Bytes of the whole body, within what a `u64` holds.
+    fn size(&self) -> u64 {
+        self.left.saturating_add(self.received.len() as u64)
+    }
+
+    fn take(&mut self, buffer: &mut BytesMut) -> Option<Bytes> {
+        let arrived = self.left.min(buffer.len() as u64) as usize;
+        self.received.reserve(self.left as usize);
+        self.received.put_slice(&buffer[..arrived]);
+        buffer.advance(arrived);
+        self.left -= arrived as u64;
+        (self.left == 0).then(|| self.received.split().freeze())
+    }
+}
+
 /// Parses the length of a body, which may be repeated if it is the same each time (RFC 9110, section
 /// 8.6).
 fn parse_length(values: &[&HeaderValue]) -> Result<u64, Rejection> {
@@ -388,7 +437,8 @@
     /// was all of it.
     fn take_data(&mut self, buffer: &mut BytesMut, left: u64) -> bool {
         let arrived = left.min(buffer.len() as u64);
-        self.decoded.put(buffer.split_to(arrived as usize));
+        self.decoded.put_slice(&buffer[..arrived as usize]);
+        buffer.advance(arrived as usize);
         self.state = match left - arrived {
             0 => ChunkState::DataEnd,
             left => ChunkState::Data(left),
@@ -431,15 +481,15 @@
     }
 }
 
-/// Encodes a response. `omit_body` is set for the answer to HEAD.
+/// Encodes a response without copying its body. `omit_body` is set for the answer to HEAD.
 pub(super) fn encode_response(
     response: &Response<Bytes>,
     omit_body: bool,
     keep_alive: bool,
-) -> BytesMut {
+) -> impl Buf + use<> {
     let status = response.status();
     let body = response.body();
-    let mut out = BytesMut::with_capacity(512 + body.len());
+    let mut out = BytesMut::with_capacity(512);
     let reason = status.canonical_reason().unwrap_or("Unknown");
     out.put_slice(b"HTTP/1.1 ");
     out.put_slice(status.as_str().as_bytes());
@@ -461,10 +511,11 @@
         put_header(&mut out, "connection", b"close");
     }
     out.put_slice(b"\r\n");
-    if !omit_body && !empty {
-        out.put_slice(body);
-    }
-    out
+    let body = match omit_body || empty {
+        true => Bytes::new(),
+        false => body.clone(),
+    };
+    out.chain(body)
 }
 
 fn put_header(out: &mut BytesMut, name: &str, value: &[u8]) {
--- a/crates/node/src/ingress/http1.rs
+++ b/crates/node/src/ingress/http1.rs
@@ -44,8 +44,12 @@
 /// Duration of a lingering close, in which the caller's input is read and discarded after the last
 /// answer: a few round trips to the caller.
 const LINGER_TIMEOUT: Duration = Duration::from_millis(500);
-/// Least bytes that are read beyond the body being received: a few heads of the largest usual size.
+/// Least bytes that are read ahead of the request being received: a few heads of the usual size.
 const READ_AHEAD_BYTES: usize = 64 << 10;
+/// Room for one read of a connection on which the next head is due: a head of the usual size.
+const HEAD_READ_BYTES: usize = 2 << 10;
+/// Room for one read of a connection on which a body is due.
+const BODY_READ_BYTES: usize = 16 << 10;
 /// Time to receive the body of a request that is already rejected. The caller may be slow, but
 /// nothing depends on the body any more.
 const REJECTED_BODY_TIMEOUT: Span = Span::from_millis(2_000);
@@ -55,6 +59,8 @@
     call: CallId,
     routed: Result<RoutedCall, Rejection>,
     body: BodyDecoder,
+    /// The body, once it is complete.
+    whole: Option<Bytes>,
     omit_body: bool,
     keep_alive: bool,
     started_at: Moment,
@@ -105,7 +111,7 @@
         stream,
         head: HeadDecoder::default(),
         limits,
-        buffer: BytesMut::with_capacity(2 << 10),
+        buffer: BytesMut::new(),
         pending: None,
         in_flight: FuturesOrdered::new(),
         all_overlap: true,
@@ -134,7 +140,7 @@
                         return self.close().await;
                     }
                 }
-                read = self.stream.read_buf(&mut self.buffer), if may_read => {
+                read = read_more(&mut self.stream, &mut self.buffer, &mut self.pending), if may_read => {
                     let read = read?;
                     if read == 0 {
                         return Ok(());
@@ -165,6 +171,7 @@
         let discard = async {
             loop {
                 self.buffer.clear();
+                self.buffer.reserve(HEAD_READ_BYTES);
                 if self.stream.read_buf(&mut self.buffer).await? == 0 {
                     return Ok(());
                 }
@@ -200,16 +207,11 @@
         self.in_flight.is_empty() && (self.is_ending || (closing && !self.is_new && self.is_idle()))
     }
 
-    /// Whether more bytes may be read: the rest of the pending body, and a limited read-ahead.
+    /// Whether more bytes may be read: a limited read-ahead that has room for the largest head.
     fn may_read(&self) -> bool {
-        let body = match &self.pending {
-            Some(pending) => pending.body.min_bytes(self.buffer.len()) as usize,
-            None => 0,
-        };
         let limits = self.size_limits();
         let head = limits.line().saturating_add(limits.head) as usize;
-        let ahead = READ_AHEAD_BYTES.max(head.saturating_add(b"\r\n".len()));
-        self.buffer.len() < body.saturating_add(ahead)
+        self.buffer.len() < READ_AHEAD_BYTES.max(head.saturating_add(b"\r\n".len()))
     }
 
     /// Takes all complete requests off the buffer and starts them.
@@ -227,7 +229,12 @@
 
     /// Takes the next head off the buffer. Returns whether there was one.
     async fn next_head(&mut self) -> io::Result<bool> {
-        if self.buffer.is_empty() || self.in_flight.len() >= MAX_IN_FLIGHT {
+        if self.buffer.is_empty() {
+            // A kept connection would keep the memory of its largest read.
+            self.buffer = BytesMut::new();
+            return Ok(false);
+        }
+        if self.in_flight.len() >= MAX_IN_FLIGHT {
             return Ok(false);
         }
         let limits = self.size_limits();
@@ -277,6 +284,7 @@
             call,
             routed,
             body,
+            whole: None,
             omit_body: head.method == "HEAD",
             keep_alive,
             started_at,
@@ -295,7 +303,10 @@
         if let Ok(routed) = &pending.routed {
             limits.body = routed.max_body.max(limits.body.min(routed.limits.body.0));
         }
-        let size = pending.body.min_bytes(self.buffer.len()).min(limits.body);
+        let size = match &pending.whole {
+            Some(body) => body.len() as u64,
+            None => pending.body.min_bytes(self.buffer.len()).min(limits.body),
+        };
         if let Err(rejection) = self
             .ingress
             .body_budget
@@ -304,31 +315,28 @@
             self.reject_pending(pending, rejection);
             return false;
         }
+        if pending.whole.is_none() {
+            match pending.body.take(&mut self.buffer, limits) {
+                Ok(whole) => pending.whole = whole,
+                Err(rejection) => {
+                    self.reject_pending(pending, rejection);
+                    return false;
+                }
+            }
+        }
         let overlaps = may_overlap(&pending);
         let may_start = self.in_flight.is_empty() || (self.all_overlap && overlaps);
-        if !may_start {
+        if !may_start || pending.whole.is_none() {
             self.pending = Some(pending);
             return false;
         }
-        match pending.body.take(&mut self.buffer, limits) {
-            Ok(Some(body)) => {
-                self.all_overlap = overlaps && (self.all_overlap || self.in_flight.is_empty());
-                self.is_ending = !pending.keep_alive;
-                if let Ok(routed) = &mut pending.routed {
-                    routed.set_body(body);
-                }
-                self.start(pending);
-                true
-            }
-            Ok(None) => {
-                self.pending = Some(pending);
-                false
-            }
-            Err(rejection) => {
-                self.reject_pending(pending, rejection);
-                false
-            }
+        self.all_overlap = overlaps && (self.all_overlap || self.in_flight.is_empty());
+        self.is_ending = !pending.keep_alive;
+        if let (Ok(routed), Some(body)) = (&mut pending.routed, pending.whole.take()) {
+            routed.set_body(body);
         }
+        self.start(pending);
+        true
     }
 
     fn start(&mut self, pending: PendingRequest) {
@@ -371,7 +379,8 @@
         let pending = PendingRequest {
             call: CallId::from(rand::random::<u128>()),
             routed: Err(rejection),
-            body: BodyDecoder::Length(0),
+            body: BodyDecoder::empty(),
+            whole: None,
             omit_body: false,
             keep_alive: false,
             started_at: now,
@@ -390,8 +399,9 @@
         let stopping = *closing.borrow() || self.ingress.is_stopping();
         let ends = stopping && self.is_idle();
         let keep_alive = outgoing.keep_alive && !ends;
-        let bytes = framing::encode_response(&outgoing.response, outgoing.omit_body, keep_alive);
-        timeout(WRITE_TIMEOUT, self.stream.write_all(&bytes)).await??;
+        let mut bytes =
+            framing::encode_response(&outgoing.response, outgoing.omit_body, keep_alive);
+        timeout(WRITE_TIMEOUT, self.stream.write_all_buf(&mut bytes)).await??;
         self.last_active = self.now();
         if self.is_idle() {
             self.note_limits();
@@ -434,6 +444,30 @@
     }
 }
 
+/// Reads more bytes: into the body that is due, if nothing else can come in front of its end, or else
+/// into the buffer of the connection.
+async fn read_more(
+    stream: &mut TcpStream,
+    buffer: &mut BytesMut,
+    pending: &mut Option<PendingRequest>,
+) -> io::Result<usize> {
+    let Some(pending) = pending else {
+        buffer.reserve(HEAD_READ_BYTES);
+        return stream.read_buf(buffer).await;
+    };
+    match pending.body.space() {
+        Some(mut space) if buffer.is_empty() => {
+            let read = stream.read_buf(&mut space).await?;
+            pending.body.add_received(read);
+            Ok(read)
+        }
+        _ => {
+            buffer.reserve(BODY_READ_BYTES);
+            stream.read_buf(buffer).await
+        }
+    }
+}
+
 /// Whether a request may run concurrently with others: it is an idempotent GET request, or already
 /// rejected.
 fn may_overlap(pending: &PendingRequest) -> bool {
--- a/crates/node/src/ingress/http2.rs
+++ b/crates/node/src/ingress/http2.rs
@@ -8,12 +8,8 @@
 };
 use bytes::Bytes;
 use dialect::Rejection;
-use http_body_util::{BodyExt, Full, LengthLimitError, Limited};
-use hyper::{
-    body::{Body, Incoming},
-    server::conn::http2,
-    service::service_fn,
-};
+use http_body_util::Full;
+use hyper::{body::Incoming, server::conn::http2, service::service_fn};
 use hyper_util::rt::{TokioExecutor, TokioIo};
 use smol_str::SmolStr;
 use tokio::{net::TcpStream, sync::watch, time::timeout_at};
@@ -23,7 +19,7 @@
     framing::SizeLimits,
     routing::{self, RequestHead},
 };
-use crate::body_budget::BodyReservation;
+use crate::body_budget::{BodyError, BodyReservation};
 
 /// Serves a connection until either side closes it.
 pub(super) async fn serve(
@@ -77,19 +73,21 @@
         routed = Err(Rejection::HeadTooLarge);
     }
     let mut reservation = BodyReservation::default();
-    let size = body.size_hint().lower();
-    if let Err(rejection) = ingress.body_budget.reserve(size, &mut reservation) {
-        routed = Err(rejection);
-    }
     if let Ok(routed_call) = &mut routed {
-        let read_body = Limited::new(body, routed_call.max_body as usize).collect();
+        let max_bytes = routed_call.max_body;
         let deadline = ingress.board.clock.instant(routed_call.deadline);
-        match timeout_at(deadline, read_body).await {
-            Ok(Ok(whole)) => routed_call.set_body(whole.to_bytes()),
-            Ok(Err(error)) if error.is::<LengthLimitError>() => {
-                routed = Err(Rejection::BodyTooLarge);
+        let reading = ingress
+            .body_budget
+            .collect(body, max_bytes, &mut reservation);
+        match timeout_at(deadline, reading).await {
+            Ok(Ok(whole)) => routed_call.set_body(whole),
+            Ok(Err(BodyError::TooLarge)) => routed = Err(Rejection::BodyTooLarge),
+            Ok(Err(BodyError::NoBufferSpace)) => routed = Err(Rejection::NoBufferSpace),
+            Ok(Err(BodyError::Cut(error))) => {
+                log::debug!(call:% = call, error:% = error; "caller_body_cut");
+                routed = Err(Rejection::Incomplete);
             }
-            Ok(Err(_)) | Err(_) => routed = Err(Rejection::Incomplete),
+            Err(_) => routed = Err(Rejection::Incomplete),
         }
     }
     let response = ingress.process(&call, routed, started_at).await;
