gate_actor: test of messages that no correct node sends

Runs, queries, dropped waiters, ends and probe responses with any ids, floors, deadlines, limits and loads, in any order, end no process.

--- a/crates/node/src/gate_actor/tests/mod.rs
+++ b/crates/node/src/gate_actor/tests/mod.rs
@@ -2,6 +2,7 @@
 
 mod actor;
 mod evidence;
+mod malformed;
 
 use std::sync::Arc;
 
