platform: a revision or era that no store may name fails the read

A response with a revision of 0 or beyond 2^53 was taken for a successful read and changed nothing, without a line in the log.

Class of fault: external input is taken without being checked against itself.

--- a/crates/platform/src/lib.rs
+++ b/crates/platform/src/lib.rs
@@ -15,7 +15,7 @@
 use futures::future::BoxFuture;
 use serde::{Deserialize, Serialize};
 use smol_str::SmolStr;
-use types::{HostId, Revision};
+use types::{HostId, Revision, Stamp};
 
 pub use http::{HttpClient, HttpPlatform, MAX_RESPONSE_BYTES};
 pub use registry::UnusableItem;
@@ -72,6 +72,11 @@
         /// Name of the header.
         name: &'static str,
     },
+    /// The era or the revision of a response is beyond what a registry may name.
+    InvalidStamp {
+        /// The stamp.
+        stamp: Stamp,
+    },
     /// The registry came back from an older copy again and again while it was read.
     EraChanged,
     /// A page names no key after which the next one begins.
@@ -107,6 +112,7 @@
             }
             Self::Decode { item, .. } => write!(f, "failed to decode {item}"),
             Self::InvalidHeader { name } => write!(f, "invalid value in header {name}"),
+            Self::InvalidStamp { stamp } => write!(f, "invalid era or revision {stamp}"),
             Self::EraChanged => f.write_str("the era of the registry changed during the read"),
             Self::PageStalled { after } => {
                 write!(
@@ -127,6 +133,7 @@
             Self::ErrorStatus { .. }
             | Self::TooLarge { .. }
             | Self::InvalidHeader { .. }
+            | Self::InvalidStamp { .. }
             | Self::EraChanged
             | Self::PageStalled { .. }
             | Self::NotFound { .. } => None,
