node: metrics of the configuration's version and of unusable items

Change: `config_version` has the version in force and the one refused last, `unusable_items` the number of items that can't be read or used, so that operators see from the outside which nodes lag and which refused a version.

Result: the test of a refused configuration in crates/node/src/view_sync/tests.rs checks the gauge too; the tests of node, platform, adapter, fleet and note pass.

--- a/crates/node/src/metrics.rs
+++ b/crates/node/src/metrics.rs
@@ -2,7 +2,7 @@
 
 use opentelemetry::{
     KeyValue,
-    metrics::{Counter, Histogram, MeterProvider as _},
+    metrics::{Counter, Gauge, Histogram, MeterProvider as _},
 };
 use opentelemetry_sdk::metrics::SdkMeterProvider;
 use prometheus::{Encoder, Registry, TextEncoder};
@@ -28,6 +28,8 @@
     malformed_limits: Counter<u64>,
     suspects: Counter<u64>,
     refused_configs: Counter<u64>,
+    config_version: Gauge<u64>,
+    unusable_items: Gauge<u64>,
     call_seconds: Histogram<f64>,
     attempt_seconds: Histogram<f64>,
     /// Held because the instruments stop when the provider is dropped.
@@ -68,6 +70,14 @@
                 .u64_counter("refused_configs")
                 .with_description("Versions of the operators' configuration that are invalid")
                 .build(),
+            config_version: meter
+                .u64_gauge("config_version")
+                .with_description("Version of the operators' configuration, by state")
+                .build(),
+            unusable_items: meter
+                .u64_gauge("unusable_items")
+                .with_description("Items of the registry that can't be read or used")
+                .build(),
             call_seconds: meter
                 .f64_histogram("call_seconds")
                 .with_description("Call times by ending")
@@ -119,9 +129,23 @@
         }
     }
 
-    /// Counts a version of the operators' configuration that is invalid.
-    pub(crate) fn record_refused_config(&self) {
+    /// Counts a version of the operators' configuration that is invalid. The number is 0 if it can't be
+    /// read.
+    pub(crate) fn record_refused_config(&self, version: u64) {
         self.refused_configs.add(1, &[]);
+        let labels = [KeyValue::new("state", "refused")];
+        self.config_version.record(version, &labels);
+    }
+
+    /// Records the version of the operators' configuration in force.
+    pub(crate) fn record_config_version(&self, version: u64) {
+        let labels = [KeyValue::new("state", "in_force")];
+        self.config_version.record(version, &labels);
+    }
+
+    /// Records the number of the registry's items that can't be read or used.
+    pub(crate) fn record_unusable_items(&self, count: usize) {
+        self.unusable_items.record(count as u64, &[]);
     }
 
     /// Counts a control message that this node sends.
--- a/crates/node/src/view_sync/mod.rs
+++ b/crates/node/src/view_sync/mod.rs
@@ -308,6 +308,10 @@
             view.revision > previous.revision,
             "invariant: the revision of the view never decreases"
         );
+        if let Source::Registry { snapshot, .. } = &self.source {
+            self.metrics
+                .record_config_version(snapshot.config_version());
+        }
         self.log_view();
         let nodes = view.state.nodes();
         let members = nodes.chain(self.seeds.iter().copied()).collect();
--- a/crates/node/src/view_sync/registry.rs
+++ b/crates/node/src/view_sync/registry.rs
@@ -120,6 +120,7 @@
                 "entries_unusable"
             );
         }
+        self.metrics.record_unusable_items(unusable.len());
         progress.unusable = unusable;
         snapshot.update_listing(listing, now);
         let out = zones_out.clone();
@@ -175,11 +176,12 @@
         if progress.refused.as_ref() == Some(&refused) {
             return;
         }
-        self.metrics.record_refused_config();
+        self.metrics
+            .record_refused_config(refused.version.unwrap_or_default());
         let shown = refused.faults.iter().take(MAX_LOGGED_FAULTS);
         let shown: Vec<String> = shown.map(ToString::to_string).collect();
         log::error!(
-            version:? = refused.version, in_force = snapshot.config_version(),
+            version = refused.version.unwrap_or_default(), in_force = snapshot.config_version(),
             count = refused.faults.len(), faults = shown.join("; ");
             "config_refused"
         );
--- a/crates/node/src/view_sync/tests.rs
+++ b/crates/node/src/view_sync/tests.rs
@@ -278,7 +278,7 @@
         self.reads.fetch_add(1, Ordering::Relaxed);
         let config = OperatorConfig::default();
         let refused = RefusedVersion {
-            version: Some(config.version),
+            version: Some(9),
             faults: note::check_config(&config),
         };
         let read = RefusedRead {
@@ -311,6 +311,9 @@
     let counters = text.lines().filter(|l| l.starts_with("refused_configs"));
     let counts: Vec<_> = counters.filter_map(|l| l.rsplit(' ').next()).collect();
     assert_eq!(counts, ["1"], "{text}");
+    let mut versions = text.lines().filter(|l| l.starts_with("config_version{"));
+    let is_refused = |l: &str| l.contains("refused") && l.ends_with(" 9");
+    assert!(versions.any(is_refused), "{text}");
     let dump = view_sync.ask(Dump).await.expect("a dump");
     let dump = serde_json::to_value(&dump).expect("JSON");
     assert_eq!(dump["registry"]["refused"]["faults"][0]["place"], "version");
