node: unusable items are logged as key and reason

Change: `entries_unusable` shows each item as its key and the reason instead of the program's own structure.

--- a/crates/node/src/view_sync/registry.rs
+++ b/crates/node/src/view_sync/registry.rs
@@ -114,9 +114,10 @@
         } = entries;
         let stamp = listing.stamp;
         if !has_same_keys(&progress.unusable, &unusable) {
-            let shown = &unusable[..unusable.len().min(MAX_LOGGED_ITEMS)];
+            let shown = unusable.iter().take(MAX_LOGGED_ITEMS);
+            let shown: Vec<String> = shown.map(ToString::to_string).collect();
             log::warn!(
-                count = unusable.len(), items:? = shown, revision:% = stamp.revision;
+                count = unusable.len(), items = shown.join("; "), revision:% = stamp.revision;
                 "entries_unusable"
             );
         }
--- a/crates/platform/src/registry.rs
+++ b/crates/platform/src/registry.rs
@@ -1,5 +1,7 @@
 //! Registry that publishes only current values.
 
+use std::fmt;
+
 use futures::future::BoxFuture;
 use note::{Fault, Listing, OperatorConfig};
 use serde::Serialize;
@@ -28,6 +30,12 @@
     pub reason: SmolStr,
 }
 
+impl fmt::Display for UnusableItem {
+    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        write!(f, "{}: {}", self.key, self.reason)
+    }
+}
+
 /// Result of a read of the operators' configuration.
 #[derive(Debug)]
 pub enum ConfigRead {
