node: install signal handlers before anything else

Cause: the handlers were installed in the runtime, after the command line and the settings had been read. Class: a window at the start in which the default of the system holds.

Change: the first statement of main installs them, in a runtime of its own that needn't run: tokio passes signals to whichever runtime waits. What arrives before the node runs is handled once it does.

Measured on arm64: a_hangup_before_the_settings_are_read_ends_nothing passes. The time before main isn't covered.

--- a/crates/node/src/lifecycle.rs
+++ b/crates/node/src/lifecycle.rs
@@ -17,6 +17,7 @@
 use platform::{HttpClient, HttpPlatform, PlatformError};
 use tokio::{
     net::TcpListener,
+    runtime::Builder,
     signal::unix::{Signal, SignalKind, signal},
     sync::watch,
     task::JoinHandle,
@@ -96,8 +97,7 @@
 /// # Errors
 ///
 /// [`RunError`] if the node can't start, or stops with requests in progress.
-pub async fn run(settings: Settings, path: &Path) -> Result<(), RunError> {
-    let mut signals = Signals::new()?;
+pub async fn run(settings: Settings, path: &Path, mut signals: Signals) -> Result<(), RunError> {
     let node = start(&settings).await?;
     log::info!(
         host:% = settings.host, zone:% = settings.zone, boot:% = node.board.identity.boot,
@@ -338,7 +338,7 @@
 }
 
 /// Signals handled by the process.
-struct Signals {
+pub struct Signals {
     stop: StopSignals,
     hup: Signal,
 }
@@ -350,7 +350,16 @@
 }
 
 impl Signals {
-    fn new() -> Result<Self, RunError> {
+    /// Installs the handlers. Signals that arrive before [`run`] are handled once it runs.
+    ///
+    /// # Errors
+    ///
+    /// [`RunError`] if a handler can't be installed.
+    pub fn install() -> Result<Self, RunError> {
+        // The runtime that registers a signal needn't be the one that waits for it.
+        let runtime = Builder::new_current_thread().enable_all().build();
+        let runtime = runtime.map_err(RunError::Runtime)?;
+        let _entered = runtime.enter();
         let handler = |kind| signal(kind).map_err(RunError::Signals);
         Ok(Self {
             stop: StopSignals {
--- a/crates/node/src/main.rs
+++ b/crates/node/src/main.rs
@@ -1,13 +1,12 @@
 //! The `amaranthyoked` daemon: parses the command line and runs a node.
 
-use std::{
-    error::Error,
-    path::{Path, PathBuf},
-    process::ExitCode,
-};
+use std::{error::Error, path::PathBuf, process::ExitCode};
 
 use bpaf::Bpaf;
-use node::{lifecycle, logs, settings};
+use node::{
+    lifecycle::{self, Signals},
+    logs, settings,
+};
 use tokio::runtime::Builder;
 
 /// Exit code for unreadable or invalid settings.
@@ -26,6 +25,11 @@
 }
 
 fn main() -> ExitCode {
+    // A signal whose handler isn't installed yet would end the process.
+    let signals = match Signals::install() {
+        Ok(signals) => signals,
+        Err(error) => return report_error(&error, 1),
+    };
     let arguments = arguments().run();
     let settings = match settings::load(&arguments.path) {
         Ok(settings) => settings,
@@ -36,13 +40,17 @@
         return ExitCode::SUCCESS;
     }
     let _flush_guard = logs::init(settings.log);
-    match run_node(settings, &arguments.path) {
+    match run_node(settings, &arguments, signals) {
         Ok(()) => ExitCode::SUCCESS,
         Err(error) => report_error(&error, 1),
     }
 }
 
-fn run_node(settings: settings::Settings, path: &Path) -> Result<(), lifecycle::RunError> {
+fn run_node(
+    settings: settings::Settings,
+    arguments: &Arguments,
+    signals: Signals,
+) -> Result<(), lifecycle::RunError> {
     let mut builder = match settings.threads {
         Some(1) => Builder::new_current_thread(),
         _ => Builder::new_multi_thread(),
@@ -54,7 +62,7 @@
         .enable_all()
         .build()
         .map_err(lifecycle::RunError::Runtime)?;
-    runtime.block_on(lifecycle::run(settings, path))
+    runtime.block_on(lifecycle::run(settings, &arguments.path, signals))
 }
 
 /// Prints an error and its chain of causes to standard error, and returns the exit code.
