node: derive the stop limit from the platform's grace period

Cause: the template of the settings had one stop_ms for all deployments, though the platform names its grace period. Class: a bound of a deployment written down as a constant.

The node exits a twelfth of it, at most 500 ms, before the kill, which lies in its last sixth. The argument holds after a reload, too. A short period shortens the linger time. Calls that are taken while the node lingers now end before it does, so their gates refuse what can't be served in that time, and servers are told the time that there is. Calls from before the signal keep their deadlines. Later ones that may outlast the node are still rejected at once.

--- a/crates/node/src/ingress/mod.rs
+++ b/crates/node/src/ingress/mod.rs
@@ -139,6 +139,15 @@
         self.board.phase() == Phase::Stopping
     }
 
+    /// When a call that arrives now must have ended for its caller to get the response. A node that is about to
+    /// stop still takes calls, and the backend server gets the time that there is.
+    fn latest_answer(&self) -> Moment {
+        match self.board.phase() {
+            Phase::Leaving => *self.board.stop_at.borrow() - CLOSE_TIME,
+            _ => Moment::MAX,
+        }
+    }
+
     /// Whether the node may exit before the call ends. Its caller does better to call another node at once.
     fn may_outlast_node(&self, routed: &RoutedCall) -> bool {
         self.is_stopping() && routed.deadline + CLOSE_TIME >= *self.board.stop_at.borrow()
--- a/crates/node/src/ingress/routing.rs
+++ b/crates/node/src/ingress/routing.rs
@@ -46,6 +46,8 @@
     time_left: Option<Span>,
     /// When the head of the request was complete.
     started_at: Moment,
+    /// When the node can no longer answer.
+    latest: Moment,
     /// Whether the caller is a backend server that is running another request.
     nested: bool,
 }
@@ -104,7 +106,8 @@
             Some(_) => timeout,
             None => service.limits.timeout(),
         };
-        let deadline = origin.started_at + origin.time_left.unwrap_or(default).min(timeout);
+        let remaining = origin.time_left.unwrap_or(default).min(timeout);
+        let deadline = (origin.started_at + remaining).min(origin.latest);
         let objective =
             |route: &Arc<HostRoute>| origin.started_at + Span::from_millis(route.objective_ms);
         let key = route
@@ -194,6 +197,7 @@
         host: SmolStr::new(head.host()),
         time_left: metadata.time_left,
         started_at: now,
+        latest: ingress.latest_answer(),
         nested: metadata.depth > 0,
     };
     let request = server_request(ingress, call, head, &metadata);
--- a/crates/node/src/ingress/tests/routing.rs
+++ b/crates/node/src/ingress/tests/routing.rs
@@ -2,10 +2,11 @@
 
 use std::sync::Arc;
 
+use board::Phase;
 use dialect::Rejection;
 use note::CallerLimits;
 use tokio::task::yield_now;
-use types::Size;
+use types::{Size, Span};
 
 use super::fixtures::{ingress, limited_view, now, publish, route, routed, view};
 
@@ -131,3 +132,22 @@
     let limits = [judged, next].map(|call| call.map(|call| call.max_body));
     assert_eq!(limits, [Ok(900), Ok(100)]);
 }
+
+#[tokio::test]
+async fn a_call_that_a_leaving_node_takes_ends_before_the_node_exits() {
+    let ingress = ingress();
+    publish(
+        &ingress.board,
+        view(2, "rinks", vec![route("r", "/m/", "rinks")]),
+    );
+    let taken_before = routed(&ingress, "PUT", "/m/1").map(|call| call.deadline);
+    let stop_at = now(&ingress) + Span::from_millis(600);
+    ingress.board.stop_at.send_replace(stop_at);
+    ingress.board.phase.send_replace(Phase::Leaving);
+    let taken_after = routed(&ingress, "PUT", "/m/1").map(|call| call.deadline);
+    assert!(
+        taken_before.is_ok_and(|deadline| deadline > stop_at),
+        "its deadline stays"
+    );
+    assert!(taken_after.is_ok_and(|deadline| deadline < stop_at));
+}
--- a/crates/node/src/lib.rs
+++ b/crates/node/src/lib.rs
@@ -35,5 +35,6 @@
 mod reload;
 pub mod settings;
 mod socket;
+pub mod stop;
 mod timer;
 mod view_sync;
--- a/crates/node/src/lifecycle.rs
+++ b/crates/node/src/lifecycle.rs
@@ -37,6 +37,7 @@
     peers::{Peers, server::PeerService},
     reload::Reload,
     settings::{Conventions, Readiness, Settings},
+    stop::{Grace, StopTimes},
     view_sync::{self, Source, SyncOptions},
 };
 
@@ -92,12 +93,17 @@
     }
 }
 
-/// Runs a node until it is stopped by a signal.
+/// Runs a node until it is stopped by a signal. `grace` is the time that the platform gives it to stop.
 ///
 /// # Errors
 ///
 /// [`RunError`] if the node can't start, or stops with requests in progress.
-pub async fn run(settings: Settings, path: &Path, mut signals: Signals) -> Result<(), RunError> {
+pub async fn run(
+    settings: Settings,
+    path: &Path,
+    grace: Option<Grace>,
+    mut signals: Signals,
+) -> Result<(), RunError> {
     let node = start(&settings).await?;
     log::info!(
         host:% = settings.host, zone:% = settings.zone, boot:% = node.board.identity.boot,
@@ -109,12 +115,12 @@
         () = signals.stop.wait() => {}
         () = reload.watch(&mut signals.hup) => {}
     }
-    let settings = reload.settings();
-    log::info!(within_ms = settings.stop_ms, linger_ms = settings.linger_ms; "stopping");
-    let stop_at = node.board.clock.now() + settings.stop_timeout();
+    let StopTimes { linger, limit } = StopTimes::new(reload.settings(), grace);
+    log::info!(within_ms = limit.as_millis(), linger_ms = linger.as_millis(); "stopping");
+    let stop_at = node.board.clock.now() + limit;
     node.board.stop_at.send_replace(stop_at);
     let deadline = node.board.clock.instant(stop_at);
-    node.announce_leaving(settings.linger()).await;
+    node.announce_leaving(linger).await;
     tokio::select! {
         stopped = node.shut_down(deadline) => stopped,
         () = signals.stop.wait() => Err(RunError::Interrupted),
--- a/crates/node/src/main.rs
+++ b/crates/node/src/main.rs
@@ -6,6 +6,7 @@
 use node::{
     lifecycle::{self, Signals},
     logs, settings,
+    stop::{Grace, GraceError},
 };
 use tokio::runtime::Builder;
 
@@ -19,11 +20,23 @@
     /// Check the settings and exit
     check: bool,
 
+    /// Time that the platform gives the node to stop, as in 6s or 1500ms, in place of stop_ms; empty for none
+    #[bpaf(long, argument::<String>("SPAN"), parse(parse_grace), fallback(None))]
+    grace: Option<Grace>,
+
     /// Settings file in JSON
     #[bpaf(positional("SETTINGS"))]
     path: PathBuf,
 }
 
+/// Parses a grace period. The platform fills in an empty text if it names none.
+fn parse_grace(text: String) -> Result<Option<Grace>, GraceError> {
+    match text.is_empty() {
+        true => Ok(None),
+        false => text.parse().map(Some),
+    }
+}
+
 fn main() -> ExitCode {
     // A signal whose handler isn't installed yet would end the process.
     let signals = match Signals::install() {
@@ -62,7 +75,8 @@
         .enable_all()
         .build()
         .map_err(lifecycle::RunError::Runtime)?;
-    runtime.block_on(lifecycle::run(settings, &arguments.path, signals))
+    let Arguments { path, grace, .. } = arguments;
+    runtime.block_on(lifecycle::run(settings, path, *grace, signals))
 }
 
 /// Prints an error and its chain of causes to standard error, and returns the exit code.
--- /dev/null
+++ b/crates/node/src/stop.rs
@@ -0,0 +1,110 @@
+//! Times of a graceful shutdown, from the settings and from the grace period that the platform gives.
+
+use std::{error::Error, fmt, str::FromStr};
+
+use types::Span;
+
+use crate::settings::Settings;
+
+/// Allowed range of a grace period.
+const GRACE_RANGE: (Span, Span) = (Span::from_millis(100), Span::from_millis(600_000));
+/// Share of the grace period in which a node that has reached its stop limit exits. Half of the last sixth, in
+/// which the platform doesn't expect requests to be completed.
+const EXIT_SHARE: f64 = 1.0 / 12.0;
+/// Longest time that is left for the exit: some scheduling delays of a busy host.
+const MAX_EXIT_TIME: Span = Span::from_millis(500);
+/// Share of the time until the stop limit for which a node may still accept requests, so that those have time to
+/// be completed.
+const MAX_LINGER_SHARE: f64 = 0.5;
+
+/// Time that the platform gives a process to stop before it kills it.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub struct Grace(Span);
+
+/// Why a text isn't a grace period.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub enum GraceError {
+    /// It doesn't end with `s` or `ms`.
+    NoUnit,
+    /// It isn't a whole number of its unit.
+    NotANumber,
+    /// It is too short or too long.
+    OutOfRange,
+}
+
+impl fmt::Display for GraceError {
+    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        let (min, max) = GRACE_RANGE;
+        match self {
+            Self::NoUnit => f.write_str("has no unit, expected s or ms"),
+            Self::NotANumber => f.write_str("is not a whole number of seconds or milliseconds"),
+            Self::OutOfRange => write!(
+                f,
+                "is out of range, expected {}ms to {}ms",
+                min.as_millis(),
+                max.as_millis()
+            ),
+        }
+    }
+}
+
+impl Error for GraceError {}
+
+/// Parses a whole number of seconds or milliseconds, as in `6s` or `1500ms`.
+impl FromStr for Grace {
+    type Err = GraceError;
+
+    fn from_str(text: &str) -> Result<Self, GraceError> {
+        let (number, unit_ms) = match (text.strip_suffix("ms"), text.strip_suffix('s')) {
+            (Some(number), _) => (number, 1),
+            (None, Some(number)) => (number, 1_000),
+            (None, None) => return Err(GraceError::NoUnit),
+        };
+        let number: u64 = number.parse().map_err(|_| GraceError::NotANumber)?;
+        let span = Span::from_millis(number.saturating_mul(unit_ms));
+        match (GRACE_RANGE.0..=GRACE_RANGE.1).contains(&span) {
+            true => Ok(Self(span)),
+            false => Err(GraceError::OutOfRange),
+        }
+    }
+}
+
+impl fmt::Display for Grace {
+    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        write!(f, "{}ms", self.0.as_millis())
+    }
+}
+
+impl Grace {
+    /// Time from the signal until the node exits, whether or not its requests are completed.
+    fn stop_limit(self) -> Span {
+        let exit = self.0.scale(EXIT_SHARE).min(MAX_EXIT_TIME);
+        Span(self.0.0 - exit.0)
+    }
+}
+
+/// Times of a graceful shutdown, each counted from the signal.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub struct StopTimes {
+    /// For how long the node still accepts requests.
+    pub linger: Span,
+    /// When it exits, whether or not its requests are completed.
+    pub limit: Span,
+}
+
+impl StopTimes {
+    /// The times of the settings. A grace period takes the place of `stop_ms`, and shortens `linger_ms` if it is
+    /// short itself.
+    pub fn new(settings: &Settings, grace: Option<Grace>) -> Self {
+        match grace.map(Grace::stop_limit) {
+            Some(limit) => Self {
+                linger: settings.linger().min(limit.scale(MAX_LINGER_SHARE)),
+                limit,
+            },
+            None => Self {
+                linger: settings.linger(),
+                limit: settings.stop_timeout(),
+            },
+        }
+    }
+}
