node: a body that the process can't hold is refused as not run

Callers saw: 413 for a body above 64 MiB, whatever max_body_bytes the operators set (DENIED), if they set more. Cause: a limit of our own for each service, meant for the memory of a node, was told as one of the service's. Change: services of the registry have no limit of their own on bodies. The memory budget, which knows what the process can hold, refuses larger bodies with 503, as it does when other bodies use the memory. The test of the budget admitted a body of any size alone; it now admits one of 64 MiB and refuses one byte more.

--- a/crates/node/src/body_budget.rs
+++ b/crates/node/src/body_budget.rs
@@ -17,6 +17,8 @@
 /// Maximum bytes reserved at once: a quarter of the memory of the smallest node. A body is copied
 /// into two more buffers of its size on its way.
 const MAX_RESERVED_BYTES: usize = 40 << 20;
+/// Largest body that is admitted, alone: with its copies it takes three quarters of that memory.
+const MAX_BODY_BYTES: u64 = 64 << 20;
 /// Largest body that needs no reservation.
 const MAX_UNRESERVED_BYTES: u64 = 64 << 10;
 /// Granularity of reservations.
@@ -57,11 +59,12 @@
 impl BodyBudget {
     /// Extends `reservation` to a body of at least `bytes`.
     ///
-    /// A body larger than the whole budget is admitted if no other reservation exists.
+    /// A body larger than the whole budget is admitted if no other reservation exists, up to the
+    /// largest one that the process can hold.
     ///
     /// # Errors
     ///
-    /// [`Rejection::NoBufferSpace`] if other reservations leave too little.
+    /// [`Rejection::NoBufferSpace`] if other reservations leave too little, or the body is larger.
     pub(crate) fn reserve(
         &self,
         bytes: u64,
@@ -70,6 +73,9 @@
         if bytes <= MAX_UNRESERVED_BYTES {
             return Ok(());
         }
+        if bytes > MAX_BODY_BYTES {
+            return Err(Rejection::NoBufferSpace);
+        }
         let max_units = MAX_RESERVED_BYTES as u64 / UNIT_BYTES;
         let units = bytes.div_ceil(UNIT_BYTES).min(max_units);
         let missing = units.saturating_sub(reservation.units);
--- a/crates/node/src/ingress/tests.rs
+++ b/crates/node/src/ingress/tests.rs
@@ -246,10 +246,17 @@
     drop(second);
     let mut alone = BodyReservation::default();
     assert_eq!(
-        budget.reserve(u64::MAX, &mut alone),
+        budget.reserve(64 << 20, &mut alone),
         Ok(()),
         "a body beyond the whole budget is admitted alone"
     );
+    drop(alone);
+    let mut larger = BodyReservation::default();
+    assert_eq!(
+        budget.reserve((64 << 20) + 1, &mut larger),
+        Err(Rejection::NoBufferSpace),
+        "the process can't hold a larger body"
+    );
 }
 
 /// Decodes all requests of `bytes`, which arrive in pieces of the given sizes. Returns the targets and
--- a/crates/note/src/registry.rs
+++ b/crates/note/src/registry.rs
@@ -67,9 +67,9 @@
 /// Share of the slots that is used. Backend servers take 1.7 times as long per request when more
 /// than 0.8 of their slots are in use, so their throughput is lower than with 0.8 of the slots.
 const REGISTRY_USABLE_SHARE: f64 = 0.8;
-/// Maximum response body, and request body unless the caller limits are lower. The platform allows
-/// this size.
-const REGISTRY_MAX_BODY: Size = Size(64 << 20);
+/// Maximum size of a body: none of a service's own, as the callers' limits say what they may send, and
+/// each node admits what its memory holds.
+const REGISTRY_MAX_BODY: Size = Size(u64::MAX);
 /// Timeout of a call if neither its caller nor its route specifies one.
 const REGISTRY_TIMEOUT_MS: u64 = 60_000;
 
