--- a/crates/node/src/ingress/framing.rs
+++ b/crates/node/src/ingress/framing.rs
@@ -3,7 +3,7 @@
 //! `httparse` parses heads and chunk sizes. The code here finds where a body ends, and is strict: a
 //! request with an ambiguous length is malformed, which prevents request smuggling.
 
-use axum::http::{HeaderMap, HeaderName, HeaderValue, Response, StatusCode, Uri};
+use axum::http::{HeaderMap, HeaderName, HeaderValue, Uri};
 use bytes::{Buf, BufMut, Bytes, BytesMut, buf::Limit};
 use dialect::Rejection;
 use httparse::Status;
@@ -480,47 +480,3 @@
         _ => Err(Rejection::Malformed),
     }
 }
-
-/// Encodes a response without copying its body. `omit_body` is set for the answer to HEAD.
-pub(super) fn encode_response(
-    response: &Response<Bytes>,
-    omit_body: bool,
-    keep_alive: bool,
-) -> impl Buf + use<> {
-    let status = response.status();
-    let body = response.body();
-    let mut out = BytesMut::with_capacity(512);
-    let reason = status.canonical_reason().unwrap_or("Unknown");
-    out.put_slice(b"HTTP/1.1 ");
-    out.put_slice(status.as_str().as_bytes());
-    out.put_slice(b" ");
-    out.put_slice(reason.as_bytes());
-    out.put_slice(b"\r\n");
-    for (name, value) in response.headers() {
-        put_header(&mut out, name.as_str(), value.as_bytes());
-    }
-    let empty = [StatusCode::NO_CONTENT, StatusCode::NOT_MODIFIED].contains(&status);
-    if !empty && !response.headers().contains_key("content-length") {
-        put_header(
-            &mut out,
-            "content-length",
-            body.len().to_string().as_bytes(),
-        );
-    }
-    if !keep_alive {
-        put_header(&mut out, "connection", b"close");
-    }
-    out.put_slice(b"\r\n");
-    let body = match omit_body || empty {
-        true => Bytes::new(),
-        false => body.clone(),
-    };
-    out.chain(body)
-}
-
-fn put_header(out: &mut BytesMut, name: &str, value: &[u8]) {
-    out.put_slice(name.as_bytes());
-    out.put_slice(b": ");
-    out.put_slice(value);
-    out.put_slice(b"\r\n");
-}
--- a/crates/node/src/ingress/http1.rs
+++ b/crates/node/src/ingress/http1.rs
@@ -31,7 +31,8 @@
 
 use super::{
     Ingress,
-    framing::{self, BodyDecoder, HeadDecoder, Message, SizeLimits},
+    framing::{BodyDecoder, HeadDecoder, Message, SizeLimits},
+    response,
     routing::{self, RoutedCall},
 };
 use crate::body_budget::BodyReservation;
@@ -400,7 +401,7 @@
         let ends = stopping && self.is_idle();
         let keep_alive = outgoing.keep_alive && !ends;
         let mut bytes =
-            framing::encode_response(&outgoing.response, outgoing.omit_body, keep_alive);
+            response::encode_response(&outgoing.response, outgoing.omit_body, keep_alive);
         timeout(WRITE_TIMEOUT, self.stream.write_all_buf(&mut bytes)).await??;
         self.last_active = self.now();
         if self.is_idle() {
--- a/crates/node/src/ingress/response.rs
+++ b/crates/node/src/ingress/response.rs
@@ -1,10 +1,10 @@
-//! Builds the response to a caller.
+//! Builds the response to a caller, and encodes it for HTTP/1.1.
 
 #[cfg(test)]
 mod tests;
 
 use axum::http::{Response, StatusCode};
-use bytes::Bytes;
+use bytes::{Buf, BufMut, Bytes, BytesMut};
 use call::CallOutcome;
 use dialect::{CallFailure, Dialect, Rejection};
 use log::Level;
@@ -94,3 +94,47 @@
     dialect.set_call_id(call, response.headers_mut());
     Ok(response)
 }
+
+/// Encodes a response without copying its body. `omit_body` is set for the answer to HEAD.
+pub(super) fn encode_response(
+    response: &Response<Bytes>,
+    omit_body: bool,
+    keep_alive: bool,
+) -> impl Buf + use<> {
+    let status = response.status();
+    let body = response.body();
+    let mut out = BytesMut::with_capacity(512);
+    let reason = status.canonical_reason().unwrap_or("Unknown");
+    out.put_slice(b"HTTP/1.1 ");
+    out.put_slice(status.as_str().as_bytes());
+    out.put_slice(b" ");
+    out.put_slice(reason.as_bytes());
+    out.put_slice(b"\r\n");
+    for (name, value) in response.headers() {
+        put_header(&mut out, name.as_str(), value.as_bytes());
+    }
+    let empty = [StatusCode::NO_CONTENT, StatusCode::NOT_MODIFIED].contains(&status);
+    if !empty && !response.headers().contains_key("content-length") {
+        put_header(
+            &mut out,
+            "content-length",
+            body.len().to_string().as_bytes(),
+        );
+    }
+    if !keep_alive {
+        put_header(&mut out, "connection", b"close");
+    }
+    out.put_slice(b"\r\n");
+    let body = match omit_body || empty {
+        true => Bytes::new(),
+        false => body.clone(),
+    };
+    out.chain(body)
+}
+
+fn put_header(out: &mut BytesMut, name: &str, value: &[u8]) {
+    out.put_slice(name.as_bytes());
+    out.put_slice(b": ");
+    out.put_slice(value);
+    out.put_slice(b"\r\n");
+}
