ingress: the protocol is found though its first bytes come in parts

Callers saw: 400 over HTTP/2 if the first segment of a connection held less than four bytes of its preface (DENIED). Cause: the first bytes were looked at once, however few they were. Change: they are looked at again until they are enough, within the idle time-out. Result: the test of real processes failed before: "assertion `left == right` failed: HTTP/1.1 left: 80 right: 4".

--- a/crates/node/src/ingress/mod.rs
+++ b/crates/node/src/ingress/mod.rs
@@ -64,6 +64,9 @@
 /// enough for some connections to end, and short compared with the time that callers wait for a
 /// connection.
 const ACCEPT_RETRY_DELAY: Duration = Duration::from_millis(20);
+/// Time until the first bytes of a connection are looked at again if they are too few: below the round
+/// trip of most callers.
+const PEEK_INTERVAL: Duration = Duration::from_millis(10);
 /// First bytes of the HTTP/2 connection preface. No HTTP/1.1 request starts with them.
 const HTTP2_PREFACE: &[u8] = b"PRI ";
 
@@ -244,14 +247,13 @@
     if let Err(error) = socket::configure(&stream) {
         log::debug!(error:% = error; "caller_connection_untuned");
     }
-    let mut first = [0; HTTP2_PREFACE.len()];
     let idle = Duration::from_millis(ingress.board.view.borrow().state.callers.idle_ms);
-    let peeked = tokio::select! {
-        peeked = stream.peek(&mut first) => peeked.unwrap_or_default(),
+    let is_http2 = tokio::select! {
+        is_http2 = starts_http2(&stream) => is_http2,
         () = first_request_timeout(&mut closing) => return,
         () = sleep(idle) => return,
     };
-    if &first[..peeked] == HTTP2_PREFACE {
+    if is_http2 {
         if let Err(error) = http2::serve(ingress, stream, closing).await {
             log::debug!(error:% = error; "caller_connection_ended");
         }
@@ -260,6 +262,20 @@
     }
 }
 
+/// Whether the first bytes, which may come in parts, are those of the HTTP/2 connection preface.
+async fn starts_http2(stream: &TcpStream) -> bool {
+    let mut first = [0; HTTP2_PREFACE.len()];
+    loop {
+        // An error is reported again by the next read.
+        let peeked = stream.peek(&mut first).await.unwrap_or_default();
+        match &first[..peeked] {
+            HTTP2_PREFACE => return true,
+            part if part.is_empty() || !HTTP2_PREFACE.starts_with(part) => return false,
+            _ => sleep(PEEK_INTERVAL).await,
+        }
+    }
+}
+
 async fn wait_for_close(closing: &mut watch::Receiver<bool>) {
     let _ = closing.wait_for(|closing| *closing).await;
 }
--- a/crates/rig/tests/request_limits.rs
+++ b/crates/rig/tests/request_limits.rs
@@ -1,15 +1,38 @@
 //! Requests within the limits on heads are served, over HTTP/1.1 and HTTP/2.
 
-use std::io;
+use std::{io, net::SocketAddr, time::Duration};
 
 use rig::cluster::cluster;
+use tokio::{
+    io::{AsyncReadExt, AsyncWriteExt},
+    net::TcpStream,
+    time::sleep,
+};
 
 /// Headers of 61 KB in all: the default limit is 64 KiB.
 const HEADERS: usize = 60;
 const VALUE_BYTES: usize = 1_000;
+/// Time between two parts of the first bytes.
+const SPLIT_DELAY: Duration = Duration::from_millis(50);
+
+/// Checks that the protocol is found though the first bytes come in two parts.
+async fn check_split_preface(node: SocketAddr) -> io::Result<()> {
+    const SETTINGS: u8 = 4;
+    const SETTINGS_FRAME: &[u8] = &[0, 0, 0, SETTINGS, 0, 0, 0, 0, 0];
+    let mut stream = TcpStream::connect(node).await?;
+    stream.set_nodelay(true)?;
+    stream.write_all(b"PR").await?;
+    sleep(SPLIT_DELAY).await;
+    stream.write_all(b"I * HTTP/2.0\r\n\r\nSM\r\n\r\n").await?;
+    stream.write_all(SETTINGS_FRAME).await?;
+    let mut answer = [0; SETTINGS_FRAME.len()];
+    stream.read_exact(&mut answer).await?;
+    assert_eq!(answer[3], SETTINGS, "{}", String::from_utf8_lossy(&answer));
+    Ok(())
+}
 
 #[tokio::test]
-async fn large_heads_within_the_limit_are_served_over_each_protocol() -> io::Result<()> {
+async fn heads_within_the_limit_are_served_over_each_protocol() -> io::Result<()> {
     let cluster = cluster("request-limits-heads", 115)
         .service("draws", 1)
         .start()
@@ -27,5 +50,5 @@
         let response = request.send().await.map_err(io::Error::other)?;
         assert_eq!(response.status(), 200, "{:?}", response.version());
     }
-    Ok(())
+    check_split_preface(cluster.target(0)).await
 }
