ingress: a caller is told to continue after the answers in front

Callers saw: "100 Continue" in front of the answers to requests that they had pipelined before, so that it belonged to the first of these, and the one that waited for it got none. Cause: it was written as soon as the head was read, beside the order of the answers. Change: it is written once all requests in front are answered. Result: the test of real processes failed before: "panicked at crates/rig/tests/request_limits.rs:48:5: HTTP/1.1 100 Continue".

--- a/crates/node/src/ingress/http1.rs
+++ b/crates/node/src/ingress/http1.rs
@@ -62,6 +62,8 @@
     body: BodyDecoder,
     /// The body, once it is complete.
     whole: Option<Bytes>,
+    /// Whether the caller waits for `100 Continue`, and hasn't got it.
+    expects_continue: bool,
     omit_body: bool,
     keep_alive: bool,
     started_at: Moment,
@@ -218,9 +220,10 @@
     /// Takes all complete requests off the buffer and starts them.
     async fn start_requests(&mut self) -> io::Result<()> {
         while !self.is_ending {
-            if self.pending.is_none() && !self.next_head().await? {
+            if self.pending.is_none() && !self.next_head() {
                 return Ok(());
             }
+            self.send_continue().await?;
             if !self.start_pending() {
                 return Ok(());
             }
@@ -228,41 +231,50 @@
         Ok(())
     }
 
+    /// Tells the caller to send the body that it holds back, once that can't be taken for an answer to
+    /// a request in front.
+    async fn send_continue(&mut self) -> io::Result<()> {
+        match &mut self.pending {
+            Some(pending) if pending.expects_continue && self.in_flight.is_empty() => {
+                pending.expects_continue = false;
+                self.stream
+                    .write_all(b"HTTP/1.1 100 Continue\r\n\r\n")
+                    .await
+            }
+            _ => Ok(()),
+        }
+    }
+
     /// Takes the next head off the buffer. Returns whether there was one.
-    async fn next_head(&mut self) -> io::Result<bool> {
+    fn next_head(&mut self) -> bool {
         if self.buffer.is_empty() {
             // A kept connection would keep the memory of its largest read.
             self.buffer = BytesMut::new();
-            return Ok(false);
+            return false;
         }
         if self.in_flight.len() >= MAX_IN_FLIGHT {
-            return Ok(false);
+            return false;
         }
         let limits = self.size_limits();
         match self.head.take(&mut self.buffer, limits) {
             Ok(Some(message)) => {
                 self.head_started = None;
-                if message.expects_continue && !message.body.is_empty() {
-                    self.stream
-                        .write_all(b"HTTP/1.1 100 Continue\r\n\r\n")
-                        .await?;
-                }
                 self.pending = Some(self.route(message));
-                Ok(true)
+                true
             }
             // Only empty lines have arrived.
             Ok(None) if self.buffer.is_empty() => {
                 self.head_started = None;
-                Ok(false)
+                false
             }
             Ok(None) => {
                 let now = self.now();
                 self.head_started.get_or_insert(now);
-                Ok(false)
+                false
             }
             Err(rejection) => {
                 self.reject_head(rejection);
-                Ok(false)
+                false
             }
         }
     }
@@ -273,7 +285,7 @@
             head,
             body,
             keep_alive,
-            ..
+            expects_continue,
         } = message;
         let call = routing::call_id(self.ingress.dialect.as_ref(), &head.headers);
         let routed = routing::route_call(&self.ingress, &call, &head, started_at);
@@ -284,6 +296,7 @@
         PendingRequest {
             call,
             routed,
+            expects_continue: expects_continue && !body.is_empty(),
             body,
             whole: None,
             omit_body: head.method == "HEAD",
@@ -380,6 +393,7 @@
         let pending = PendingRequest {
             call: CallId::from(rand::random::<u128>()),
             routed: Err(rejection),
+            expects_continue: false,
             body: BodyDecoder::empty(),
             whole: None,
             omit_body: false,
--- a/crates/rig/tests/request_limits.rs
+++ b/crates/rig/tests/request_limits.rs
@@ -6,12 +6,13 @@
 use tokio::{
     io::{AsyncReadExt, AsyncWriteExt},
     net::TcpStream,
-    time::sleep,
+    time::{sleep, timeout},
 };
 
 /// Headers of 61 KB in all: the default limit is 64 KiB.
 const HEADERS: usize = 60;
 const VALUE_BYTES: usize = 1_000;
+const ANSWER_TIMEOUT: Duration = Duration::from_millis(5_000);
 /// Time between two parts of the first bytes.
 const SPLIT_DELAY: Duration = Duration::from_millis(50);
 
@@ -31,6 +32,27 @@
     Ok(())
 }
 
+/// Checks that a caller isn't told to continue before the requests in front are answered.
+async fn check_continue_in_order(node: SocketAddr) -> io::Result<()> {
+    const REQUESTS: &str = "GET /draws/a HTTP/1.1\r\nhost: h\r\n\r\n\
+        POST /draws/b HTTP/1.1\r\nhost: h\r\nexpect: 100-continue\r\ncontent-length: 1\r\n\r\n";
+    let mut stream = TcpStream::connect(node).await?;
+    stream.write_all(REQUESTS.as_bytes()).await?;
+    let mut text = String::new();
+    let mut bytes = [0; 4_096];
+    while !text.contains(" 100 ") {
+        let read = timeout(ANSWER_TIMEOUT, stream.read(&mut bytes)).await??;
+        assert!(read > 0, "{text}");
+        text.push_str(&String::from_utf8_lossy(&bytes[..read]));
+    }
+    assert!(text.starts_with("HTTP/1.1 200 OK"), "{text}");
+    stream.write_all(b"b").await?;
+    let read = timeout(ANSWER_TIMEOUT, stream.read(&mut bytes)).await??;
+    let answer = String::from_utf8_lossy(&bytes[..read]);
+    assert!(answer.starts_with("HTTP/1.1 200 OK"), "{answer}");
+    Ok(())
+}
+
 #[tokio::test]
 async fn heads_within_the_limit_are_served_over_each_protocol() -> io::Result<()> {
     let cluster = cluster("request-limits-heads", 115)
@@ -50,5 +72,6 @@
         let response = request.send().await.map_err(io::Error::other)?;
         assert_eq!(response.status(), 200, "{:?}", response.version());
     }
-    check_split_preface(cluster.target(0)).await
+    check_split_preface(cluster.target(0)).await?;
+    check_continue_in_order(cluster.target(0)).await
 }
