--- a/crates/rig/tests/request_limits.rs
+++ b/crates/rig/tests/request_limits.rs
@@ -1,7 +1,8 @@
-//! Requests within the limits on heads are served, over HTTP/1.1 and HTTP/2.
+//! Requests within the limits are served, over HTTP/1.1 and HTTP/2, and odd ones end no node.
 
 use std::{io, net::SocketAddr, time::Duration};
 
+use rand::{RngExt, SeedableRng, rngs::StdRng};
 use rig::cluster::cluster;
 use tokio::{
     io::{AsyncReadExt, AsyncWriteExt},
@@ -12,6 +13,10 @@
 /// Headers of 61 KB in all: the default limit is 64 KiB.
 const HEADERS: usize = 60;
 const VALUE_BYTES: usize = 1_000;
+/// Connections with random frames.
+const RANDOM_CONNECTIONS: usize = 500;
+/// Time for the node to read some frames.
+const READ_TIMEOUT: Duration = Duration::from_millis(10);
 const ANSWER_TIMEOUT: Duration = Duration::from_millis(5_000);
 /// Time between two parts of the first bytes.
 const SPLIT_DELAY: Duration = Duration::from_millis(50);
@@ -53,9 +58,31 @@
     Ok(())
 }
 
+/// Sends frames of random types, flags, streams and payloads after the preface. Each connection may be
+/// closed, but the node must go on.
+async fn send_random_frames(node: SocketAddr) -> io::Result<()> {
+    const FRAME_TYPES: u8 = 11;
+    let mut rng = StdRng::seed_from_u64(1);
+    for _ in 0..RANDOM_CONNECTIONS {
+        let mut bytes = b"PRI * HTTP/2.0\r\n\r\nSM\r\n\r\n\0\0\0\x04\0\0\0\0\0".to_vec();
+        for _ in 0..rng.random_range(1..30) {
+            let length: u8 = rng.random_range(0..40);
+            let header = [0, 0, length, rng.random_range(0..FRAME_TYPES), rng.random()];
+            let stream = [0, 0, 0, rng.random_range(0..6)];
+            bytes.extend(header.into_iter().chain(stream));
+            bytes.extend((0..length).map(|_| rng.random::<u8>()));
+        }
+        let mut stream = TcpStream::connect(node).await?;
+        // The node may close the connection before it has read all.
+        let _ = stream.write_all(&bytes).await;
+        let _ = timeout(READ_TIMEOUT, stream.read(&mut [0; 4_096])).await;
+    }
+    Ok(())
+}
+
 #[tokio::test]
-async fn heads_within_the_limit_are_served_over_each_protocol() -> io::Result<()> {
-    let cluster = cluster("request-limits-heads", 115)
+async fn proper_requests_are_served_and_odd_frames_end_no_process() -> io::Result<()> {
+    let mut cluster = cluster("request-limits-heads", 115)
         .service("draws", 1)
         .start()
         .await?;
@@ -73,5 +100,8 @@
         assert_eq!(response.status(), 200, "{:?}", response.version());
     }
     check_split_preface(cluster.target(0)).await?;
+    check_continue_in_order(cluster.target(0)).await?;
+    send_random_frames(cluster.target(0)).await?;
+    assert!(!cluster.nodes[0].has_exited());
     check_continue_in_order(cluster.target(0)).await
 }
