rig: the soak on the users' platform withdraws all routes; tests of its checks

Cause: nothing showed that each check of the soak fires, and a configuration without routes was never played. Change: each rule has a test with observations made up for it, at the bounds too. Operators withdraw all routes now and then, and callers ask for a path that begins with the name of a service and is no route. The number of kept connections follows the seed, so that servers are full in some soaks. What no version allows is counted once. The tests of the checks pass; two failed at first, as fall_backs counted again what no version allows.

--- a/crates/rig/src/site/cluster.rs
+++ b/crates/rig/src/site/cluster.rs
@@ -18,7 +18,8 @@
 
 use super::{
     caller::status_of,
-    server::{Behavior, Journal, Place, Server},
+    journal::Journal,
+    server::{Behavior, Place, Server},
     store::Store,
     template,
 };
--- a/crates/rig/src/site/mod.rs
+++ b/crates/rig/src/site/mod.rs
@@ -3,6 +3,7 @@
 //! - [`store`]: the platform's key-value store, with troubles that can be switched while it runs;
 //! - [`config`]: the operators' configuration;
 //! - [`server`]: backend servers, which register themselves at the store;
+//! - [`journal`]: what has reached the backend servers;
 //! - [`template`]: fills the deploy file's template;
 //! - [`cluster`]: store, backend servers and node processes of one small deployment;
 //! - [`caller`]: callers that keep their connections;
@@ -15,6 +16,7 @@
 pub mod cluster;
 pub mod config;
 pub mod http1;
+pub mod journal;
 pub mod server;
 pub mod soak;
 pub mod store;
--- a/crates/rig/src/site/soak/check.rs
+++ b/crates/rig/src/site/soak/check.rs
@@ -12,7 +12,7 @@
 };
 use crate::site::{
     caller::{Answer, Sample},
-    server::Arrival,
+    journal::Arrival,
 };
 
 /// Time after an acknowledgement within which a version must be in force.
@@ -215,7 +215,7 @@
         if allowing.next().is_some() {
             return None;
         }
-        let is_fixed = |v: &Version| v.routes.contains_key(route_of(sample));
+        let is_fixed = |v: &Version| v.routes.is_empty() || v.routes.contains_key(route_of(sample));
         let is_denied = matches!(sample.answer, Answer::Failed { .. });
         let rule = match is_denied && versions.iter().all(is_fixed) {
             true => Rule::Denied,
@@ -263,7 +263,8 @@
                     };
                     let before = shown.iter().filter(|(at, _)| *at + slack < sample.sent);
                     let floor = before.map(|(_, first)| *first).max().unwrap_or_default();
-                    if !versions[floor..].iter().any(|v| allows(v, sample)) {
+                    let allowed = |versions: &[Version]| versions.iter().any(|v| allows(v, sample));
+                    if allowed(&versions[..floor]) && !allowed(&versions[floor..]) {
                         let number = versions[floor].number;
                         let text = format_args!("version {number} was shown before");
                         found.push(self.broken(Rule::Config, sample, text));
--- a/crates/rig/src/site/soak/load.rs
+++ b/crates/rig/src/site/soak/load.rs
@@ -79,7 +79,10 @@
         let names: Vec<&String> = version.routes.keys().collect();
         match rng.random_range(0..10) {
             0 => "never".to_owned(),
+            // Not a route, though a service has this name.
+            2 => SERVICES[0].to_owned(),
             1 => TRAP.to_owned(),
+            _ if names.is_empty() => "never".to_owned(),
             _ => names[rng.random_range(0..names.len())].clone(),
         }
     }
--- a/crates/rig/src/site/soak/mod.rs
+++ b/crates/rig/src/site/soak/mod.rs
@@ -9,6 +9,8 @@
 mod load;
 mod operator;
 mod schedule;
+#[cfg(test)]
+mod tests;
 
 use std::{
     collections::BTreeMap,
@@ -38,8 +40,8 @@
 const CALM: Duration = Duration::from_secs(7);
 /// Time after the last request in which answers and runs end.
 const SETTLE: Duration = Duration::from_millis(1_500);
-/// Callers of each node that keep their connections.
-const KEPT_CONNECTIONS: usize = 2;
+/// Largest number of callers of each node that keep their connections, so that servers are full in some soaks.
+const MAX_KEPT: u64 = 4;
 /// Time between two copies of the store. The second last one is restored.
 const COPY_INTERVAL: Duration = Duration::from_millis(1_500);
 /// Shares of a faulty server's answers.
@@ -206,8 +208,8 @@
             seed: options.seed ^ (number as u64) << 32,
         };
         callers.spawn(caller(0).ask_changes());
-        for number in 1..=KEPT_CONNECTIONS {
-            callers.spawn(caller(number).keep_asking());
+        for number in 0..=options.seed % MAX_KEPT {
+            callers.spawn(caller(number as usize + 1).keep_asking());
         }
     }
     callers
--- a/crates/rig/src/site/soak/operator.rs
+++ b/crates/rig/src/site/soak/operator.rs
@@ -3,11 +3,12 @@
 use std::{
     collections::BTreeMap,
     sync::{Arc, Mutex, MutexGuard},
-    time::Instant,
+    time::{Duration, Instant},
 };
 
 use rand::{RngExt, SeedableRng, rngs::SmallRng};
 use serde_json::json;
+use tokio::time::sleep;
 
 use super::HOST;
 use crate::site::{
@@ -22,6 +23,8 @@
 pub(super) const TRAP: &str = "trap";
 /// Begin of the names of routes whose requests may run once.
 pub(super) const ONCE: &str = "post-";
+/// Time for which all routes are withdrawn: longer than until that must be in force.
+const WITHDRAWN: Duration = Duration::from_millis(2_600);
 /// Largest number of routes that come and go.
 const MAX_ROUTES: usize = 10;
 
@@ -145,10 +148,12 @@
         let fixed = 2 * SERVICES.len();
         let added = self.config.routes.len() - fixed;
         let draw = self.rng.random_range(0..12);
+        let is_rare = self.rng.random_bool(0.3);
         let any = || fixed..fixed + added;
         match draw {
             0 | 1 if self.odd => return self.write_odd(draw == 0).await,
             2 => return self.evacuate_or_back().await,
+            9 if is_rare => return self.withdraw_all().await,
             3..=5 if added > 0 => {
                 let index = self.rng.random_range(any());
                 let part = &mut self.config.routes[index].parts[0].0;
@@ -176,6 +181,15 @@
         self.publish().await;
     }
 
+    /// Withdraws all routes until that is in force, and puts them back.
+    async fn withdraw_all(&mut self) {
+        let routes = std::mem::take(&mut self.config.routes);
+        self.publish().await;
+        sleep(WITHDRAWN).await;
+        self.config.routes = routes;
+        self.publish().await;
+    }
+
     async fn evacuate_or_back(&mut self) {
         match self.zone_out.take() {
             Some(zone) => {
--- a/crates/rig/src/site/soak/schedule.rs
+++ b/crates/rig/src/site/soak/schedule.rs
@@ -117,6 +117,7 @@
             Self::Drain(_) => rng.random_range(3.0..5.0),
             Self::Forget | Self::Reload(_) => 0.1,
             Self::Crash(_) => rng.random_range(0.5..6.0),
+            Self::CopyAnswers(_) => rng.random_range(3.0..8.0),
             _ => rng.random_range(0.3..4.0),
         }
     }
--- /dev/null
+++ b/crates/rig/src/site/soak/tests.rs
@@ -0,0 +1,253 @@
+//! Each rule is seen to be broken in observations made up for it, and held at its bounds.
+
+use std::time::{Duration, Instant};
+
+use super::{
+    check::{Impairment, Observations, Rule, Scope},
+    operator::{Evacuation, History, Version},
+    schedule::Kind,
+};
+use crate::site::{
+    caller::{Answer, Request, Sample},
+    journal::Arrival,
+    store::Trouble,
+};
+
+const REFUSED: Answer = Answer::Failed {
+    status: 503,
+    signed: false,
+};
+const UNKNOWN: Answer = Answer::Failed {
+    status: 404,
+    signed: false,
+};
+
+/// A soak in which route `r` is added for `left` at 5 s, moved to `right` at 8 s and removed at 11 s.
+struct Soak {
+    start: Instant,
+    samples: Vec<Sample>,
+    arrivals: Vec<Arrival>,
+    history: History,
+    impairments: Vec<Impairment>,
+}
+
+impl Soak {
+    fn new() -> Self {
+        // Far enough from zero for spans before the start.
+        let start = Instant::now() + Duration::from_secs(60);
+        let mut soak = Self {
+            start,
+            samples: Vec::new(),
+            arrivals: Vec::new(),
+            history: History::default(),
+            impairments: Vec::new(),
+        };
+        soak.add_version(0, None);
+        soak.add_version(5_000, Some("left"));
+        soak.add_version(8_000, Some("right"));
+        soak.add_version(11_000, None);
+        soak
+    }
+
+    fn at(&self, millis: u64) -> Instant {
+        self.start + Duration::from_millis(millis)
+    }
+
+    fn add_version(&mut self, millis: u64, service: Option<&str>) {
+        let stay = [("get-left", "left"), ("post-left", "left")];
+        let routes = stay.into_iter().chain(service.map(|s| ("r", s)));
+        self.history.versions.push(Version {
+            number: millis,
+            sent: self.at(millis),
+            ack: Some(self.at(millis)),
+            routes: routes.map(|(r, s)| (r.to_owned(), s.to_owned())).collect(),
+        });
+    }
+
+    /// A request at `millis` that takes 10 ms.
+    fn ask(&mut self, millis: u64, route: &str, answer: Answer) -> String {
+        let request = Request::get("lakes.example", &format!("/{route}/x"));
+        let id = request.id.clone();
+        self.samples.push(Sample {
+            node: 0,
+            request,
+            sent: self.at(millis),
+            ended: self.at(millis + 10),
+            answer,
+        });
+        id
+    }
+
+    fn arrive(&mut self, millis: u64, id: &str, answered: Option<u16>) {
+        self.arrivals.push(Arrival {
+            server: 0,
+            server_id: "i-0-1".to_owned(),
+            at: self.at(millis),
+            id: id.to_owned(),
+            method: "GET".to_owned(),
+            path: "/".to_owned(),
+            run_at: Some(self.at(millis)),
+            misdirected: false,
+            answered,
+        });
+    }
+
+    fn serve(&mut self, millis: u64, route: &str, service: &str) {
+        let id = self.ask(millis, route, Answer::Served(service.to_owned()));
+        self.arrive(millis + 5, &id, Some(200));
+    }
+
+    fn impair(&mut self, kind: Kind, scope: Scope, from: u64, to: u64) {
+        self.impairments.push(Impairment {
+            scope,
+            kind,
+            start: self.at(from),
+            end: Some(self.at(to)),
+        });
+    }
+
+    fn broken(&self) -> Vec<Rule> {
+        let observations = Observations {
+            start: self.start,
+            samples: &self.samples,
+            arrivals: &self.arrivals,
+            zones: vec!["a".to_owned()],
+            history: &self.history,
+            impairments: &self.impairments,
+            starts: &[Vec::new()],
+        };
+        observations.violations().iter().map(|v| v.rule).collect()
+    }
+}
+
+#[test]
+fn a_version_is_late_two_seconds_after_its_acknowledgement() {
+    let mut soak = Soak::new();
+    soak.ask(6_900, "r", UNKNOWN);
+    soak.serve(9_900, "r", "left");
+    soak.serve(12_900, "r", "right");
+    assert_eq!(soak.broken(), []);
+    let late: [fn(&mut Soak); 3] = [
+        |soak| drop(soak.ask(7_100, "r", UNKNOWN)),
+        |soak| soak.serve(10_100, "r", "left"),
+        |soak| soak.serve(13_100, "r", "right"),
+    ];
+    for late in late {
+        let mut soak = Soak::new();
+        late(&mut soak);
+        assert_eq!(soak.broken(), [Rule::Config]);
+    }
+}
+
+#[test]
+fn a_trouble_excuses_lateness_until_the_stable_window_is_over() {
+    let mut soak = Soak::new();
+    let trouble = Kind::Store(Trouble::Refused);
+    soak.impair(trouble, Scope::Store, 4_000, 5_500);
+    soak.ask(8_400, "r", UNKNOWN);
+    assert_eq!(soak.broken(), []);
+    soak.ask(8_600, "r", UNKNOWN);
+    assert_eq!(soak.broken(), [Rule::Config]);
+    let mut soak = Soak::new();
+    soak.impair(trouble, Scope::Node(1), 4_000, 5_500);
+    soak.ask(8_400, "r", UNKNOWN);
+    assert_eq!(soak.broken(), [Rule::Config]);
+}
+
+#[test]
+fn a_process_falls_back_even_out_of_touch() {
+    let mut soak = Soak::new();
+    soak.impair(Kind::Restore, Scope::Store, 0, 20_000);
+    soak.serve(8_050, "r", "right");
+    soak.serve(8_200, "r", "left");
+    assert_eq!(soak.broken(), []);
+    soak.serve(8_400, "r", "left");
+    assert_eq!(soak.broken(), [Rule::Config]);
+}
+
+#[test]
+fn what_no_version_has_is_never_served() {
+    let mut soak = Soak::new();
+    soak.serve(1_000, "trap", "left");
+    soak.serve(2_000, "get-left", "right");
+    assert_eq!(soak.broken(), [Rule::Config, Rule::Config]);
+}
+
+#[test]
+fn proper_requests_are_denied_from_any_machine() {
+    let mut soak = Soak::new();
+    soak.impair(Kind::Kill(0), Scope::Node(0), 0, 900);
+    soak.ask(1_000, "get-left", UNKNOWN);
+    let too_large = Answer::Failed {
+        status: 431,
+        signed: false,
+    };
+    soak.ask(2_000, "get-left", too_large);
+    soak.ask(3_000, "get-left", REFUSED);
+    assert_eq!(soak.broken(), [Rule::Denied, Rule::Denied]);
+}
+
+#[test]
+fn requests_that_may_run_once_run_once_and_are_told_so() {
+    let mut soak = Soak::new();
+    let id = soak.ask(1_000, "post-left", Answer::Served("left".to_owned()));
+    soak.arrive(1_001, &id, None);
+    soak.arrive(1_002, &id, Some(200));
+    let id = soak.ask(2_000, "post-left", REFUSED);
+    soak.arrive(2_001, &id, Some(200));
+    let id = soak.ask(3_000, "get-left", REFUSED);
+    soak.arrive(3_001, &id, Some(200));
+    assert_eq!(soak.broken(), [Rule::Twice, Rule::Refused]);
+}
+
+#[test]
+fn an_answer_that_no_server_gave_is_mixed() {
+    let mut soak = Soak::new();
+    let id = soak.ask(1_000, "get-left", Answer::Served("left".to_owned()));
+    soak.arrive(1_001, &id, Some(504));
+    soak.ask(2_000, "get-left", Answer::Mixed("foreign".to_owned()));
+    let signed = Answer::Failed {
+        status: 500,
+        signed: true,
+    };
+    let id = soak.ask(3_000, "get-left", signed);
+    soak.arrive(3_001, &id, Some(504));
+    assert_eq!(soak.broken(), [Rule::Mixed; 3]);
+}
+
+#[test]
+fn more_than_three_answers_are_lost_in_touch_or_after_a_planned_stop() {
+    for is_planned in [false, true] {
+        let mut soak = Soak::new();
+        if is_planned {
+            soak.impair(Kind::Terminate(0), Scope::Node(0), 900, 7_000);
+        }
+        for number in 0..4 {
+            assert_eq!(soak.broken(), [], "{number} answers are lost");
+            let id = soak.ask(1_000 + number, "get-left", Answer::Cut);
+            soak.arrive(1_002 + number, &id, Some(200));
+        }
+        assert_eq!(soak.broken(), [Rule::Lost; 4]);
+    }
+}
+
+#[test]
+fn requests_reach_no_zone_taken_out_and_no_server_that_left() {
+    let mut soak = Soak::new();
+    soak.history.evacuations.push(Evacuation {
+        zone: "a".to_owned(),
+        ack: Some(soak.at(10_000)),
+        back: Some(soak.at(16_000)),
+    });
+    for millis in [14_900, 15_100, 16_100] {
+        soak.serve(millis, "get-left", "left");
+    }
+    assert_eq!(soak.broken(), [Rule::Evac]);
+    let mut soak = Soak::new();
+    let drain = ("i-0-1".to_owned(), soak.at(10_000));
+    soak.history.drains.push(drain);
+    for millis in [11_900, 12_100] {
+        soak.serve(millis, "get-left", "left");
+    }
+    assert_eq!(soak.broken(), [Rule::Drain]);
+}
