platform: the test of keepalive probes finds its own connection

What was seen: beside other runs on the machine the test failed once, and then in 39 of 150 runs, with keepalive probes: Elapsed(())

Cause: it looked for the first connection with the client's port in the kernel's list. Connections with other addresses may have the same port, and have no timer that is due.

Change: both ends of the connection are compared, in the byte order of the machine.

--- a/crates/platform/tests/keepalive.rs
+++ b/crates/platform/tests/keepalive.rs
@@ -1,6 +1,10 @@
 //! Keepalive probes on the connections to the platform, as the kernel has them.
 
-use std::{fs, net::SocketAddr, time::Duration};
+use std::{
+    fs,
+    net::{SocketAddr, SocketAddrV4},
+    time::Duration,
+};
 
 use platform::HttpClient;
 use tokio::{
@@ -24,14 +28,20 @@
     (stream, client)
 }
 
-/// Time until the next keepalive probe on the connection with this local port, if one is due.
-fn next_probe(port: u16) -> Option<Duration> {
+/// An address as the kernel's list of connections has it.
+fn listed(address: SocketAddrV4) -> String {
+    let ip = u32::from_ne_bytes(address.ip().octets());
+    format!("{ip:08X}:{:04X}", address.port())
+}
+
+/// Time until the next keepalive probe on a connection, if one is due.
+fn next_probe(client: SocketAddrV4, server: SocketAddrV4) -> Option<Duration> {
     let connections = fs::read_to_string("/proc/self/net/tcp").expect("the list of connections");
-    let local = format!(":{port:04X}");
+    let ends = [listed(client), listed(server)];
     let mut lines = connections
         .lines()
         .map(|l| l.split_whitespace().collect::<Vec<_>>());
-    let fields = lines.find(|fields| fields[1].ends_with(&local))?;
+    let fields = lines.find(|fields| fields[1..3] == ends)?;
     let (timer, left) = fields[5].split_once(':')?;
     let hundredths = u64::from_str_radix(left, 16).expect("a hexadecimal number");
     (timer == KEEPALIVE_TIMER).then(|| Duration::from_millis(hundredths * 10))
@@ -46,9 +56,12 @@
     let value: serde_json::Value = client.read("/").await.expect("an answer");
     assert_eq!(value, serde_json::json!({}));
     let (_stream, client_address) = server.await.expect("a connection");
+    let (SocketAddr::V4(own), SocketAddr::V4(address)) = (client_address, address) else {
+        panic!("not IPv4: {client_address} {address}");
+    };
     let due = async {
         loop {
-            match next_probe(client_address.port()) {
+            match next_probe(own, address) {
                 Some(due) => return due,
                 None => sleep(Duration::from_millis(10)).await,
             }
