node: test calls that are refused by gates with another view

A gate that is ahead of the ingress, or behind it, refuses an attempt as misplaced. Its call is routed again once both have the same view, and a refusal under the same view ends it as before.

--- a/crates/node/src/ingress/tests.rs
+++ b/crates/node/src/ingress/tests.rs
@@ -1,6 +1,7 @@
 //! Framing of callers' requests, and the memory limit for bodies.
 
 mod fixtures;
+mod reroute;
 mod routing;
 
 use bytes::BytesMut;
--- a/crates/node/src/ingress/tests/fixtures.rs
+++ b/crates/node/src/ingress/tests/fixtures.rs
@@ -149,8 +149,31 @@
 ) -> Arc<View> {
     let service = service(id);
     let Identity { host, node, .. } = board().identity.clone();
+    let server = listed(&service, host.as_str(), node);
+    assemble(revision, service, server, routes, callers)
+}
+
+/// The view of a registry with a backend server beside another node, of this service.
+pub(super) fn remote_view(
+    revision: u64,
+    id: &str,
+    routes: Vec<HostRoute>,
+    node: SocketAddr,
+) -> Arc<View> {
+    let service = service(id);
+    let server = listed(&service, "other", node);
+    assemble(revision, service, server, routes, CallerLimits::default())
+}
+
+fn assemble(
+    revision: u64,
+    service: Service,
+    server: ListedServer,
+    routes: Vec<HostRoute>,
+    callers: CallerLimits,
+) -> Arc<View> {
     let listing = Listing {
-        servers: vec![listed(&service, host.as_str(), node)],
+        servers: vec![server],
         ..Listing::default()
     };
     let config = OperatorConfig {
