--- a/crates/rig/src/site/soak/load.rs
+++ b/crates/rig/src/site/soak/load.rs
@@ -17,6 +17,8 @@
 
 /// Time between two requests that ask for changes, at one node.
 const ASK_INTERVAL: Duration = Duration::from_millis(80);
+/// Longest work of a request in milliseconds.
+const MAX_WORK_MS: u64 = 250;
 /// Versions whose changes are asked for.
 const RECENT: usize = 3;
 /// Time after which a caller connects again that had no connection.
@@ -101,7 +103,7 @@
     async fn use_connection(&self, mut connection: Connection, rng: &mut SmallRng) {
         while Instant::now() < self.until {
             let service = SERVICES[rng.random_range(0..SERVICES.len())];
-            let work = rng.random_range(1..=120);
+            let work = rng.random_range(1..=MAX_WORK_MS);
             let request = match rng.random_bool(0.5) {
                 true => Request::get(HOST, &format!("/get-{service}/work-{work}/x")),
                 false => {
--- a/crates/rig/src/site/soak/mod.rs
+++ b/crates/rig/src/site/soak/mod.rs
@@ -47,9 +47,9 @@
 /// Shares of a faulty server's answers.
 const COPIED: f64 = 0.1;
 const CUT: f64 = 0.2;
-/// Slots and queue of a server: few, so that some are full at times.
-const SLOTS: usize = 2;
+/// Queue of a server, and slots for even and odd seeds: few, so that some are full at times.
 const QUEUE: usize = 2;
+const SLOTS: [usize; 2] = [2, 1];
 
 /// What faults are played.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
@@ -118,7 +118,7 @@
 pub async fn run(options: &Options) -> io::Result<Report> {
     let name = format!("site-{}-{}-{}", options.seed, options.net.0, options.net.1);
     let mut layout = Layout::new(&name, options.net, options.nodes);
-    layout.slots = SLOTS;
+    layout.slots = SLOTS[options.seed as usize % SLOTS.len()];
     layout.behavior = Behavior {
         queue: QUEUE,
         ..Behavior::default()
--- a/crates/rig/src/site/soak/schedule.rs
+++ b/crates/rig/src/site/soak/schedule.rs
@@ -131,9 +131,10 @@
     while start < duration.as_secs_f64() {
         let kind = draw_kind(&mut rng);
         let first = rng.random_range(0..nodes);
-        let count = match rng.random_bool(0.5) {
-            true => 1,
-            false => rng.random_range(2..=nodes.div_ceil(2)),
+        let count = match (kind, rng.random_bool(0.5)) {
+            (Kind::CopyAnswers(_), _) => nodes,
+            (_, true) => 1,
+            (_, false) => rng.random_range(2..=nodes.div_ceil(2)),
         };
         for number in 0..count {
             let kind = kind.on((first + number) % nodes);
--- a/crates/rig/tests/site_soak.rs
+++ b/crates/rig/tests/site_soak.rs
@@ -39,11 +39,12 @@
     .await
 }
 
+/// Late copies of refused probes let requests be told as not run that had run.
 #[tokio::test(flavor = "multi_thread", worker_threads = 2)]
 async fn rules_hold_under_faults_from_a_seed() -> io::Result<()> {
     run_soak(Options {
-        seed: 3,
-        plan: Plan::Drawn(Duration::from_secs(24)),
+        seed: 67,
+        plan: Plan::Drawn(Duration::from_secs(48)),
         odd: false,
         nodes: NODES,
         net: (94, 2),
