--- a/crates/node/src/backend/mod.rs
+++ b/crates/node/src/backend/mod.rs
@@ -47,7 +47,7 @@
 
 /// Maximum headers of a message that is forwarded: half of what a header map holds, which leaves room
 /// for those that the node adds.
-const MAX_FORWARDED_HEADERS: usize = 16_384;
+pub(crate) const MAX_FORWARDED_HEADERS: usize = 16_384;
 
 /// A message has too many headers to be forwarded.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
--- a/crates/node/src/ingress/framing.rs
+++ b/crates/node/src/ingress/framing.rs
@@ -11,9 +11,8 @@
 use smol_str::{SmolStr, format_smolstr};
 
 use super::routing::RequestHead;
+use crate::backend::MAX_FORWARDED_HEADERS;
 
-/// Maximum headers of one request: a `HeaderMap` holds 24,576, including those that a node adds.
-const MAX_HEADERS: usize = 24_000;
 /// Smallest limit for a request line (RFC 9112, section 3).
 const MIN_LINE_LIMIT: u64 = 8_000;
 /// Length of the first part of a head that is checked before its end has arrived. Each further part
@@ -165,7 +164,7 @@
 }
 
 fn parse_head(bytes: &[u8], lines: usize) -> Result<Message, Rejection> {
-    if lines > MAX_HEADERS {
+    if lines > MAX_FORWARDED_HEADERS {
         return Err(Rejection::HeadTooLarge);
     }
     let mut headers = vec![httparse::EMPTY_HEADER; lines];
