note: an entry of a service that isn't named takes no node's server away

Callers would have got 503 from a node on whose host another writer lists a server of a service that no configuration names, started later than the real one. Cause: server_on took the newest entry of a host, whatever its service; the earlier fix covered addresses only. Class: input that names nothing usable still takes part in a choice. Change: server_on passes over services that don't exist.

--- a/crates/fleet/tests/foreign_entries.rs
+++ b/crates/fleet/tests/foreign_entries.rs
@@ -120,11 +120,8 @@
     assert_eq!(state.nodes().count(), usize::from(NODES) + 3);
 }
 
-#[test]
-fn an_entry_of_a_service_that_is_not_named_hides_none_at_its_address() {
-    let mut foreign = listed(9, "other");
-    foreign.server.address = listed(0, "fees").server.address;
-    foreign.server.boot = Boot(2);
+/// Assembles the state of a named server and of an entry beside it, and checks that the first one holds.
+fn check_named_server(foreign: ListedServer) {
     let listing = Listing {
         servers: vec![listed(0, "fees"), foreign],
         ..Listing::default()
@@ -137,4 +134,21 @@
     let state = State::assemble(&listing, &config, Revision(1));
     let own = listed(0, "fees").server;
     assert_eq!(state.server(&own.id), Some(&own));
+    assert_eq!(state.server_on(&own.host), Some(&own));
+}
+
+#[test]
+fn an_entry_of_a_service_that_is_not_named_hides_none_at_its_address() {
+    let mut foreign = listed(9, "other");
+    foreign.server.address = listed(0, "fees").server.address;
+    foreign.server.boot = Boot(2);
+    check_named_server(foreign);
+}
+
+#[test]
+fn an_entry_of_a_service_that_is_not_named_hides_none_on_its_host() {
+    let mut foreign = listed(9, "other");
+    foreign.server.host = listed(0, "fees").server.host;
+    foreign.server.boot = Boot(2);
+    check_named_server(foreign);
 }
--- a/crates/note/src/state.rs
+++ b/crates/note/src/state.rs
@@ -304,12 +304,13 @@
         self.routes.get(id).map(|e| &e.item)
     }
 
-    /// Returns the backend server on this host. If several incarnations are listed, the newest one.
+    /// Returns the backend server on this host. If several incarnations are listed, the newest one of
+    /// those whose service exists.
     pub fn server_on(&self, host: &HostId) -> Option<&Server> {
         self.servers
             .values()
             .map(|e| &e.item)
-            .filter(|s| s.host == *host)
+            .filter(|s| s.host == *host && self.is_service(&s.service))
             .max_by_key(|s| s.boot)
     }
 
