node: a grace period may be a fraction, as other times may

Found by review. Change: a number of seconds or milliseconds; what isn't finite or is negative stays an error.

--- a/crates/node/src/stop.rs
+++ b/crates/node/src/stop.rs
@@ -26,7 +26,7 @@
 pub enum GraceError {
     /// It doesn't end with `s` or `ms`.
     NoUnit,
-    /// It isn't a whole number of its unit.
+    /// It isn't a number of its unit.
     NotANumber,
     /// It is too short or too long.
     OutOfRange,
@@ -37,7 +37,7 @@
         let (min, max) = GRACE_RANGE;
         match self {
             Self::NoUnit => f.write_str("has no unit, expected s or ms"),
-            Self::NotANumber => f.write_str("is not a whole number of seconds or milliseconds"),
+            Self::NotANumber => f.write_str("is not a number of seconds or milliseconds"),
             Self::OutOfRange => write!(
                 f,
                 "is out of range, expected {}ms to {}ms",
@@ -50,18 +50,21 @@
 
 impl Error for GraceError {}
 
-/// Parses a whole number of seconds or milliseconds, as in `6s` or `1500ms`.
+/// Parses a number of seconds or milliseconds, as in `6s`, `2.5s` or `1500ms`.
 impl FromStr for Grace {
     type Err = GraceError;
 
     fn from_str(text: &str) -> Result<Self, GraceError> {
-        let (number, unit_ms) = match (text.strip_suffix("ms"), text.strip_suffix('s')) {
-            (Some(number), _) => (number, 1),
-            (None, Some(number)) => (number, 1_000),
+        let (number, unit) = match (text.strip_suffix("ms"), text.strip_suffix('s')) {
+            (Some(number), _) => (number, Span::from_millis(1)),
+            (None, Some(number)) => (number, Span::from_millis(1_000)),
             (None, None) => return Err(GraceError::NoUnit),
         };
-        let number: u64 = number.parse().map_err(|_| GraceError::NotANumber)?;
-        let span = Span::from_millis(number.saturating_mul(unit_ms));
+        let number: f64 = number.parse().map_err(|_| GraceError::NotANumber)?;
+        if !number.is_finite() || number < 0.0 {
+            return Err(GraceError::NotANumber);
+        }
+        let span = unit.scale(number);
         match (GRACE_RANGE.0..=GRACE_RANGE.1).contains(&span) {
             true => Ok(Self(span)),
             false => Err(GraceError::OutOfRange),
