ingress: a call is routed again for a quarter of the time to its objective, and only if no server got it

Cause: a call that gates refused by another view was held up to its objective, and one that a server had rejected began anew with all its attempts, past the retry budget. Found by review. Change: a bound for the time, and no second routing once a server has got the request. Result: the tests of the ingress pass, among them calls that are refused by gates with another view.

--- a/crates/node/src/ingress/driver.rs
+++ b/crates/node/src/ingress/driver.rs
@@ -40,6 +40,8 @@
     pub(super) outcome: CallOutcome,
     /// Revision of the gate that last refused an attempt for a reason that may be gone in another view.
     pub(super) refused_at: Option<Revision>,
+    /// Whether a backend server got the request, and rejected it.
+    pub(super) delivered: bool,
 }
 
 /// Sends a call's attempts until it has an outcome. For a `trial`, only one is sent.
@@ -71,6 +73,7 @@
         trial,
         broken: false,
         refused_at: None,
+        delivered: false,
         routed,
         attempts: Vec::new(),
         events: FuturesUnordered::new(),
@@ -78,6 +81,7 @@
     CallEnd {
         outcome: driver.run().await,
         refused_at: driver.refused_at,
+        delivered: driver.delivered,
     }
 }
 
@@ -117,6 +121,7 @@
     broken: bool,
     /// See [`CallEnd`].
     refused_at: Option<Revision>,
+    delivered: bool,
     /// Time that such a request usually spends at the backend server.
     service_time: Span,
     attempts: Vec<AttemptState>,
@@ -191,6 +196,9 @@
                 self.record_reply(attempt, &reply, sent_at, now);
                 self.log_reply(attempt, &reply, now.since(sent_at));
                 let outcome = reply.outcome;
+                if let Outcome::NotRun { refusal, .. } = &outcome {
+                    self.delivered |= refusal.is_from_server();
+                }
                 self.refused_at = self.elsewhere(&outcome, reply.revision).or(self.refused_at);
                 if outcome == Outcome::Unknown {
                     self.broken = true;
--- a/crates/node/src/ingress/reroute.rs
+++ b/crates/node/src/ingress/reroute.rs
@@ -39,7 +39,8 @@
     routed: &RoutedCall,
     end: &CallEnd,
 ) -> Option<Result<RoutedCall, Rejection>> {
-    if !matches!(end.outcome, CallOutcome::NotRun { .. }) {
+    // A request that reached a server counts against the attempts and the retry budget of its call.
+    if end.delivered || !matches!(end.outcome, CallOutcome::NotRun { .. }) {
         return None;
     }
     let refused_at = end.refused_at.unwrap_or(routed.view.revision);
@@ -48,7 +49,7 @@
     }
     let now = ingress.board.clock.now();
     let is_changed = !Arc::ptr_eq(&ingress.board.view(), &routed.view);
-    let is_behind = refused_at < routed.view.revision && now < routed.objective;
+    let is_behind = refused_at < routed.view.revision && now < routed.reroute_until();
     if now >= routed.deadline || !(is_changed || is_behind) {
         return None;
     }
@@ -68,9 +69,9 @@
 }
 
 /// Waits until this node has the view of a gate that is ahead, or for a moment if the gate is behind, at most
-/// until the call's objective.
+/// for the time that a call may spend on that.
 async fn wait_for_view(ingress: &Ingress, routed: &RoutedCall, gate: Revision) {
-    let left = routed.objective.since(ingress.board.clock.now());
+    let left = routed.reroute_until().since(ingress.board.clock.now());
     if gate < routed.view.revision {
         return sleep(CATCH_UP_INTERVAL.min(left).duration()).await;
     }
--- a/crates/node/src/ingress/routing.rs
+++ b/crates/node/src/ingress/routing.rs
@@ -135,6 +135,13 @@
         }
     }
 
+    /// When a call that no gate takes is refused, though other views might explain it: after a quarter of
+    /// the time to its objective. Its caller does better to try again then.
+    pub(super) fn reroute_until(&self) -> Moment {
+        let started_at = self.origin.started_at;
+        started_at + self.objective.since(started_at).scale(0.25)
+    }
+
     pub(super) fn set_body(&mut self, body: Bytes) {
         self.request.body = body;
     }
--- a/crates/node/src/ingress/suspects.rs
+++ b/crates/node/src/ingress/suspects.rs
@@ -96,5 +96,6 @@
     CallEnd {
         outcome,
         refused_at: None,
+        delivered: false,
     }
 }
