--- a/crates/note/src/config_check.rs
+++ b/crates/note/src/config_check.rs
@@ -15,8 +15,6 @@
 
 /// Longest time in a configuration, in milliseconds: deadlines that are so far ahead don't overflow.
 const MAX_TIME_MS: u64 = (1 << 53) / 1_000;
-/// Largest size in a configuration, in bytes: every program reads it exactly from JSON.
-const MAX_SIZE: u64 = 1 << 53;
 /// Upper bounds of a route.
 const ROUTE_LIMITS: RouteLimits = RouteLimits {
     attempts: u32::MAX as u64,
@@ -35,8 +33,8 @@
     check_routes(config, &services, &mut faults);
     let callers = &config.callers;
     let ranges = [
-        ("head", callers.head.0, 1, MAX_SIZE),
-        ("body", callers.body.0, 1, MAX_SIZE),
+        ("head", callers.head.0, 1, u64::MAX),
+        ("body", callers.body.0, 1, u64::MAX),
         ("head_ms", callers.head_ms, 1, MAX_TIME_MS),
         ("idle_ms", callers.idle_ms, 1, MAX_TIME_MS),
     ];
