fleet: only a change's own revision, or a read of the value, proves a configuration current

Cause: an answer of the watch with a change raised the start of the next read to the store's revision, so a second change that the watch withheld just then was never looked for; nodes that pulled the configuration adopted that stamp. Class: the absence of a message is taken for a statement. Change: a configuration carries the stamp that proves it, its change's revision or that of a read of the value, also to peers; an older node's lacks it, and its reads then start earlier. A stamp that no store may name counts for nothing. Result: a_change_behind_a_reported_one_is_in_force_in_time passes, on the code before it isn't expressible, as the configuration has no such stamp. Tests of note, fleet, node and the adapter pass.

--- a/crates/fleet/src/snapshot.rs
+++ b/crates/fleet/src/snapshot.rs
@@ -241,6 +241,11 @@
         self.config.version
     }
 
+    /// Stamp at which the configuration was current for sure.
+    pub fn proven(&self) -> Stamp {
+        self.config.proven
+    }
+
     /// Stamp up to which the configuration has been compared with the registry, `None` if there is no
     /// configuration yet.
     pub fn checked(&self) -> Option<Stamp> {
@@ -383,6 +388,7 @@
         let effective = OperatorConfig {
             stamp: Stamp::default(),
             checked: Stamp::default(),
+            proven: Stamp::default(),
             zones_out: self.zones_out(),
             ..self.config.clone()
         };
--- a/crates/fleet/src/watch_start.rs
+++ b/crates/fleet/src/watch_start.rs
@@ -6,7 +6,7 @@
 
 use std::collections::VecDeque;
 
-use types::{Moment, Span, Stamp};
+use types::{Moment, Revision, Span, Stamp};
 
 /// Time after which an answer without changes counts: several times the second for which the users'
 /// registry may report nothing.
@@ -17,23 +17,27 @@
 /// Stamps from which the watch may start, as known to one node.
 #[derive(Debug, Default)]
 pub struct WatchStart {
-    /// Stamp of the configuration in force when it was last read as a whole or changed.
-    read_at: Option<Stamp>,
+    /// Stamp at which the configuration in force was current for sure.
+    proven: Option<Stamp>,
     /// Stamps up to which no change was reported, with the times at which they were learned. All but
     /// the first were learned within [`SETTLE_TIME`].
     reported: VecDeque<(Moment, Stamp)>,
 }
 
 impl WatchStart {
-    /// Records that the configuration in force is that of the registry at `stamp`.
-    pub fn on_read(&mut self, stamp: Stamp) {
-        self.read_at = self.read_at.max(Some(stamp));
+    /// Records that the configuration in force is that of the registry at `proven`, as its change or a
+    /// read of the value shows.
+    pub fn on_read(&mut self, proven: Stamp) {
+        if proven.revision > Revision(0) && proven.is_valid() {
+            self.proven = self.proven.max(Some(proven));
+        }
     }
 
     /// Records that no change was reported up to `stamp`, to this node or to a peer with the same view.
     pub fn on_unchanged(&mut self, stamp: Stamp, now: Moment) {
         let newest = self.reported.back();
-        if newest.is_some_and(|(at, last)| now < *at + MIN_INTERVAL || stamp <= *last) {
+        let is_late = |(at, last): &(Moment, Stamp)| now < *at + MIN_INTERVAL || stamp <= *last;
+        if !stamp.is_valid() || newest.is_some_and(is_late) {
             return;
         }
         self.reported.push_back((now, stamp));
@@ -47,6 +51,6 @@
     pub fn at(&self, now: Moment) -> Option<Stamp> {
         let mut latest_first = self.reported.iter().rev();
         let settled = latest_first.find(|(at, _)| *at + SETTLE_TIME <= now);
-        self.read_at.max(settled.map(|(_, stamp)| *stamp))
+        self.proven.max(settled.map(|(_, stamp)| *stamp))
     }
 }
--- a/crates/node/src/view_sync/registry.rs
+++ b/crates/node/src/view_sync/registry.rs
@@ -143,19 +143,16 @@
         };
         progress.complete = true;
         progress.config_error = None;
-        let is_unchanged = matches!(config, ConfigRead::Unchanged(_));
-        let (stamp, changed, refused) = match config {
+        let (checked, changed, refused) = match config {
             ConfigRead::Unchanged(stamp) => (stamp, None, Vec::new()),
             ConfigRead::Changed(config) => (config.checked, Some(*config), Vec::new()),
             ConfigRead::Refused(read) => (read.checked, read.valid, read.refused),
         };
-        let checked = stamp.max(entries);
-        match is_unchanged {
-            true => progress.watch.on_unchanged(checked, now),
-            false => progress.watch.on_read(stamp),
-        }
+        let checked = checked.max(entries);
+        progress.watch.on_unchanged(checked, now);
         if let Some(config) = changed {
             let version = config.version;
+            progress.watch.on_read(config.proven);
             let config = OperatorConfig { checked, ..config };
             if snapshot.update_from_registry(config, now) {
                 log::info!(version; "orders_read");
@@ -223,10 +220,8 @@
         {
             let before = snapshot.config_version();
             snapshot.merge(parts, now);
-            if snapshot.config_version() != before
-                && let Some(checked) = snapshot.checked()
-            {
-                progress.watch.on_read(checked);
+            if snapshot.config_version() != before {
+                progress.watch.on_read(snapshot.proven());
             }
         }
         self.log_era_change();
--- a/crates/node/src/view_sync/tests/silent_watch.rs
+++ b/crates/node/src/view_sync/tests/silent_watch.rs
@@ -2,9 +2,11 @@
 
 use std::sync::{Mutex, MutexGuard};
 
+use board::Board;
+use kameo::actor::ActorRef;
 use tokio::time::sleep;
 
-use super::*;
+use super::{super::ViewSync, *};
 
 /// Time for which the watch of the users' registry may report nothing.
 const SILENT_TIME: Duration = Duration::from_millis(1_000);
@@ -20,12 +22,12 @@
 #[derive(Default)]
 struct RegistryState {
     revision: u64,
-    version: u64,
-    /// Revision of the configuration.
-    written_at: u64,
+    /// Revision and version of each configuration.
+    written: Vec<(u64, u64)>,
     /// Changes up to this revision are forgotten.
     forgotten: u64,
-    silent: bool,
+    /// The watch doesn't report changes after this revision yet.
+    silent_after: Option<u64>,
 }
 
 impl WatchedRegistry {
@@ -36,7 +38,24 @@
     fn write_config(&self, version: u64) {
         let mut state = self.state();
         state.revision += 1;
-        (state.version, state.written_at) = (version, state.revision);
+        let revision = state.revision;
+        state.written.push((revision, version));
+    }
+
+    /// Lets the watch report no further changes.
+    fn silence(&self) {
+        let mut state = self.state();
+        state.silent_after = Some(state.revision);
+    }
+}
+
+impl RegistryState {
+    /// The newest change after `known` that the watch reports.
+    fn reported(&self, known: u64) -> Option<(u64, u64)> {
+        let last = self.silent_after.unwrap_or(u64::MAX);
+        let written = self.written.iter().rev();
+        let mut reported = written.filter(|(revision, _)| (known + 1..=last).contains(revision));
+        reported.next().copied()
     }
 }
 
@@ -61,13 +80,20 @@
         let state = self.state();
         let stamp = Stamp::without_era(Revision(state.revision));
         let known = known.map_or(0, |stamp| stamp.revision.0);
-        let watched = known >= state.forgotten.max(1);
-        let unchanged = watched && (state.silent || state.written_at <= known);
-        let read = match unchanged {
-            true => ConfigRead::Unchanged(stamp),
-            false => ConfigRead::Changed(Box::new(OperatorConfig {
-                version: state.version,
+        let is_watched = known >= state.forgotten.max(1);
+        let newest = match is_watched {
+            true => state.reported(known),
+            false => state
+                .written
+                .last()
+                .map(|(_, version)| (state.revision, *version)),
+        };
+        let read = match newest {
+            None => ConfigRead::Unchanged(stamp),
+            Some((revision, version)) => ConfigRead::Changed(Box::new(OperatorConfig {
+                version,
                 checked: stamp,
+                proven: Stamp::without_era(Revision(revision)),
                 ..OperatorConfig::default()
             })),
         };
@@ -75,15 +101,14 @@
     }
 }
 
-#[tokio::test]
-async fn a_change_that_the_watch_never_reports_is_in_force_in_time() {
-    let registry = Arc::new(WatchedRegistry::default());
+/// Starts a node that has version 7, and waits until a read without changes counts as settled.
+async fn start(registry: &Arc<WatchedRegistry>) -> (Arc<Board>, ActorRef<ViewSync>) {
     registry.write_config(7);
     let board = board();
     let mut phases = board.phase.subscribe();
-    let _view_sync = spawn(
+    let view_sync = spawn(
         &board,
-        Source::registry(Arc::clone(&registry) as _),
+        Source::registry(Arc::clone(registry) as _),
         &Arc::new(Metrics::new()),
         SyncOptions {
             seeds: Vec::new(),
@@ -95,16 +120,38 @@
     let ready = timeout(Duration::from_secs(5), ready).await;
     ready.expect("ready in time").expect("a phase");
     sleep(CHANGE_TIMEOUT).await;
+    (board, view_sync)
+}
 
+#[tokio::test]
+async fn a_change_that_the_watch_never_reports_is_in_force_in_time() {
+    let registry = Arc::new(WatchedRegistry::default());
+    let (board, _view_sync) = start(&registry).await;
     let mut views = board.view.subscribe();
-    views.mark_unchanged();
-    registry.state().silent = true;
+    registry.silence();
     registry.write_config(8);
     sleep(SILENT_TIME).await;
     {
         let mut state = registry.state();
-        (state.silent, state.forgotten) = (false, state.written_at);
+        state.silent_after = None;
+        state.forgotten = state.written.last().map_or(0, |(revision, _)| *revision);
     }
     let changed = timeout(CHANGE_TIMEOUT, views.changed()).await;
     changed.expect("version 8 in time").expect("a view");
 }
+
+#[tokio::test]
+async fn a_change_behind_a_reported_one_is_in_force_in_time() {
+    let registry = Arc::new(WatchedRegistry::default());
+    let (board, _view_sync) = start(&registry).await;
+    let mut views = board.view.subscribe();
+    registry.write_config(8);
+    registry.silence();
+    registry.write_config(9);
+    let changed = timeout(CHANGE_TIMEOUT, views.changed()).await;
+    changed.expect("version 8 in time").expect("a view");
+    sleep(SILENT_TIME).await;
+    registry.state().silent_after = None;
+    let changed = timeout(CHANGE_TIMEOUT, views.changed()).await;
+    changed.expect("version 9 in time").expect("a view");
+}
--- a/crates/note/src/registry.rs
+++ b/crates/note/src/registry.rs
@@ -42,6 +42,10 @@
     /// Registry era and revision up to which the rest has been compared with the registry.
     #[serde(default)]
     pub checked: Stamp,
+    /// Registry era and revision at which the rest was current for sure: that of its change, or of a read
+    /// of the value.
+    #[serde(default)]
+    pub proven: Stamp,
     /// Version of the configuration. It increases with each change, not always by one.
     pub version: u64,
     /// Services.
