node: a repeated SIGTERM cuts no request

What callers saw: a supervisor that repeats SIGTERM 0.3 to 1.2 s after the first one ended the process at once, with most of the grace period left.

Cause: any second signal was taken for a user's wish to end the shutdown early, and the platform's supervisors send SIGTERM in series. Class: a convention of interactive use applied to a signal of supervisors.

Change: only a second SIGINT ends a graceful shutdown early. SIGTERM during one changes nothing.

--- a/crates/node/src/lifecycle.rs
+++ b/crates/node/src/lifecycle.rs
@@ -65,7 +65,7 @@
     Runtime(io::Error),
     /// A signal handler couldn't be installed.
     Signals(io::Error),
-    /// Requests were still in progress at the shutdown deadline or at a second signal.
+    /// Requests were still in progress at the shutdown deadline or at a second SIGINT.
     Interrupted,
 }
 
@@ -123,7 +123,7 @@
     node.announce_leaving(linger).await;
     tokio::select! {
         stopped = node.shut_down(deadline) => stopped,
-        () = signals.stop.wait() => Err(RunError::Interrupted),
+        () = signals.stop.wait_interrupt() => Err(RunError::Interrupted),
     }
     .inspect(|()| log::info!("stopped"))
     .inspect_err(|_| log::warn!("stopped_early"))
@@ -353,6 +353,8 @@
 struct StopSignals {
     term: Signal,
     int: Signal,
+    /// Whether a SIGINT has come.
+    is_interrupted: bool,
 }
 
 impl Signals {
@@ -371,6 +373,7 @@
             stop: StopSignals {
                 term: handler(SignalKind::terminate())?,
                 int: handler(SignalKind::interrupt())?,
+                is_interrupted: false,
             },
             hup: handler(SignalKind::hangup())?,
         })
@@ -382,7 +385,16 @@
     async fn wait(&mut self) {
         tokio::select! {
             _ = self.term.recv() => {}
-            _ = self.int.recv() => {}
+            _ = self.int.recv() => self.is_interrupted = true,
         }
     }
+
+    /// Waits for the second SIGINT, by which a user ends a graceful shutdown early. Supervisors repeat SIGTERM.
+    async fn wait_interrupt(&mut self) {
+        if !self.is_interrupted {
+            self.int.recv().await;
+            self.is_interrupted = true;
+        }
+        self.int.recv().await;
+    }
 }
