node: what is queued at the end of a planned stop is told as not run

A request that another node had queued at the gate of the stopping node was answered 502, so that its caller couldn't know that it had never run.

Cause: a graceful shutdown waited for the calls and the queue until the stop limit, and then the process ended with both. Only calls that arrive while the node stops were compared with that limit. Class: a queue that ends with its process and tells nobody. Ruled out: requests that come late in the grace. They are refused if they may outlast the node, and none was cut.

Change: a phase `exiting`, a twelfth of the time (500 ms at most) before the stop limit. The gate then refuses what is queued, and refuses already when the stop begins what it can't complete in time. The ingress sends no further attempts, withdraws those that are queued at gates, and tells the caller "not run" once all gates have confirmed. `withdraw` in the messages between nodes is new. An older gate takes it for a query, so that its attempts end as before.

The simulation in call/tests winds calls down and drains gates at any moment: 3,000 cases without a violation.

--- a/crates/board/src/lib.rs
+++ b/crates/board/src/lib.rs
@@ -10,8 +10,8 @@
 //! | `hosts` | `ViewSync` | `GateActor`, ingress |
 //! | `leaving` | any, through [`Board::mark_leaving`] | `GateActor`, ingress, `ViewSync` |
 //! | `quarantine` | any, by merging | `GateActor`, ingress, `ViewSync` |
-//! | `phase` | `ViewSync` (ready), lifecycle (leaving, stopping) | all |
-//! | `stop_at` | lifecycle | ingress |
+//! | `phase` | `ViewSync` (ready), lifecycle (leaving, stopping, exiting) | all |
+//! | `stop_at` | lifecycle | `GateActor`, ingress |
 
 mod clock;
 
@@ -39,6 +39,15 @@
     Leaving,
     /// The node refuses new requests and completes those in progress.
     Stopping,
+    /// The node is about to exit: queued requests are refused, and only those that run are completed.
+    Exiting,
+}
+
+impl Phase {
+    /// Whether new requests are refused as the node stops.
+    pub fn is_stopping(self) -> bool {
+        matches!(self, Self::Stopping | Self::Exiting)
+    }
 }
 
 /// Identity of a node.
--- a/crates/call/src/core.rs
+++ b/crates/call/src/core.rs
@@ -103,6 +103,8 @@
     Query(AttemptIndex),
     /// Query the gate for the outcome of the attempt, and have it cancel the attempt.
     Cancel(AttemptIndex),
+    /// Have the gate refuse the attempt if it is queued. Its outcome follows.
+    Withdraw(AttemptIndex),
     /// Record that the attempt is settled: its outcome will not be asked for again.
     Settle(AttemptIndex),
     /// Report the outcome to the caller. Only [`Action::Cancel`] and [`Action::Settle`] may follow.
@@ -152,6 +154,8 @@
     hedge_at: Moment,
     /// The reason and the suggested delay of the last refusal.
     last_refusal: (Refusal, Span),
+    /// Whether no more attempts are sent, as the process is about to exit.
+    is_ending: bool,
     finished: bool,
 }
 
@@ -167,6 +171,7 @@
             unknown_attempts: 0,
             hedge_at: Moment::MAX,
             last_refusal: (Refusal::Down, DEFAULT_RETRY_AFTER),
+            is_ending: false,
             finished: false,
         }
     }
@@ -304,6 +309,17 @@
         actions
     }
 
+    /// Ends the call by `deadline` at the latest, since the process is about to exit: sends no more attempts, and
+    /// withdraws those that no backend server has got yet.
+    pub fn wind_down(&mut self, deadline: Moment) -> Vec<Action> {
+        self.is_ending = true;
+        self.hedge_at = Moment::MAX;
+        self.request.deadline = self.request.deadline.min(deadline);
+        let is_open = |(_, attempt): &(usize, &Attempt)| attempt.phase != Phase::Settled;
+        let open = self.attempts.iter().enumerate().filter(is_open);
+        open.map(|(index, _)| Action::Withdraw(index)).collect()
+    }
+
     /// Cancels all open attempts, since the caller has gone away.
     pub fn abandon(&mut self) -> Vec<Action> {
         self.finished = true;
@@ -422,7 +438,10 @@
     ) -> Option<Vec<Action>> {
         let allowed = !self.request.is_retry && self.load_retries + 1 < MAX_LOAD_ATTEMPTS;
         let delivered = self.delivered();
-        if !allowed || self.attempts.len() >= MAX_ATTEMPTS || delivered >= self.request.max_attempts
+        if self.is_ending
+            || !allowed
+            || self.attempts.len() >= MAX_ATTEMPTS
+            || delivered >= self.request.max_attempts
         {
             return None;
         }
@@ -436,8 +455,9 @@
     }
 
     fn send_or_finish(&mut self, now: Moment, selector: &mut dyn ServerSelector) -> Vec<Action> {
-        let allowed =
-            self.attempts.len() < MAX_ATTEMPTS && self.delivered() < self.request.max_attempts;
+        let allowed = !self.is_ending
+            && self.attempts.len() < MAX_ATTEMPTS
+            && self.delivered() < self.request.max_attempts;
         let selection = match allowed {
             true => selector.select(&self.tried(), &self.declined()),
             false => None,
@@ -483,8 +503,12 @@
     /// Finishes the call without an answer.
     fn give_up(&mut self, late: bool) -> Vec<Action> {
         let none_ran = self.attempts.iter().all(|a| a.not_run);
-        let (refusal, retry_after) = self.last_refusal;
-        let refusal = if late { Refusal::Late } else { refusal };
+        let (refusal, retry_after) = match self.last_refusal {
+            // Other nodes may serve it at once.
+            _ if self.is_ending => (Refusal::Stopping, Span::default()),
+            (_, retry_after) if late => (Refusal::Late, retry_after),
+            last => last,
+        };
         match none_ran {
             true => self.finish(CallOutcome::NotRun {
                 refusal,
--- a/crates/call/tests/at_most_once.rs
+++ b/crates/call/tests/at_most_once.rs
@@ -30,6 +30,8 @@
         1 => any::<u8>().prop_map(Step::RestartGate),
         1 => any::<u8>().prop_map(Step::RestartIngress),
         1 => any::<u16>().prop_map(Step::Abandon),
+        1 => any::<u16>().prop_map(Step::WindDown),
+        1 => any::<u8>().prop_map(Step::DrainGate),
     ]
 }
 
@@ -99,7 +101,15 @@
         Ok(())
     });
     assert!(runs.is_ok());
-    for outcome in ["answer", "unknown", "unknown_late", "busy", "shed", "down"] {
+    for outcome in [
+        "answer",
+        "unknown",
+        "unknown_late",
+        "busy",
+        "shed",
+        "down",
+        "stopping",
+    ] {
         assert!(
             outcomes.borrow().contains(outcome),
             "no run ended with {outcome}, only with {outcomes:?}"
--- a/crates/call/tests/support/gates.rs
+++ b/crates/call/tests/support/gates.rs
@@ -3,7 +3,7 @@
 use std::sync::Arc;
 
 use call::AttemptIndex;
-use gate::{Action as GateAction, Completion, Gate, Offer, RetentionLimits};
+use gate::{Action as GateAction, Completion, Gate, Offer, Query, RetentionLimits};
 use note::Limits;
 use types::{Answer, AttemptId, Boot, Moment, Outcome, Refusal, Slots};
 
@@ -46,10 +46,10 @@
                 to,
                 call,
                 attempt,
-                cancel,
+                query,
                 ..
             } => {
-                self.deliver_query(id, to, call, attempt, cancel);
+                self.deliver_query(id, to, call, attempt, query);
             }
             Message::Reply {
                 call,
@@ -65,7 +65,7 @@
         to: usize,
         call: usize,
         attempt: AttemptIndex,
-        cancel: bool,
+        query: Query,
     ) {
         let process = &mut self.gates[to];
         let arrived = process.calls.contains_key(&id);
@@ -79,7 +79,7 @@
             return;
         }
         process.waiting.push((id, call, attempt));
-        let actions = process.gate.query(id, cancel, gate_clock(to, self.now));
+        let actions = process.gate.query(id, query, gate_clock(to, self.now));
         self.carry_out_gate(to, actions);
     }
 
--- a/crates/call/tests/support/mod.rs
+++ b/crates/call/tests/support/mod.rs
@@ -12,7 +12,7 @@
 use call::{
     Action, AttemptIndex, Call, CallOutcome, CallRequest, GateSession, Timeouts, TokenBucket,
 };
-use gate::{Gate, Offer, RetentionLimits};
+use gate::{Gate, Offer, Query, RetentionLimits};
 use note::Limits;
 use types::{Boot, Moment, Outcome, Refusal, Slots, Span};
 
@@ -27,6 +27,8 @@
 const MAX_ATTEMPTS: u32 = 3;
 /// Time from the start of a call to its deadline.
 const CALL_TIMEOUT: Span = Span::from_millis(400);
+/// Time that is left to a process that is about to exit.
+const EXIT_TIME: Span = Span::from_millis(40);
 
 /// The state of all processes, messages and calls.
 pub(crate) struct Simulation {
@@ -130,6 +132,8 @@
             Step::RestartGate(gate) => self.restart_gate(gate as usize % GATES),
             Step::RestartIngress(ingress) => self.restart_ingress(ingress as usize % INGRESSES),
             Step::Abandon(call) => self.abandon(call as usize),
+            Step::WindDown(call) => self.wind_down(call as usize),
+            Step::DrainGate(gate) => self.drain_gate(gate as usize % GATES),
         }
     }
 
@@ -240,8 +244,9 @@
                 Action::Send {
                     attempt, server, ..
                 } => self.send(call, attempt, gate_index(&server)),
-                Action::Query(attempt) => self.query(call, attempt, false),
-                Action::Cancel(attempt) => self.query(call, attempt, true),
+                Action::Query(attempt) => self.query(call, attempt, Query::Outcome),
+                Action::Cancel(attempt) => self.query(call, attempt, Query::Cancel),
+                Action::Withdraw(attempt) => self.query(call, attempt, Query::Withdraw),
                 Action::Settle(attempt) => self.settle_attempt(call, attempt),
                 Action::Finish(outcome) => self.callers[call].outcomes.push(outcome),
             }
@@ -277,7 +282,7 @@
         });
     }
 
-    fn query(&mut self, index: usize, attempt: AttemptIndex, cancel: bool) {
+    fn query(&mut self, index: usize, attempt: AttemptIndex, query: Query) {
         let (to, sent) = self.callers[index].sent[&attempt];
         let boot = self.gates[to].gate.boot();
         let id = sent.id;
@@ -287,7 +292,7 @@
             to,
             call: index,
             attempt,
-            cancel,
+            query,
         });
     }
 
@@ -369,4 +374,24 @@
         self.callers[call].connected = false;
         self.carry_out(call, actions);
     }
+
+    fn wind_down(&mut self, index: usize) {
+        if self.callers.is_empty() {
+            return;
+        }
+        let call = index % self.callers.len();
+        if self.callers[call].call.is_finished() {
+            return;
+        }
+        let actions = self.callers[call].call.wind_down(self.now + EXIT_TIME);
+        self.carry_out(call, actions);
+    }
+
+    fn drain_gate(&mut self, gate: usize) {
+        let now = gate_clock(gate, self.now);
+        let process = &mut self.gates[gate].gate;
+        let mut actions = process.stop(now + EXIT_TIME, now);
+        actions.extend(process.drain_queue());
+        self.carry_out_gate(gate, actions);
+    }
 }
--- a/crates/call/tests/support/model.rs
+++ b/crates/call/tests/support/model.rs
@@ -5,7 +5,7 @@
 use call::{
     AttemptIndex, Call, CallOutcome, GateSession, Selection, ServerSelector, SessionAttempt,
 };
-use gate::{Gate, Offer};
+use gate::{Gate, Offer, Query};
 use types::{AttemptId, Boot, Moment, Outcome, ServerId, Span};
 
 use super::GATES;
@@ -45,6 +45,10 @@
     RestartGate(u8),
     RestartIngress(u8),
     Abandon(u16),
+    /// The ingress of a call is about to exit.
+    WindDown(u16),
+    /// The process of a gate is about to exit.
+    DrainGate(u8),
 }
 
 #[derive(Debug, Clone)]
@@ -62,7 +66,7 @@
         to: usize,
         call: usize,
         attempt: AttemptIndex,
-        cancel: bool,
+        query: Query,
     },
     Reply {
         call: usize,
--- a/crates/gate/src/core/admission.rs
+++ b/crates/gate/src/core/admission.rs
@@ -149,15 +149,20 @@
         actions
     }
 
-    /// Refuses the requests that can no longer meet their deadline since others start before them.
-    fn refuse_displaced(&mut self, now: Moment) -> Vec<Action> {
+    /// Refuses the requests that can no longer meet their deadline since others start before them, or can't be
+    /// completed before the process exits.
+    pub(super) fn refuse_displaced(&mut self, now: Moment) -> Vec<Action> {
         let (mut ahead, mut work) = (0, Span::default());
         let mut actions = Vec::new();
         for queued in self.queue.sorted(now, self.slowdown_factor(now)) {
             let start = now + self.expected_wait(ahead, work, now);
-            if start + queued.rank.service_time > queued.deadline {
+            let end = start + queued.rank.service_time;
+            if end > queued.deadline {
                 self.queue.remove(queued.id);
                 actions.extend(self.refuse_for_capacity(queued.id, false, now));
+            } else if self.stop_at.is_some_and(|stop_at| end > stop_at) {
+                self.queue.remove(queued.id);
+                actions.extend(self.refuse(queued.id, Refusal::Stopping, Span::default()));
             } else {
                 (ahead, work) = (ahead + 1, work + queued.rank.service_time);
             }
--- a/crates/gate/src/core/arrived.rs
+++ b/crates/gate/src/core/arrived.rs
@@ -3,19 +3,19 @@
 use types::{AttemptId, Moment, Outcome, Refusal, Span};
 
 use super::{AttemptState, Gate, LookupError, reply};
-use crate::event::Action;
+use crate::event::{Action, Query};
 
 impl Gate {
     /// Replies to an ingress that queries the outcome of an attempt.
     ///
-    /// An attempt that has never arrived is recorded as never to be started. With `cancel`, a
-    /// queued or running attempt is cancelled.
-    pub fn query(&mut self, id: AttemptId, cancel: bool, now: Moment) -> Vec<Action> {
-        match self.state(id) {
-            Err(_) => reply(id, Outcome::Unknown),
-            Ok(None) => self.refuse(id, Refusal::Barred, Span::default()),
-            Ok(Some(AttemptState::Pending)) if cancel => self.cancel(id, now),
-            Ok(Some(state)) => reply_again(id, state),
+    /// An attempt that has never arrived is recorded as never to be started.
+    pub fn query(&mut self, id: AttemptId, query: Query, now: Moment) -> Vec<Action> {
+        match (self.state(id), query) {
+            (Err(_), _) => reply(id, Outcome::Unknown),
+            (Ok(None), _) => self.refuse(id, Refusal::Barred, Span::default()),
+            (Ok(Some(AttemptState::Pending)), Query::Cancel) => self.cancel(id, now),
+            (Ok(Some(AttemptState::Pending)), Query::Withdraw) => self.withdraw(id, now),
+            (Ok(Some(state)), _) => reply_again(id, state),
         }
     }
 
@@ -36,15 +36,21 @@
     }
 
     fn cancel(&mut self, id: AttemptId, now: Moment) -> Vec<Action> {
-        match self.queue.remove(id) {
-            true => {
-                let mut actions = self.refuse(id, Refusal::Cancelled, Span::default());
-                actions.extend(self.start_queued(now));
-                actions
-            }
+        match self.queue.contains(id) {
+            true => self.withdraw(id, now),
             false => vec![Action::Cancel(id)],
         }
     }
+
+    /// Refuses an attempt that is queued.
+    fn withdraw(&mut self, id: AttemptId, now: Moment) -> Vec<Action> {
+        if !self.queue.remove(id) {
+            return Vec::new();
+        }
+        let mut actions = self.refuse(id, Refusal::Cancelled, Span::default());
+        actions.extend(self.start_queued(now));
+        actions
+    }
 }
 
 /// Repeats the reply to an attempt that arrived before. A pending attempt gets it at its end.
--- a/crates/gate/src/core/mod.rs
+++ b/crates/gate/src/core/mod.rs
@@ -62,7 +62,8 @@
     cancelling: Vec<Moment>,
     /// Whether the backend server may get new work, as last passed to [`set_open`](Self::set_open).
     open: bool,
-    stopping: bool,
+    /// When the process exits, whether or not its attempts are completed, if it is stopping.
+    stop_at: Option<Moment>,
     /// Time until which the node's view is valid.
     lease_end: Moment,
     /// Incarnation that the backend server last named.
@@ -99,7 +100,7 @@
             running: BTreeMap::new(),
             cancelling: Vec::new(),
             open: false,
-            stopping: false,
+            stop_at: None,
             lease_end: Moment(0),
             server_boot: None,
             listed_at: Moment(0),
@@ -151,9 +152,17 @@
         now < self.replaced_until
     }
 
-    /// Begins a graceful shutdown: refuses new attempts, and finishes the queued and running ones.
-    pub fn stop(&mut self) {
-        self.stopping = true;
+    /// Begins a graceful shutdown: refuses new attempts, and the queued ones that can't be completed by
+    /// `stop_at`, when the process exits.
+    pub fn stop(&mut self, stop_at: Moment, now: Moment) -> Vec<Action> {
+        self.stop_at = Some(stop_at);
+        self.refuse_displaced(now)
+    }
+
+    /// Refuses the queued attempts of a gate whose process is about to exit, so that their ingresses learn that
+    /// they never run.
+    pub fn drain_queue(&mut self) -> Vec<Action> {
+        self.refuse_queued(Refusal::Stopping)
     }
 
     /// Whether new work is accepted at `now`: the gate is open, has a valid lease and isn't
@@ -375,7 +384,7 @@
     fn closed_reason(&self, deadline: Moment, now: Moment) -> Option<Refusal> {
         match () {
             () if self.is_replaced(now) => Some(Refusal::Misplaced),
-            () if self.stopping => Some(Refusal::Stopping),
+            () if self.stop_at.is_some() => Some(Refusal::Stopping),
             () if !self.open => Some(Refusal::Leaving),
             () if now > self.lease_end => Some(Refusal::Stale),
             () if now >= deadline => Some(Refusal::Late),
--- a/crates/gate/src/event.rs
+++ b/crates/gate/src/event.rs
@@ -47,6 +47,17 @@
     pub rank: Rank,
 }
 
+/// What an ingress asks of an attempt that it has sent. The gate replies with the attempt's outcome.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub enum Query {
+    /// Nothing but the outcome.
+    Outcome,
+    /// To refuse it if it is queued. One that runs goes on.
+    Withdraw,
+    /// To cancel it, queued or running.
+    Cancel,
+}
+
 /// How a started attempt ended.
 #[derive(Debug, Clone)]
 pub enum Completion {
--- a/crates/gate/src/lib.rs
+++ b/crates/gate/src/lib.rs
@@ -59,7 +59,7 @@
 
 pub use concurrency::{ConcurrencyLimit, Feedback};
 pub use core::Gate;
-pub use event::{Action, Completion, Load, Offer, RetentionLimits};
+pub use event::{Action, Completion, Load, Offer, Query, RetentionLimits};
 pub use queue::Rank;
 pub use rate_limit::{LimitSource, LimitState};
 pub use route_profile::RouteProfiles;
--- a/crates/gate/tests/invariants.rs
+++ b/crates/gate/tests/invariants.rs
@@ -6,7 +6,7 @@
     sync::Arc,
 };
 
-use gate::{Action, Completion, Gate, Offer, RetentionLimits};
+use gate::{Action, Completion, Gate, Offer, Query, RetentionLimits};
 use note::Limits;
 use proptest::{collection::vec, prelude::*};
 use types::{Answer, AttemptId, Boot, Moment, Outcome, Refusal, Seq, SessionId, Slots, Span};
@@ -124,7 +124,7 @@
                     session: self.session,
                     seq: Seq(self.next_seq.saturating_sub(*pick as u64 % 12)),
                 };
-                self.gate.query(id, true, self.now)
+                self.gate.query(id, Query::Cancel, self.now)
             }
             Step::Wait { ms } => {
                 self.now = self.now + Span::from_millis(*ms);
--- a/crates/gate/tests/malformed.rs
+++ b/crates/gate/tests/malformed.rs
@@ -2,13 +2,15 @@
 
 mod support;
 
-use gate::{Action, Completion, Offer, Rank, RouteProfiles};
+use gate::{Action, Completion, Offer, Query, Rank, RouteProfiles};
 use note::Limits;
 use proptest::prelude::*;
 use smol_str::SmolStr;
 use support::OpenGate;
 use types::{Answer, Moment, Seq, Slots, Span};
 
+const QUERIES: [Query; 3] = [Query::Outcome, Query::Withdraw, Query::Cancel];
+
 /// Values near the ends of the range, and some in between.
 fn number() -> impl Strategy<Value = u64> {
     prop_oneof![
@@ -63,7 +65,7 @@
             carry_out(open_gate.gate.offer(Offer { fail_fast, rank, ..offer }, now), &mut running);
             carry_out(open_gate.gate.tick(now), &mut running);
             open_gate.gate.next_tick(now);
-            open_gate.gate.query(offer.id, seq % 2 == 0, now);
+            open_gate.gate.query(offer.id, QUERIES[seq as usize % QUERIES.len()], now);
         }
         while let Some(id) = running.pop() {
             now = now + Span::from_millis(20);
--- a/crates/gate/tests/settled.rs
+++ b/crates/gate/tests/settled.rs
@@ -3,14 +3,15 @@
 
 use std::collections::BTreeSet;
 
-use gate::{Action, Completion, Gate, Offer, Rank, RetentionLimits};
+use gate::{Action, Completion, Gate, Offer, Query, Rank, RetentionLimits};
 use note::Limits;
-use proptest::{collection::vec, prelude::*};
+use proptest::{collection::vec, prelude::*, sample::select};
 use types::{AttemptId, Boot, Moment, Outcome, Refusal, Seq, SessionId, Slots, Span};
 
 const START: Moment = Moment(10_000_000);
 /// Time that each request may wait.
 const TIMEOUT: Span = Span::from_millis(400);
+const QUERIES: [Query; 3] = [Query::Outcome, Query::Withdraw, Query::Cancel];
 
 /// An open gate with two slots and room for a few records.
 fn gate() -> Gate {
@@ -90,11 +91,15 @@
     for ingress in 3..6 {
         gate.open_session(Boot(ingress), START + Span(ingress));
     }
-    assert_eq!(gate.query(id, false, START), [], "the reply follows");
+    assert_eq!(
+        gate.query(id, Query::Outcome, START),
+        [],
+        "the reply follows"
+    );
     let ended = gate.complete(id, Completion::Expired, START);
     assert!(ended.contains(&Action::Reply(id, Outcome::Expired)));
     assert_eq!(
-        gate.query(id, false, START),
+        gate.query(id, Query::Outcome, START),
         [Action::Reply(id, Outcome::Unknown)]
     );
 }
@@ -114,7 +119,7 @@
     },
     Query {
         pick: usize,
-        cancel: bool,
+        query: Query,
     },
     /// Nobody waits for a known attempt any more, so the driver cancels it.
     DropWaiter {
@@ -135,7 +140,7 @@
         1 => Just(Step::Open),
         8 => (session, 0..3_u64).prop_map(|(session, settled)| Step::Offer { session, settled }),
         2 => any::<usize>().prop_map(|pick| Step::Repeat { pick }),
-        2 => any::<(usize, bool)>().prop_map(|(pick, cancel)| Step::Query { pick, cancel }),
+        2 => (any::<usize>(), select(&QUERIES)).prop_map(|(pick, query)| Step::Query { pick, query }),
         2 => any::<usize>().prop_map(|pick| Step::DropWaiter { pick }),
         4 => any::<(usize, bool)>().prop_map(|(pick, answered)| Step::Complete { pick, answered }),
         2 => (0..60_u64).prop_map(|ms| Step::Wait { ms }),
@@ -202,17 +207,17 @@
                     self.offer(offer)?;
                 }
             }
-            Step::Query { pick, cancel } => {
+            Step::Query { pick, query } => {
                 if let Some(offer) = self.pick_offer(pick) {
                     self.known.insert(offer.id);
-                    let actions = self.gate.query(offer.id, cancel, self.now);
+                    let actions = self.gate.query(offer.id, query, self.now);
                     self.carry_out(actions)?;
                 }
             }
             Step::DropWaiter { pick } => {
                 let known = self.known.iter().nth(pick % self.known.len().max(1));
                 if let Some(id) = known.copied() {
-                    let actions = self.gate.query(id, true, self.now);
+                    let actions = self.gate.query(id, Query::Cancel, self.now);
                     self.carry_out(actions)?;
                 }
             }
--- a/crates/node/src/admin.rs
+++ b/crates/node/src/admin.rs
@@ -84,7 +84,9 @@
     let phase = admin.ingress.board.phase();
     let status = match phase {
         Phase::Ready => StatusCode::OK,
-        Phase::Joining | Phase::Leaving | Phase::Stopping => StatusCode::SERVICE_UNAVAILABLE,
+        Phase::Joining | Phase::Leaving | Phase::Stopping | Phase::Exiting => {
+            StatusCode::SERVICE_UNAVAILABLE
+        }
     };
     (status, Json(phase))
 }
--- a/crates/node/src/gate_actor/mod.rs
+++ b/crates/node/src/gate_actor/mod.rs
@@ -20,7 +20,7 @@
 
 use board::{Board, Phase};
 use dialect::ResponseMetadata;
-use gate::{Gate, LimitState, Load, Offer};
+use gate::{Gate, LimitState, Load, Offer, Query};
 use kameo::{
     actor::{ActorRef, Spawn, WeakActorRef},
     error::Infallible,
@@ -97,11 +97,11 @@
     pub(crate) reply: oneshot::Sender<Reply>,
 }
 
-/// Request for the outcome of an attempt, which also stops the attempt if `cancel` is set.
+/// Request for the outcome of an attempt.
 #[derive(Debug)]
 pub(crate) struct QueryAttempt {
     pub(crate) id: AttemptId,
-    pub(crate) cancel: bool,
+    pub(crate) query: Query,
     pub(crate) reply: oneshot::Sender<Reply>,
 }
 
@@ -279,10 +279,14 @@
     gate.extend_lease(board.lease.borrow().until());
     let open =
         server.is_some_and(|id| board.accepts_requests(id)) && board.phase() != Phase::Joining;
-    if board.phase() == Phase::Stopping {
-        gate.stop();
+    let mut actions = gate.set_open(open);
+    if board.phase().is_stopping() {
+        actions.extend(gate.stop(*board.stop_at.borrow(), board.clock.now()));
     }
-    gate.set_open(open)
+    if board.phase() == Phase::Exiting {
+        actions.extend(gate.drain_queue());
+    }
+    actions
 }
 
 /// Short name of an outcome, for logs and metrics.
--- a/crates/node/src/gate_actor/state.rs
+++ b/crates/node/src/gate_actor/state.rs
@@ -7,7 +7,7 @@
 
 use board::Board;
 use futures::future::BoxFuture;
-use gate::{Action, Completion, Gate, Offer, Rank, RetentionLimits, RouteProfiles};
+use gate::{Action, Completion, Gate, Offer, Query, Rank, RetentionLimits, RouteProfiles};
 use kameo::actor::WeakActorRef;
 use note::{Limits, Server, Service, State};
 use smol_str::SmolStr;
@@ -219,7 +219,7 @@
                 route: SmolStr::default(),
             });
         attempt.waiters.push(msg.reply);
-        let actions = self.gate.query(msg.id, msg.cancel, now);
+        let actions = self.gate.query(msg.id, msg.query, now);
         self.execute(actions);
     }
 
@@ -232,7 +232,7 @@
         attempt.waiters.retain(|waiter| !waiter.is_closed());
         if attempt.idempotent && attempt.waiters.is_empty() {
             let now = self.board.clock.now();
-            let actions = self.gate.query(id, true, now);
+            let actions = self.gate.query(id, Query::Cancel, now);
             self.execute(actions);
         }
     }
--- a/crates/node/src/gate_actor/tests/malformed.rs
+++ b/crates/node/src/gate_actor/tests/malformed.rs
@@ -11,9 +11,9 @@
     FutureExt,
     future::{BoxFuture, pending},
 };
-use gate::{Completion, Offer, Rank};
+use gate::{Completion, Offer, Query, Rank};
 use note::{Limits, View};
-use proptest::prelude::*;
+use proptest::{prelude::*, sample::select};
 use smol_str::SmolStr;
 use tokio::{runtime::Builder, sync::oneshot, time::Instant};
 use types::{AttemptId, Boot, Moment, NamedLimit, Rate, Revision, Seq, SessionId, Slots, Span};
@@ -27,6 +27,8 @@
     peers::KnownLimit,
 };
 
+const QUERIES: [Query; 3] = [Query::Outcome, Query::Withdraw, Query::Cancel];
+
 /// Numbers of microseconds below this one are times to come.
 const NEAR: u64 = 10_000_000;
 
@@ -78,7 +80,7 @@
     },
     Query {
         id: AttemptId,
-        cancel: bool,
+        query: Query,
     },
     DropWaiter(AttemptId),
     OpenSession,
@@ -172,7 +174,7 @@
 fn event() -> impl Strategy<Value = Event> {
     prop_oneof![
         6 => run(),
-        2 => (attempt_id(), any::<bool>()).prop_map(|(id, cancel)| Event::Query { id, cancel }),
+        2 => (attempt_id(), select(&QUERIES)).prop_map(|(id, query)| Event::Query { id, query }),
         1 => attempt_id().prop_map(Event::DropWaiter),
         1 => Just(Event::OpenSession),
         3 => (0..8_u8, metadata()).prop_map(|(kind, metadata)| Event::Finish(kind, metadata)),
@@ -276,8 +278,8 @@
                 self.actor.run(run);
                 self.waiters.push(replied);
             }
-            Event::Query { id, cancel } => {
-                self.actor.query(QueryAttempt { id, cancel, reply });
+            Event::Query { id, query } => {
+                self.actor.query(QueryAttempt { id, query, reply });
                 self.waiters.push(replied);
             }
             Event::DropWaiter(id) => {
--- a/crates/node/src/ingress/driver.rs
+++ b/crates/node/src/ingress/driver.rs
@@ -7,10 +7,11 @@
 mod logs;
 
 use std::{
-    pin::Pin,
+    pin::{Pin, pin},
     sync::{Arc, OnceLock},
 };
 
+use board::Phase;
 use call::{Action, AttemptIndex, Call, CallOutcome, CallRequest, SessionAttempt};
 use futures::{
     FutureExt, StreamExt,
@@ -107,7 +108,7 @@
         result: Result<Reply, TransportError>,
         sent_at: Moment,
     },
-    /// The driver stopped waiting for the attempt.
+    /// The driver stopped waiting for the attempt, or a withdrawal got no reply.
     Aborted,
 }
 
@@ -136,10 +137,13 @@
             return outcome;
         }
         let mut timer = Box::pin(sleep_until(self.wake_at()));
+        let mut phase = self.ingress.board.phase.subscribe();
+        let mut exiting = pin!(phase.wait_for(|phase| *phase == Phase::Exiting).fuse());
         loop {
             let actions = tokio::select! {
                 Some(event) = self.events.next() => self.handle(event),
                 () = &mut timer => self.tick(),
+                _ = &mut exiting => self.call.wind_down(self.ingress.exit_deadline()),
             };
             if let Some(outcome) = self.execute(actions) {
                 return outcome;
@@ -331,6 +335,7 @@
                     queue.extend(self.send(attempt, server, is_retry, fail_fast));
                 }
                 Action::Query(attempt) => queue.extend(self.query(attempt)),
+                Action::Withdraw(attempt) => queue.extend(self.withdraw(attempt)),
                 Action::Cancel(attempt) => self.cancel(attempt),
                 Action::Settle(attempt) => self.settle(attempt),
                 Action::Finish(call_outcome) => outcome = Some(call_outcome),
@@ -436,6 +441,31 @@
         Vec::new()
     }
 
+    /// Has the gate refuse an attempt if it is queued. The attempt itself goes on waiting for its outcome.
+    fn withdraw(&mut self, attempt: AttemptIndex) -> Vec<Action> {
+        let state = &self.attempts[attempt];
+        let Some(registered) = state.registered.get().copied() else {
+            // Nothing was sent, see `query`.
+            state.abort_handle.abort();
+            let now = self.now();
+            return self.apply_refusal(attempt, Refusal::Down, now);
+        };
+        let peer = Arc::clone(&state.peer);
+        let sent_at = self.now();
+        let withdrawal = async move {
+            match peer.client.withdraw(registered.id).await {
+                Ok(reply) => Event::QueryEnded {
+                    attempt,
+                    result: Ok(reply),
+                    sent_at,
+                },
+                Err(_) => Event::Aborted,
+            }
+        };
+        self.events.push(withdrawal.boxed());
+        Vec::new()
+    }
+
     /// Cancels an open attempt without waiting for the result. A gate that doesn't reply to that is
     /// avoided: its host may be down, and nothing else shows it until the connection times out.
     fn cancel(&mut self, attempt: AttemptIndex) {
--- a/crates/node/src/ingress/mod.rs
+++ b/crates/node/src/ingress/mod.rs
@@ -139,21 +139,26 @@
     }
 
     fn is_stopping(&self) -> bool {
-        self.board.phase() == Phase::Stopping
+        self.board.phase().is_stopping()
     }
 
     /// When a call that arrives now must have ended for its caller to get the response. A node that is about to
     /// stop still takes calls, and the backend server gets the time that there is.
     fn latest_answer(&self) -> Moment {
         match self.board.phase() {
-            Phase::Leaving => *self.board.stop_at.borrow() - CLOSE_TIME,
+            Phase::Leaving => self.exit_deadline(),
             _ => Moment::MAX,
         }
     }
 
+    /// When all calls of a node that stops must have ended, so that their callers get the responses.
+    fn exit_deadline(&self) -> Moment {
+        *self.board.stop_at.borrow() - CLOSE_TIME
+    }
+
     /// Whether the node may exit before the call ends. Its caller does better to call another node at once.
     fn may_outlast_node(&self, routed: &RoutedCall) -> bool {
-        self.is_stopping() && routed.deadline + CLOSE_TIME >= *self.board.stop_at.borrow()
+        self.is_stopping() && routed.deadline >= self.exit_deadline()
     }
 
     fn node_addresses(&self) -> HashSet<SocketAddr> {
--- a/crates/node/src/ingress/reroute.rs
+++ b/crates/node/src/ingress/reroute.rs
@@ -7,6 +7,7 @@
 
 use std::sync::Arc;
 
+use board::Phase;
 use call::CallOutcome;
 use dialect::Rejection;
 use tokio::time::{sleep, timeout};
@@ -40,7 +41,8 @@
     end: &CallEnd,
 ) -> Option<Result<RoutedCall, Rejection>> {
     // A request that reached a server counts against the attempts and the retry budget of its call.
-    if end.delivered || !matches!(end.outcome, CallOutcome::NotRun { .. }) {
+    let is_free = !end.delivered && matches!(end.outcome, CallOutcome::NotRun { .. });
+    if !is_free || ingress.board.phase() == Phase::Exiting {
         return None;
     }
     let refused_at = end.refused_at.unwrap_or(routed.view.revision);
--- a/crates/node/src/lifecycle.rs
+++ b/crates/node/src/lifecycle.rs
@@ -21,7 +21,7 @@
     signal::unix::{Signal, SignalKind, signal},
     sync::watch,
     task::JoinHandle,
-    time::{Instant, sleep, timeout_at},
+    time::{sleep, sleep_until},
 };
 use tonic::{codec::CompressionEncoding, transport::server::TcpIncoming};
 use types::{Boot, Span};
@@ -115,14 +115,13 @@
         () = signals.stop.wait() => {}
         () = reload.watch(&mut signals.hup) => {}
     }
-    let StopTimes { linger, limit } = StopTimes::new(reload.settings(), grace);
-    log::info!(within_ms = limit.as_millis(), linger_ms = linger.as_millis(); "stopping");
-    let stop_at = node.board.clock.now() + limit;
-    node.board.stop_at.send_replace(stop_at);
-    let deadline = node.board.clock.instant(stop_at);
-    node.announce_leaving(linger).await;
+    let times = StopTimes::new(reload.settings(), grace);
+    log::info!(
+        within_ms = times.limit.as_millis(), linger_ms = times.linger.as_millis();
+        "stopping"
+    );
     tokio::select! {
-        stopped = node.shut_down(deadline) => stopped,
+        stopped = node.stop(times) => stopped,
         () = signals.stop.wait_interrupt() => Err(RunError::Interrupted),
     }
     .inspect(|()| log::info!("stopped"))
@@ -231,13 +230,36 @@
     let handler = move || async move {
         match board.phase() {
             Phase::Ready => StatusCode::OK,
-            Phase::Joining | Phase::Leaving | Phase::Stopping => StatusCode::SERVICE_UNAVAILABLE,
+            _ => StatusCode::SERVICE_UNAVAILABLE,
         }
     };
     Router::new().route(&readiness.path, get(handler))
 }
 
 impl Node {
+    /// Stops the node, which exits after `times.limit` even if requests are still in progress.
+    async fn stop(self, times: StopTimes) -> Result<(), RunError> {
+        let started_at = self.board.clock.now();
+        let stop_at = started_at + times.limit;
+        self.board.stop_at.send_replace(stop_at);
+        let deadline = self.board.clock.instant(stop_at);
+        let queue_end = self.board.clock.instant(started_at + times.queue);
+        let board = Arc::clone(&self.board);
+        let stopping = async {
+            self.announce_leaving(times.linger).await;
+            self.shut_down().await;
+        };
+        let exiting = async {
+            sleep_until(queue_end).await;
+            board.phase.send_replace(Phase::Exiting);
+            sleep_until(deadline).await;
+        };
+        tokio::select! {
+            () = stopping => Ok(()),
+            () = exiting => Err(RunError::Interrupted),
+        }
+    }
+
     /// Announces that the node is about to stop, and keeps accepting requests for `duration` so
     /// that callers can move away.
     async fn announce_leaving(&self, duration: Span) {
@@ -247,30 +269,25 @@
         }
     }
 
-    /// Shuts down in an order that interrupts no request, by `deadline` at the latest.
+    /// Shuts down in an order that interrupts no request.
     ///
     /// The gate refuses new attempts and completes those it has. Meanwhile the ingress stays open
     /// for nested calls of the backend server. Afterwards the ingress is closed, then the server
     /// for peers, and finally the admin API.
-    async fn shut_down(self, deadline: Instant) -> Result<(), RunError> {
+    async fn shut_down(self) {
         self.board.phase.send_replace(Phase::Stopping);
-        let shutdown = async {
-            sleep(SHUTDOWN_NOTICE).await;
-            wait_until_idle(&self.gate_actor).await;
-            self.callers.close().await;
-            wait_until_idle(&self.gate_actor).await;
-            self.peers.close().await;
-            let idle = self
-                .gate_actor
-                .ask(gate_actor::Dump)
-                .await
-                .is_ok_and(|dump| dump.idle);
-            assert!(idle, "invariant: a graceful shutdown interrupts no request");
-            self.admin.close().await;
-        };
-        timeout_at(deadline, shutdown)
+        sleep(SHUTDOWN_NOTICE).await;
+        wait_until_idle(&self.gate_actor).await;
+        self.callers.close().await;
+        wait_until_idle(&self.gate_actor).await;
+        self.peers.close().await;
+        let idle = self
+            .gate_actor
+            .ask(gate_actor::Dump)
             .await
-            .map_err(|_| RunError::Interrupted)
+            .is_ok_and(|dump| dump.idle);
+        assert!(idle, "invariant: a graceful shutdown interrupts no request");
+        self.admin.close().await;
     }
 }
 
--- a/crates/node/src/peers/local.rs
+++ b/crates/node/src/peers/local.rs
@@ -1,6 +1,7 @@
 //! Client of the gate in the same process.
 
 use futures::{FutureExt, future::BoxFuture};
+use gate::Query;
 use kameo::actor::ActorRef;
 use tokio::sync::oneshot;
 use types::{AttemptId, Boot};
@@ -58,16 +59,16 @@
         reply
     }
 
-    /// Queries the outcome of an attempt, cancelling it first if `cancel` is set.
+    /// Queries the outcome of an attempt.
     pub(crate) async fn query_attempt(
         &self,
         id: AttemptId,
-        cancel: bool,
+        query: Query,
     ) -> Result<Reply, TransportError> {
         let (reply, outcome) = oneshot::channel();
-        let query = QueryAttempt { id, cancel, reply };
+        let message = QueryAttempt { id, query, reply };
         self.gate_actor
-            .tell(query)
+            .tell(message)
             .await
             .map_err(|_| TransportError::ConnectionLost)?;
         outcome.await.map_err(|_| TransportError::ConnectionLost)
@@ -95,11 +96,15 @@
     }
 
     fn query(&self, id: AttemptId) -> BoxFuture<'_, Result<Reply, TransportError>> {
-        self.query_attempt(id, false).boxed()
+        self.query_attempt(id, Query::Outcome).boxed()
     }
 
     fn cancel(&self, id: AttemptId) -> BoxFuture<'_, Result<Reply, TransportError>> {
-        self.query_attempt(id, true).boxed()
+        self.query_attempt(id, Query::Cancel).boxed()
+    }
+
+    fn withdraw(&self, id: AttemptId) -> BoxFuture<'_, Result<Reply, TransportError>> {
+        self.query_attempt(id, Query::Withdraw).boxed()
     }
 }
 
--- a/crates/node/src/peers/mod.rs
+++ b/crates/node/src/peers/mod.rs
@@ -106,6 +106,10 @@
 
     /// Cancels an attempt that is queued or running, over the existing connection.
     fn cancel(&self, id: AttemptId) -> BoxFuture<'_, Result<Reply, TransportError>>;
+
+    /// Has the gate refuse an attempt that is queued, over the existing connection. The reply to one that runs
+    /// comes at its end.
+    fn withdraw(&self, id: AttemptId) -> BoxFuture<'_, Result<Reply, TransportError>>;
 }
 
 /// A gate and the session of this process with it.
--- a/crates/node/src/peers/remote.rs
+++ b/crates/node/src/peers/remote.rs
@@ -8,6 +8,7 @@
 use std::{error::Error, io, iter, net::SocketAddr, sync::Mutex, time::Duration};
 
 use futures::{FutureExt, future::BoxFuture};
+use gate::Query;
 use tonic::{
     ConnectError, Status,
     transport::{Channel, Endpoint},
@@ -95,13 +96,14 @@
             .channel
             .lock()
             .expect("no thread panics while holding this lock") = channel;
-        self.query_attempt(id, false).await
+        self.query_attempt(id, Query::Outcome).await
     }
 
-    async fn query_attempt(&self, id: AttemptId, cancel: bool) -> Result<Reply, TransportError> {
+    async fn query_attempt(&self, id: AttemptId, query: Query) -> Result<Reply, TransportError> {
         let request = AskRequest {
             attempt: Some(id.into()),
-            cancel,
+            cancel: query == Query::Cancel,
+            withdraw: query == Query::Withdraw,
         };
         let outcome = self
             .client()
@@ -126,7 +128,11 @@
     }
 
     fn cancel(&self, id: AttemptId) -> BoxFuture<'_, Result<Reply, TransportError>> {
-        self.query_attempt(id, true).boxed()
+        self.query_attempt(id, Query::Cancel).boxed()
+    }
+
+    fn withdraw(&self, id: AttemptId) -> BoxFuture<'_, Result<Reply, TransportError>> {
+        self.query_attempt(id, Query::Withdraw).boxed()
     }
 }
 
--- a/crates/node/src/peers/server.rs
+++ b/crates/node/src/peers/server.rs
@@ -4,6 +4,7 @@
 
 use board::{Board, Phase};
 use fleet::Digests;
+use gate::Query;
 use kameo::actor::ActorRef;
 use note::Digest;
 use tonic::{Request, Response, Status};
@@ -92,7 +93,12 @@
         let Some(id) = request.attempt else {
             return Err(Status::invalid_argument("the question names no attempt"));
         };
-        Self::respond(self.gate.query_attempt(id.into(), request.cancel).await)
+        let query = match (request.cancel, request.withdraw) {
+            (true, _) => Query::Cancel,
+            (false, true) => Query::Withdraw,
+            (false, false) => Query::Outcome,
+        };
+        Self::respond(self.gate.query_attempt(id.into(), query).await)
     }
 
     async fn compare(&self, request: Request<View>) -> Result<Response<View>, Status> {
--- a/crates/node/src/peers/tests.rs
+++ b/crates/node/src/peers/tests.rs
@@ -55,6 +55,10 @@
         }
     }
 
+    fn withdraw(&self, id: AttemptId) -> BoxFuture<'_, Result<Reply, TransportError>> {
+        self.cancel(id)
+    }
+
     fn query(&self, _: AttemptId) -> BoxFuture<'_, Result<Reply, TransportError>> {
         async { Err(TransportError::ConnectionLost) }.boxed()
     }
--- a/crates/node/src/stop.rs
+++ b/crates/node/src/stop.rs
@@ -8,8 +8,9 @@
 
 /// Allowed range of a grace period.
 const GRACE_RANGE: (Span, Span) = (Span::from_millis(100), Span::from_millis(600_000));
-/// Share of the grace period in which a node that has reached its stop limit exits. Half of the last sixth, in
-/// which the platform doesn't expect requests to be completed.
+/// Share of the grace period in which a node that has reached its stop limit exits: half of the last sixth, in
+/// which the platform doesn't expect requests to be completed. In the same share of the time before, queued
+/// requests are refused and their callers answered.
 const EXIT_SHARE: f64 = 1.0 / 12.0;
 /// Longest time that is left for the exit: some scheduling delays of a busy host.
 const MAX_EXIT_TIME: Span = Span::from_millis(500);
@@ -81,16 +82,23 @@
 impl Grace {
     /// Time from the signal until the node exits, whether or not its requests are completed.
     fn stop_limit(self) -> Span {
-        let exit = self.0.scale(EXIT_SHARE).min(MAX_EXIT_TIME);
-        Span(self.0.0 - exit.0)
+        before_exit(self.0)
     }
 }
 
+/// The part of a time to stop before its last twelfth.
+fn before_exit(time: Span) -> Span {
+    let exit = time.scale(EXIT_SHARE).min(MAX_EXIT_TIME);
+    Span(time.0 - exit.0)
+}
+
 /// Times of a graceful shutdown, each counted from the signal.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
 pub struct StopTimes {
     /// For how long the node still accepts requests.
     pub linger: Span,
+    /// When it refuses the requests that are still queued.
+    pub queue: Span,
     /// When it exits, whether or not its requests are completed.
     pub limit: Span,
 }
@@ -99,15 +107,15 @@
     /// The times of the settings. A grace period takes the place of `stop_ms`, and shortens `linger_ms` if it is
     /// short itself.
     pub fn new(settings: &Settings, grace: Option<Grace>) -> Self {
-        match grace.map(Grace::stop_limit) {
-            Some(limit) => Self {
-                linger: settings.linger().min(limit.scale(MAX_LINGER_SHARE)),
-                limit,
-            },
-            None => Self {
-                linger: settings.linger(),
-                limit: settings.stop_timeout(),
-            },
+        let (linger, limit) = match grace.map(Grace::stop_limit) {
+            Some(limit) => (settings.linger().min(limit.scale(MAX_LINGER_SHARE)), limit),
+            None => (settings.linger(), settings.stop_timeout()),
+        };
+        let queue = before_exit(limit);
+        Self {
+            linger,
+            queue,
+            limit,
         }
     }
 }
--- a/crates/node/tests/stop.rs
+++ b/crates/node/tests/stop.rs
@@ -16,10 +16,14 @@
     settings::parse(&text.to_string()).expect("valid settings")
 }
 
+fn stop_times(grace: Option<&str>) -> StopTimes {
+    let grace = grace.map(|text| text.parse().expect("a valid grace period"));
+    StopTimes::new(&settings(), grace)
+}
+
 /// Linger time and stop limit in milliseconds.
 fn times(grace: Option<&str>) -> (u64, u64) {
-    let grace = grace.map(|text| text.parse().expect("a valid grace period"));
-    let StopTimes { linger, limit } = StopTimes::new(&settings(), grace);
+    let StopTimes { linger, limit, .. } = stop_times(grace);
     (linger.as_millis(), limit.as_millis())
 }
 
@@ -41,6 +45,24 @@
     }
 }
 
+/// Before the last sixth, a server may be at work on a request that is queued now.
+#[test]
+fn queued_requests_are_refused_in_the_last_sixth_of_the_grace_period() {
+    for (text, ms) in [
+        ("100ms", 100),
+        ("1500ms", 1_500),
+        ("6s", 6_000),
+        ("60s", 60_000),
+    ] {
+        let StopTimes { queue, limit, .. } = stop_times(Some(text));
+        assert!(
+            queue >= Span::from_millis(ms).scale(5.0 / 6.0),
+            "{text}: {queue:?}"
+        );
+        assert!(queue < limit, "{text}: {queue:?} {limit:?}");
+    }
+}
+
 #[test]
 fn the_settings_hold_without_a_grace_period() {
     assert_eq!(times(None), (2_300, 9_000));
--- a/crates/rig/src/emulator/mod.rs
+++ b/crates/rig/src/emulator/mod.rs
@@ -19,7 +19,7 @@
     Action as CallAction, AttemptIndex, Call, CallOutcome, CallRequest, Selection, ServerSelector,
     TokenBucket,
 };
-use gate::{Action, Completion, Offer, Rank};
+use gate::{Action, Completion, Offer, Query, Rank};
 use rand::{RngExt, SeedableRng, rngs::SmallRng};
 use route::{Balancer, LoadReport};
 use types::{Answer, AttemptId, Moment, Outcome, Seq, ServerId, Span};
@@ -207,11 +207,11 @@
                 } => self.send(index, attempt, &server, fail_fast),
                 CallAction::Cancel(attempt) => {
                     let (host, id) = self.callers[index].attempts[attempt];
-                    let actions = self.hosts[host].gate.query(id, true, self.now);
+                    let actions = self.hosts[host].gate.query(id, Query::Cancel, self.now);
                     self.carry_out(host, actions);
                 }
                 CallAction::Finish(outcome) => self.finish(index, &outcome),
-                CallAction::Settle(_) | CallAction::Query(_) => {}
+                CallAction::Settle(_) | CallAction::Query(_) | CallAction::Withdraw(_) => {}
             }
         }
     }
--- a/crates/rig/src/site/journal.rs
+++ b/crates/rig/src/site/journal.rs
@@ -26,6 +26,8 @@
     pub misdirected: bool,
     /// Status of the whole answer that the server made.
     pub answered: Option<u16>,
+    /// When the server stopped working on it: it had the answer, or its connection was closed.
+    pub ended: Option<Instant>,
 }
 
 /// What has reached all servers, in order. Clones share it.
--- a/crates/rig/src/site/mod.rs
+++ b/crates/rig/src/site/mod.rs
@@ -8,6 +8,7 @@
 //! - [`cluster`]: store, backend servers and node processes of one small deployment;
 //! - [`caller`]: callers that keep their connections;
 //! - [`soak`]: changes and faults from a seed, judged by the users' rules;
+//! - [`stop`]: the users' rule for requests around a planned stop;
 //! - [`http1`]: messages as they are on the wire.
 //!
 //! Apart from `platform/` and `deploy/`, only this module knows names of the users' platform.
@@ -19,5 +20,6 @@
 pub mod journal;
 pub mod server;
 pub mod soak;
+pub mod stop;
 pub mod store;
 pub mod template;
--- a/crates/rig/src/site/server.rs
+++ b/crates/rig/src/site/server.rs
@@ -337,6 +337,7 @@
             run_at: None,
             misdirected,
             answered: None,
+            ended: None,
         });
         let headers = self.headers(life, id);
         let answered = |status: &str| {
@@ -366,6 +367,7 @@
             () = sleep(end.min(deadline).saturating_duration_since(Instant::now())) => false,
             () = wait_closed(reader) => true,
         };
+        self.journal.arrivals()[number].ended = Some(Instant::now());
         match () {
             () if is_closed => Reply::Reset,
             () if end > deadline => {
--- a/crates/rig/src/site/soak/tests.rs
+++ b/crates/rig/src/site/soak/tests.rs
@@ -89,6 +89,7 @@
             run_at: Some(self.at(millis)),
             misdirected: false,
             answered,
+            ended: Some(self.at(millis)),
         });
     }
 
