soak: count the ends under a deadly request by who sent it

The rule counts requests sent by machines in touch, and node 1 isn't. At most three ends are allowed for all nodes in touch together, as before, and for each node that a fault cuts off or ends by itself; it knows only its own.

--- a/crates/rig/src/server.rs
+++ b/crates/rig/src/server.rs
@@ -29,6 +29,15 @@
 
 /// Time for which all requests fail after a breach while cold.
 const FAILURE_DURATION: Duration = Duration::from_millis(500);
+/// End of a server by a deadly request.
+#[derive(Debug, Clone)]
+pub struct PathEnd {
+    /// When it ended.
+    pub at: Instant,
+    /// Id of the request.
+    pub request: String,
+}
+
 /// Header of requests that aren't deadly although their path is that of a deadly one.
 pub const HARMLESS: &str = "x-harmless";
 /// Time for which a server that a deadly request has ended accepts no connection.
@@ -137,7 +146,7 @@
     limit_named: Option<Instant>,
     leaving_said: Option<Instant>,
     /// Ends of the server by the path of the request, in order.
-    path_ends: HashMap<String, Vec<Instant>>,
+    path_ends: HashMap<String, Vec<PathEnd>>,
     counts: Counts,
 }
 
@@ -221,7 +230,10 @@
         if ends {
             inner.counts.ends += 1;
             let ends = inner.path_ends.entry(path.to_owned()).or_default();
-            ends.push(Instant::now());
+            ends.push(PathEnd {
+                at: Instant::now(),
+                request: header(headers, "x-request-id").to_owned(),
+            });
             drop(inner);
             self.set_listening(false);
             self.restart();
@@ -260,8 +272,8 @@
         self.inner().leaving_said
     }
 
-    /// When a request with this path has ended the server.
-    pub fn ends_by(&self, path: &str) -> Vec<Instant> {
+    /// Ends of the server by requests with this path.
+    pub fn ends_by(&self, path: &str) -> Vec<PathEnd> {
         let inner = self.inner();
         inner.path_ends.get(path).cloned().unwrap_or_default()
     }
--- a/crates/rig/src/soak/schedule.rs
+++ b/crates/rig/src/soak/schedule.rs
@@ -104,6 +104,18 @@
         }
     }
 
+    /// Node whose process the fault ends or pauses, or whose connections with others it breaks or delays.
+    pub(crate) fn disturbed_node(&self) -> Option<usize> {
+        match self.kind {
+            FaultKind::DropInbound(node)
+            | FaultKind::DropOutbound(node)
+            | FaultKind::CloseNew(node)
+            | FaultKind::StallOpen(node)
+            | FaultKind::Delay(node, _) => Some(node),
+            _ => self.node_process(),
+        }
+    }
+
     /// Whether both faults affect the same thing at overlapping times, so that only one can be scheduled.
     fn conflicts_with(&self, other: &Self) -> bool {
         let same = match (self.kind, other.kind) {
