--- a/crates/node/src/backend/tests.rs
+++ b/crates/node/src/backend/tests.rs
@@ -26,9 +26,9 @@
 
 use types::Header;
 
-use self::polls::{Watched, thread_time};
 use super::{Backend, HttpBackend, ServerRequest, Target};
 use crate::body_budget::BodyBudget;
+use polls::{Watched, thread_time};
 
 /// Answers the requests of each connection in turn with the texts in `answers`, each given 20 ms
 /// after its request. An empty text is no answer.
--- a/crates/rig/tests/site_soak.rs
+++ b/crates/rig/tests/site_soak.rs
@@ -63,3 +63,16 @@
     })
     .await
 }
+
+/// Nodes that stop get SIGTERM and SIGHUP again. They cut requests that servers were working on.
+#[tokio::test(flavor = "multi_thread", worker_threads = 2)]
+async fn planned_stops_with_further_signals_cut_no_request() -> io::Result<()> {
+    run_soak(Options {
+        seed: 500,
+        plan: Plan::Drawn(Duration::from_secs(24)),
+        odd: true,
+        nodes: NODES,
+        net: (94, 4),
+    })
+    .await
+}
