--- a/crates/rig/tests/planned_stop.rs
+++ b/crates/rig/tests/planned_stop.rs
@@ -97,17 +97,38 @@
     exit.expect("the process ends in its grace period")
 }
 
+/// A request in the queue of the gate of node 1, and the one that it waits for, both sent through node 0.
+struct Queued {
+    id: String,
+    running: JoinHandle<Answer>,
+    waiting: JoinHandle<Answer>,
+}
+
+/// Sends a request that takes longer than a grace period, and then one that has to wait for it.
+async fn queue_behind(site: &Site) -> Queued {
+    let running = send(site, 0, post("right", 8_000));
+    sleep(SETTLED).await;
+    let queued = post("right", 50);
+    let id = queued.id.clone();
+    let waiting = send(site, 0, queued);
+    sleep(SETTLED).await;
+    Queued {
+        id,
+        running,
+        waiting,
+    }
+}
+
 /// The request was in progress when SIGTERM came, and was cut at the exit though no server had run it.
 #[tokio::test(flavor = "multi_thread", worker_threads = 2)]
 async fn a_request_still_queued_at_the_end_of_a_planned_stop_is_told_as_not_run() -> io::Result<()>
 {
     let mut site = start("stop-queued", (96, 0), 2, 1).await?;
-    let running = send(&site, 0, post("right", 8_000));
-    sleep(SETTLED).await;
-    let queued = post("right", 50);
-    let id = queued.id.clone();
-    let waiting = send(&site, 0, queued);
-    sleep(SETTLED).await;
+    let Queued {
+        id,
+        running,
+        waiting,
+    } = queue_behind(&site).await;
     let stopped = Instant::now();
     site.nodes[0].signal("TERM").await;
     assert_eq!(waiting.await?, NOT_RUN);
@@ -125,12 +146,11 @@
 async fn a_request_queued_at_the_gate_of_a_stopping_node_is_answered_as_not_run() -> io::Result<()>
 {
     let mut site = start("stop-gate", (96, 1), 2, 1).await?;
-    let running = send(&site, 0, post("right", 8_000));
-    sleep(SETTLED).await;
-    let queued = post("right", 50);
-    let id = queued.id.clone();
-    let waiting = send(&site, 0, queued);
-    sleep(SETTLED).await;
+    let Queued {
+        id,
+        running,
+        waiting,
+    } = queue_behind(&site).await;
     let stopped = Instant::now();
     site.nodes[1].signal("TERM").await;
     assert_eq!(waiting.await?, NOT_RUN);
