gate: a node that is about to stop starts nothing that its exit may cut

What callers saw: of two nodes that were stopped within a second of each other, one told a POST as unknown (502) 4.5 s after its SIGTERM while a server was at work on it (LOST: an answer of the node's own in its place).

Cause: the other node's gate ran it and exited. For the time in which a stopping node still takes work its gate didn't know of the exit, and took and started requests of other nodes whatever their deadline; and queued ones were judged by their usual service time, though one route may take 5 ms and 5 s.

Change: the gate knows from SIGTERM on when the process exits. A request that waits beyond that and could still run there at four times its usual service time, that of slow periods, is refused as not run and goes to another server. One whose deadline comes first is taken as before.

One older test of the gate expects the same three outcomes with the exit at 6.5 service times in place of 3.5: what it called possible to complete wasn't, if the server turns slow.

--- a/crates/gate/src/core/admission.rs
+++ b/crates/gate/src/core/admission.rs
@@ -15,6 +15,8 @@
 const OVERLOAD_PERIOD: Span = Span::from_millis(75);
 /// Time after which a slow period of the backend server has likely ended.
 const SLOW_PERIOD: Span = Span::from_millis(150);
+/// Longest service time in a slow period, as a multiple of the usual one.
+const MAX_SLOWDOWN: f64 = 4.0;
 /// Late requests that may wait at an overloaded gate, as a share of the slots.
 const LATE_SHARE: f64 = 0.25;
 
@@ -149,8 +151,16 @@
         actions
     }
 
-    /// Refuses the requests that can no longer meet their deadline since others start before them, or can't be
-    /// completed before the process exits.
+    /// Whether a request that starts at `start` may still run when the process exits: the backend server
+    /// may turn slow meanwhile.
+    pub(super) fn may_be_cut(&self, queued: &Queued, start: Moment) -> bool {
+        let end = start + queued.rank.service_time.scale(MAX_SLOWDOWN);
+        let is_cut = |exit_at| queued.deadline > exit_at && end > exit_at;
+        self.exit_at.is_some_and(is_cut)
+    }
+
+    /// Refuses the requests that can no longer meet their deadline since others start before them, or that the
+    /// exit of the process may cut.
     pub(super) fn refuse_displaced(&mut self, now: Moment) -> Vec<Action> {
         let (mut ahead, mut work) = (0, Span::default());
         let mut actions = Vec::new();
@@ -160,7 +170,7 @@
             if end > queued.deadline {
                 self.queue.remove(queued.id);
                 actions.extend(self.refuse_for_capacity(queued.id, false, now));
-            } else if self.stop_at.is_some_and(|stop_at| end > stop_at) {
+            } else if self.may_be_cut(&queued, start) {
                 self.queue.remove(queued.id);
                 actions.extend(self.refuse(queued.id, Refusal::Stopping, Span::default()));
             } else {
--- a/crates/gate/src/core/mod.rs
+++ b/crates/gate/src/core/mod.rs
@@ -62,8 +62,10 @@
     cancelling: Vec<Moment>,
     /// Whether the backend server may get new work, as last passed to [`set_open`](Self::set_open).
     open: bool,
-    /// When the process exits, whether or not its attempts are completed, if it is stopping.
-    stop_at: Option<Moment>,
+    /// When the process exits, whether or not its attempts are completed, if that is known.
+    exit_at: Option<Moment>,
+    /// Whether all new attempts are refused, since the process is stopping.
+    stopping: bool,
     /// Time until which the node's view is valid.
     lease_end: Moment,
     /// Incarnation that the backend server last named.
@@ -100,7 +102,8 @@
             running: BTreeMap::new(),
             cancelling: Vec::new(),
             open: false,
-            stop_at: None,
+            exit_at: None,
+            stopping: false,
             lease_end: Moment(0),
             server_boot: None,
             listed_at: Moment(0),
@@ -152,13 +155,20 @@
         now < self.replaced_until
     }
 
-    /// Begins a graceful shutdown: refuses new attempts, and the queued ones that can't be completed by
-    /// `stop_at`, when the process exits.
-    pub fn stop(&mut self, stop_at: Moment, now: Moment) -> Vec<Action> {
-        self.stop_at = Some(stop_at);
+    /// Announces that the process exits at `exit_at`. From now on, attempts that the exit may cut are
+    /// refused, new and queued ones.
+    pub fn announce_exit(&mut self, exit_at: Moment, now: Moment) -> Vec<Action> {
+        self.exit_at = Some(exit_at);
         self.refuse_displaced(now)
     }
 
+    /// Begins a graceful shutdown: refuses all new attempts, and the queued ones that the exit of the
+    /// process at `exit_at` may cut.
+    pub fn stop(&mut self, exit_at: Moment, now: Moment) -> Vec<Action> {
+        self.stopping = true;
+        self.announce_exit(exit_at, now)
+    }
+
     /// Refuses the queued attempts of a gate whose process is about to exit, so that their ingresses learn that
     /// they never run.
     pub fn drain_queue(&mut self) -> Vec<Action> {
@@ -370,6 +380,9 @@
         }
         match self.closed_reason(offer.deadline, now) {
             Some(refusal) => self.refuse(offer.id, refusal, self.queue_wait(now)),
+            None if self.may_be_cut(&self.queued(&offer), now) => {
+                self.refuse(offer.id, Refusal::Stopping, Span::default())
+            }
             None if offer.fail_fast && self.breaker.refuses(now) => {
                 self.refuse(offer.id, Refusal::Failing, Span::default())
             }
@@ -384,7 +397,7 @@
     fn closed_reason(&self, deadline: Moment, now: Moment) -> Option<Refusal> {
         match () {
             () if self.is_replaced(now) => Some(Refusal::Misplaced),
-            () if self.stop_at.is_some() => Some(Refusal::Stopping),
+            () if self.stopping => Some(Refusal::Stopping),
             () if !self.open => Some(Refusal::Leaving),
             () if now > self.lease_end => Some(Refusal::Stale),
             () if now >= deadline => Some(Refusal::Late),
--- a/crates/gate/tests/stopping.rs
+++ b/crates/gate/tests/stopping.rs
@@ -41,10 +41,49 @@
 #[test]
 fn a_stopping_gate_refuses_at_once_what_it_cannot_complete() {
     let (mut gate, ids) = gate_with_queue(3);
-    // The running one and two of the queued ones can be completed.
-    let actions = gate.stop(START + SERVICE_TIME.scale(3.5), START);
+    // The running one and two of the queued ones can be completed, the last of them also if it takes four times
+    // as long as usual.
+    let exit_at = START + SERVICE_TIME.scale(6.5);
+    let actions = gate.stop(exit_at, START);
     assert_eq!(actions, [refused(ids[2], Refusal::Stopping)]);
-    assert_eq!(gate.stop(START + SERVICE_TIME.scale(3.5), START), []);
+    assert_eq!(gate.stop(exit_at, START), []);
+}
+
+/// A gate took requests until its process stopped, started them later than it had expected, and cut them at
+/// the exit. They ended as unknown, also those that must not be repeated.
+#[test]
+fn a_gate_that_is_about_to_stop_starts_nothing_that_its_exit_may_cut() {
+    let (mut gate, ids) = gate_with_queue(1);
+    let exit_at = START + SERVICE_TIME.scale(3.5);
+    assert_eq!(
+        gate.announce_exit(exit_at, START),
+        [refused(ids[0], Refusal::Stopping)]
+    );
+    let offer = |seq, deadline| gate::Offer {
+        id: AttemptId {
+            seq: types::Seq(seq),
+            ..ids[0]
+        },
+        floor: types::Seq(1),
+        deadline,
+        fail_fast: false,
+        refusal: None,
+        rank: Rank {
+            service_time: SERVICE_TIME,
+            ..Rank::default()
+        },
+    };
+    let patient = offer(10, exit_at + SERVICE_TIME);
+    assert_eq!(
+        gate.offer(patient, START),
+        [refused(patient.id, Refusal::Stopping)]
+    );
+    let urgent = offer(11, exit_at - SERVICE_TIME);
+    assert_eq!(
+        gate.offer(urgent, START),
+        [],
+        "ends before the exit, by its deadline"
+    );
 }
 
 /// The process of the gate ended with requests in its queue, which their ingresses took for run.
--- a/crates/node/src/gate_actor/mod.rs
+++ b/crates/node/src/gate_actor/mod.rs
@@ -280,8 +280,11 @@
     let open =
         server.is_some_and(|id| board.accepts_requests(id)) && board.phase() != Phase::Joining;
     let mut actions = gate.set_open(open);
-    if board.phase().is_stopping() {
-        actions.extend(gate.stop(*board.stop_at.borrow(), board.clock.now()));
+    let (exit_at, now) = (*board.stop_at.borrow(), board.clock.now());
+    match board.phase() {
+        Phase::Joining | Phase::Ready => {}
+        Phase::Leaving => actions.extend(gate.announce_exit(exit_at, now)),
+        Phase::Stopping | Phase::Exiting => actions.extend(gate.stop(exit_at, now)),
     }
     if board.phase() == Phase::Exiting {
         actions.extend(gate.drain_queue());
--- a/crates/rig/tests/planned_stop.rs
+++ b/crates/rig/tests/planned_stop.rs
@@ -203,6 +203,30 @@
     Ok(())
 }
 
+/// A node that was about to stop still started requests of other nodes that took longer than it had, and cut
+/// them at its exit. Their callers were told that nobody knows whether they ran.
+#[tokio::test(flavor = "multi_thread", worker_threads = 2)]
+async fn a_request_from_another_node_is_not_started_where_the_exit_may_cut_it() -> io::Result<()> {
+    let mut site = start("stop-other", (96, 6), 4, 1).await?;
+    // The gates learn that requests take a second and a half.
+    for request in [(); 4].map(|()| send(&site, 0, post("right", 1_500))) {
+        assert_eq!(request.await?, Answer::Served("right".to_owned()));
+    }
+    let stopped = Instant::now();
+    site.nodes[2].signal("TERM").await;
+    sleep(SETTLED).await;
+    let requests: Vec<_> = (0..2)
+        .map(|_| send(&site, 0, post("right", 6_500)))
+        .collect();
+    for request in requests {
+        let answer = request.await?;
+        let is_told = answer == Answer::Served("right".to_owned()) || answer == NOT_RUN;
+        assert!(is_told, "{answer:?}");
+    }
+    assert_eq!(wait_stopped(&mut site, 2, stopped).await, Some(0));
+    Ok(())
+}
+
 /// Callers of a node that keep sending on open connections, and on new ones, until the process is gone.
 struct Callers {
     tasks: JoinSet<()>,
