cli: check a configuration before it is sent

Operators learned only from the nodes' logs that a version was refused, and not at all that a route could never match.

'amaranthyoke check' reads a configuration with the code that nodes use and lists the faults for which they refuse it, entries that can never match (hosts with a port, paths with a query, weights of zero, services that no route leads to or without servers, teams without keys), limits that contradict each other or the fleet (objective after the timeout, attempts beyond servers, bursts beyond all slots), and what differs from a file or from the view of a node. Hashes of keys aren't shown. Exit code 1 if nodes refuse it or something is doubtful.

Against a running node it was tried only with one that doesn't answer.

--- a/crates/cli/src/error.rs
+++ b/crates/cli/src/error.rs
@@ -21,6 +21,13 @@
         /// Underlying error.
         cause: reqwest::Error,
     },
+    /// The configuration to compare with isn't valid.
+    Refused {
+        /// File of the configuration.
+        path: PathBuf,
+        /// Number of its faults.
+        faults: usize,
+    },
     /// No log line belongs to the call.
     NoLines {
         /// Identifier of the call.
@@ -35,6 +42,13 @@
         match self {
             Self::File { path, .. } => write!(f, "failed to read {}", path.display()),
             Self::Admin { address, .. } => write!(f, "failed to query the admin API at {address}"),
+            Self::Refused { path, faults } => {
+                write!(
+                    f,
+                    "{} is not valid itself, it has {faults} faults",
+                    path.display()
+                )
+            }
             Self::NoLines { call } => write!(f, "no log line found for call {call}"),
             Self::Runtime(_) => f.write_str("failed to start the async runtime"),
         }
@@ -46,7 +60,7 @@
         match self {
             Self::File { cause, .. } | Self::Runtime(cause) => Some(cause),
             Self::Admin { cause, .. } => Some(cause),
-            Self::NoLines { .. } => None,
+            Self::Refused { .. } | Self::NoLines { .. } => None,
         }
     }
 }
--- a/crates/cli/src/main.rs
+++ b/crates/cli/src/main.rs
@@ -3,7 +3,7 @@
 use std::{error::Error, net::SocketAddr, path::PathBuf, process::ExitCode};
 
 use bpaf::Bpaf;
-use cli::{AdminClient, ToolError, explain, nodes, notes};
+use cli::{AdminClient, ToolError, config, config::Baseline, explain, nodes, notes};
 use serde::Serialize;
 use types::{CallId, Fingerprint};
 
@@ -25,6 +25,20 @@
     /// Release notes
     #[bpaf(command)]
     Note(#[bpaf(external(note_command))] NoteCommand),
+    /// Check a configuration before it is sent: faults, entries that can never match, limits that contradict each
+    /// other, and what differs from the one in force. Exit code 1 if nodes refuse it or something is doubtful
+    #[bpaf(command)]
+    Check {
+        /// File with the configuration in force
+        #[bpaf(argument("FILE"), optional)]
+        against: Option<PathBuf>,
+        /// Admin address of a node that has the configuration in force, and the servers
+        #[bpaf(argument("ADMIN"), optional)]
+        live: Option<SocketAddr>,
+        /// File with the configuration, as the platform stores it
+        #[bpaf(positional("FILE"))]
+        file: PathBuf,
+    },
     /// Show the revision that each node has in force, and which nodes lag behind
     #[bpaf(command)]
     Status {
@@ -106,6 +120,19 @@
             print(json, &view, || notes::render_view(&view));
             Ok(true)
         }
+        Command::Check {
+            against,
+            live,
+            file,
+        } => {
+            let baseline = Baseline {
+                file: against,
+                admin: live,
+            };
+            let report = config::check(&file, &baseline).await?;
+            print(json, &report, || config::render(&report));
+            Ok(report.is_clean())
+        }
         Command::Status { admins } => {
             let statuses = nodes::status(&admins).await;
             print(json, &statuses, || nodes::render(&statuses));
--- a/crates/note/src/lib.rs
+++ b/crates/note/src/lib.rs
@@ -16,6 +16,8 @@
 
 mod check;
 mod config_check;
+mod diff;
+mod lint;
 mod parse;
 mod registry;
 mod state;
@@ -24,6 +26,8 @@
 
 pub use check::{Fault, Problem, check};
 pub use config_check::check_config;
+pub use diff::{Change, Difference, diff};
+pub use lint::{Doubt, Finding, lint};
 pub use parse::{Batch, Note, NoteError, Withdrawal, parse};
 pub use registry::{ListedServer, Listing, OperatorConfig};
 pub use state::{
