teams: keys, their headers, and a lease that proves them

Where a view has teams, callers send a key and the ingress replaces it by the team's name; keys that are unknown, missing, repeated or malformed are rejected with 401. Nodes hold hashes of keys only. With the setting key_lease_ms, keys are served only while the configuration is known to have been current within that time: by a read of this node, counted from when it was sent, or by the answer of a peer to a comparison, counted back from the question.

A read of changes proves what was in force a second before, as the registry's watch may report nothing for that long; so a node reads for itself at half of the lease, not at a third.

--- a/crates/board/src/lib.rs
+++ b/crates/board/src/lib.rs
@@ -7,6 +7,7 @@
 //! |---|---|---|
 //! | `view` | `ViewSync` | `GateActor`, ingress, peer server, admin API |
 //! | `lease` | `ViewSync` | `GateActor`, admin API |
+//! | `keys` | `ViewSync` | ingress, peer server, admin API |
 //! | `hosts` | `ViewSync` | `GateActor`, ingress |
 //! | `leaving` | any, through [`Board::mark_leaving`] | `GateActor`, ingress, `ViewSync` |
 //! | `quarantine` | any, by merging | `GateActor`, ingress, `ViewSync` |
@@ -17,7 +18,7 @@
 
 use std::{net::SocketAddr, sync::Arc};
 
-use fleet::{Lease, LeavingServers, Quarantine};
+use fleet::{KeyLease, Lease, LeavingServers, Quarantine};
 use note::{Server, State, View};
 use platform::{HostList, HostStatus};
 use serde::Serialize;
@@ -78,6 +79,8 @@
     pub checked: watch::Sender<Stamp>,
     /// Lease on the view: the time until which the view may be used without confirmation.
     pub lease: watch::Sender<Lease>,
+    /// Lease on the teams' keys, `None` if they are served while the view is. It is written after `view`.
+    pub keys: watch::Sender<Option<KeyLease>>,
     /// The platform's list of hosts and their status.
     pub hosts: watch::Sender<Arc<HostList>>,
     /// Backend servers that have said in a response that they are leaving.
@@ -99,6 +102,7 @@
             view: watch::Sender::default(),
             checked: watch::Sender::default(),
             lease: watch::Sender::default(),
+            keys: watch::Sender::default(),
             hosts: watch::Sender::default(),
             leaving: watch::Sender::default(),
             quarantine: watch::Sender::default(),
--- a/crates/dialect/src/lib.rs
+++ b/crates/dialect/src/lib.rs
@@ -265,6 +265,15 @@
     }
 }
 
+/// The only value of the header `name`, `None` if there is none or several.
+pub fn single_header<'a>(headers: &'a HeaderMap, name: &str) -> Option<&'a [u8]> {
+    let mut values = headers.get_all(name).iter();
+    match (values.next(), values.next()) {
+        (Some(value), None) => Some(value.as_bytes()),
+        _ => None,
+    }
+}
+
 /// Conventions for the headers and statuses that carry call metadata.
 pub trait Dialect: fmt::Debug + Send + Sync {
     /// Identifier of the call from its request or response headers, if present and valid.
@@ -280,6 +289,17 @@
     /// Whether the node sets this header itself, so that the caller's value is dropped.
     fn overrides(&self, name: &HeaderName) -> bool;
 
+    /// The caller's key, `None` if it is missing, malformed or sent more than once.
+    fn key<'a>(&self, headers: &'a HeaderMap) -> Option<&'a [u8]>;
+
+    /// Name of the header with the caller's key, in lower case. No backend server gets it where teams are
+    /// configured.
+    fn key_header(&self) -> &'static str;
+
+    /// Name of the header that tells backend servers the caller's team, in lower case. One that a caller sent is
+    /// always dropped, see [`overrides`](Self::overrides).
+    fn team_header(&self) -> &'static str;
+
     /// Sets the headers of a request to a backend server.
     fn write_request(&self, attempt: &AttemptMetadata<'_>, headers: &mut HeaderMap);
 
--- a/crates/dialect/src/native.rs
+++ b/crates/dialect/src/native.rs
@@ -7,7 +7,7 @@
 
 use crate::{
     AttemptMetadata, CallFailure, Dialect, ErrorResponse, InvalidHeader, RequestMetadata,
-    ResponseMetadata, parse_limit,
+    ResponseMetadata, parse_limit, single_header,
 };
 
 const REQUEST_ID: &str = "x-request-id";
@@ -15,6 +15,10 @@
 const DEPTH: &str = "x-depth";
 const RETRY: &str = "x-repeat";
 const OUTCOME: &str = "x-outcome";
+/// Key of the caller's team.
+const KEY: &str = "x-team-key";
+/// The caller's team, for backend servers.
+const TEAM: &str = "x-team";
 const BOOT: &str = "x-boot";
 /// Requests a second that the backend server accepts, a decimal number.
 const LIMIT: &str = "x-limit";
@@ -54,7 +58,19 @@
     }
 
     fn overrides(&self, name: &HeaderName) -> bool {
-        [REQUEST_ID, DEADLINE, DEPTH, RETRY, "host"].contains(&name.as_str())
+        [REQUEST_ID, DEADLINE, DEPTH, RETRY, TEAM, "host"].contains(&name.as_str())
+    }
+
+    fn key<'a>(&self, headers: &'a HeaderMap) -> Option<&'a [u8]> {
+        single_header(headers, KEY).filter(|key| !key.is_empty())
+    }
+
+    fn key_header(&self) -> &'static str {
+        KEY
+    }
+
+    fn team_header(&self) -> &'static str {
+        TEAM
     }
 
     fn write_request(&self, attempt: &AttemptMetadata<'_>, headers: &mut HeaderMap) {
--- a/crates/fleet/src/lease.rs
+++ b/crates/fleet/src/lease.rs
@@ -1,4 +1,4 @@
-//! Lease that limits how long a view may be used without confirmation.
+//! Leases that limit how long a view, and the teams' keys in it, may be used without confirmation.
 
 use types::{Moment, Span};
 
@@ -30,4 +30,95 @@
     pub fn until(&self) -> Moment {
         self.until
     }
+
+    /// When the last confirmation was requested, [`Moment`] zero if there was none.
+    fn confirmed(&self) -> Moment {
+        self.until - self.term
+    }
+}
+
+/// Proof that a version of the configuration was the newest one at some time, as one node tells it to another.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub struct ConfigProof {
+    /// The version, or the revision of a history of notes.
+    pub version: u64,
+    /// Time that has passed since then.
+    pub age: Span,
+}
+
+/// A lease on the teams' keys, renewed whenever the configuration is known to have been current.
+///
+/// Operators may withdraw a key at any time, so a node that can't prove that its configuration was current
+/// within the term serves none. The proof is a moment of this node's own clock, which runs on while the host is
+/// suspended.
+#[derive(Debug, Clone, Copy)]
+pub struct KeyLease {
+    lease: Lease,
+    /// Version that the node has in force.
+    version: u64,
+}
+
+impl KeyLease {
+    /// Creates an expired lease. Each proof renews it for `term`, less a fiftieth for clocks that don't run equally
+    /// fast.
+    pub fn new(term: Span) -> Self {
+        Self {
+            lease: Lease::new(term.scale(0.98)),
+            version: 0,
+        }
+    }
+
+    /// Takes note of the version in force. Versions only increase, so a proof that an earlier one was the newest
+    /// holds for it too.
+    pub fn set_version(&mut self, version: u64) {
+        self.version = self.version.max(version);
+    }
+
+    /// Records that the version in force was the newest one at `read_at`.
+    pub fn confirm(&mut self, read_at: Moment) {
+        self.lease.renew(read_at);
+    }
+
+    /// Adopts the proof that a peer sent in reply to a question that was sent at `asked`, if it is about the version
+    /// in force.
+    ///
+    /// The age counts back from the question, so that a reply that is late makes the proof older than it is.
+    pub fn adopt(&mut self, proof: ConfigProof, asked: Moment) {
+        if proof.version == self.version {
+            self.lease.renew(asked - proof.age);
+        }
+    }
+
+    /// The proof for peers at `now`, `None` if there is none or it has expired.
+    pub fn proof(&self, now: Moment) -> Option<ConfigProof> {
+        self.is_valid(now).then(|| ConfigProof {
+            version: self.version,
+            age: self.age(now),
+        })
+    }
+
+    /// Time since the configuration was last known to be current.
+    pub fn age(&self, now: Moment) -> Span {
+        now.since(self.lease.confirmed())
+    }
+
+    /// Whether keys may be served at `now`.
+    pub fn is_valid(&self, now: Moment) -> bool {
+        now < self.lease.until
+    }
+
+    /// Time at which the lease expires.
+    pub fn until(&self) -> Moment {
+        self.lease.until
+    }
+
+    /// Time from which the node reads the platform for itself: half of the term is left for reads that fail.
+    pub fn refresh_at(&self) -> Moment {
+        self.lease.confirmed() + self.lease.term.scale(0.5)
+    }
+
+    /// Time between two reads that fail.
+    pub fn retry_interval(&self) -> Span {
+        self.lease.term.scale(0.1)
+    }
 }
--- a/crates/fleet/src/lib.rs
+++ b/crates/fleet/src/lib.rs
@@ -16,7 +16,8 @@
 //!
 //! [`Lease`] limits how long a view may be used without confirmation. After a pause or a network
 //! partition the lease has expired, and the node accepts no new requests until a peer or the
-//! platform confirms its view again.
+//! platform confirms its view again. [`KeyLease`] does the same for the teams' keys, for which only a read of the
+//! platform counts, by this node or a peer.
 
 mod gossip;
 mod history;
@@ -30,9 +31,9 @@
 
 pub use gossip::{Action, Gossip, ReadBudget};
 pub use history::{History, HistoryError, ViewUpdate};
-pub use lease::Lease;
+pub use lease::{ConfigProof, KeyLease, Lease};
 pub use leaving::LeavingServers;
 pub use quarantine::{Evidence, Quarantine, ServerEnd, Verdict};
 pub use readiness::Readiness;
 pub use snapshot::{Digests, EraChange, HeldZones, Parts, Snapshot};
-pub use watch_start::WatchStart;
+pub use watch_start::{MAX_SILENCE, WatchStart};
--- a/crates/fleet/src/watch_start.rs
+++ b/crates/fleet/src/watch_start.rs
@@ -8,8 +8,9 @@
 
 use types::{Moment, Revision, Span, Stamp};
 
-/// Time after which an answer without changes counts: several times the second for which the users'
-/// registry may report nothing.
+/// Longest time for which the watch of a registry may report nothing though there are changes.
+pub const MAX_SILENCE: Span = Span::from_millis(1_000);
+/// Time after which an answer without changes counts: several times [`MAX_SILENCE`].
 const SETTLE_TIME: Span = Span::from_millis(5_000);
 /// Minimum time between two answers that are kept, which bounds their number.
 const MIN_INTERVAL: Span = Span::from_millis(250);
--- a/crates/node/src/admin.rs
+++ b/crates/node/src/admin.rs
@@ -36,6 +36,10 @@
     revision: Revision,
     digest: String,
     lease_ms: u64,
+    /// Number of teams.
+    teams: usize,
+    /// Time in milliseconds since the configuration was last known to be current, `null` if keys need no proof.
+    proof_age_ms: Option<u64>,
     gate: Option<gate_actor::GateDump>,
     spread: Option<view_sync::SyncDump>,
     services: HashMap<ServiceId, Vec<ServerDump>>,
@@ -96,7 +100,13 @@
 }
 
 async fn notes(State(admin): State<Arc<Admin>>) -> Json<Arc<View>> {
-    Json(admin.ingress.board.view())
+    let mut view = admin.ingress.board.view();
+    // Hashes of keys stay between the nodes.
+    if !view.state.teams.is_empty() {
+        let teams = Arc::make_mut(&mut view).state.teams.values_mut();
+        teams.for_each(|team| team.item.keys.clear());
+    }
+    Json(view)
 }
 
 async fn state(State(admin): State<Arc<Admin>>) -> Json<StateDump> {
@@ -111,6 +121,8 @@
         revision: view.revision,
         digest: view.digest.to_string(),
         lease_ms: board.lease.borrow().until().since(now).as_millis(),
+        teams: view.state.teams.len(),
+        proof_age_ms: board.keys.borrow().map(|keys| keys.age(now).as_millis()),
         gate,
         spread,
         services: admin.ingress.services.dump(now),
--- a/crates/node/src/backend/tests/statements.rs
+++ b/crates/node/src/backend/tests/statements.rs
@@ -45,6 +45,18 @@
         NativeDialect.overrides(name)
     }
 
+    fn key<'a>(&self, headers: &'a HeaderMap) -> Option<&'a [u8]> {
+        NativeDialect.key(headers)
+    }
+
+    fn key_header(&self) -> &'static str {
+        NativeDialect.key_header()
+    }
+
+    fn team_header(&self) -> &'static str {
+        NativeDialect.team_header()
+    }
+
     fn write_request(&self, attempt: &AttemptMetadata<'_>, headers: &mut HeaderMap) {
         NativeDialect.write_request(attempt, headers);
     }
--- a/crates/node/src/ingress/mod.rs
+++ b/crates/node/src/ingress/mod.rs
@@ -183,7 +183,12 @@
                 refusal: Refusal::Stopping,
                 retry_after: Span::default(),
             }),
-            Ok(routed) => reroute::run_call(self, routed).await,
+            Ok(routed) => {
+                if let Some(team) = &routed.team {
+                    log::debug!(call:% = call, team:% = team; "call_identified");
+                }
+                reroute::run_call(self, routed).await
+            }
             Err(rejection) => Err(rejection),
         };
         let took = self.board.clock.now().since(started_at);
--- a/crates/node/src/ingress/routing.rs
+++ b/crates/node/src/ingress/routing.rs
@@ -6,8 +6,8 @@
 use board::Phase;
 use bytes::Bytes;
 use dialect::{Dialect, Rejection, RequestMetadata};
-use note::{HostRoute, Limits, Service, View};
-use route::service_for_trial;
+use note::{HostRoute, KeyHash, Limits, Service, View};
+use route::{RouteTable, service_for_trial};
 use smol_str::SmolStr;
 use types::{CallId, Fingerprint, Header, Moment, ServiceId, Span, TeamId};
 
@@ -50,6 +50,8 @@
     latest: Moment,
     /// Whether the caller is a backend server that is running another request.
     nested: bool,
+    /// Hash of the key that the caller sent, `None` if it is missing or malformed.
+    key: Option<KeyHash>,
 }
 
 /// Where a view sends a request.
@@ -58,6 +60,8 @@
     service: Service,
     /// `None` if the path of the request names its service.
     route: Option<Arc<HostRoute>>,
+    /// `None` without teams, and on open routes.
+    team: Option<TeamId>,
 }
 
 /// A call that can run once its body has been read.
@@ -85,11 +89,7 @@
     pub(super) objective: Moment,
     /// 0 is the most urgent.
     pub(super) priority: u32,
-    /// The team whose key the caller sent. `None` without teams, on open routes and for nested calls.
-    #[expect(
-        dead_code,
-        reason = "read where allowances are checked, which is not built yet"
-    )]
+    /// The team whose key the caller sent. `None` without teams, and on open routes.
     pub(super) team: Option<TeamId>,
     pub(super) request: ServerRequest,
     /// Whether the call was routed before, by an older view, and wasn't run.
@@ -98,12 +98,21 @@
 }
 
 impl RoutedCall {
-    fn new(destination: Destination, request: ServerRequest, origin: Origin) -> Self {
+    fn new(
+        dialect: &dyn Dialect,
+        destination: Destination,
+        mut request: ServerRequest,
+        origin: Origin,
+    ) -> Self {
         let Destination {
             view,
             service,
             route,
+            team,
         } = destination;
+        set_team_headers(dialect, &view, team.as_ref(), &mut request.headers);
+        let entry = team.as_ref().and_then(|id| view.state.teams.get(id));
+        let priority = entry.and_then(|entry| entry.item.priority);
         let timeout = match &route {
             Some(route) => Span::from_millis(route.timeout_ms),
             None => MAX_TIMEOUT,
@@ -128,13 +137,13 @@
             max_attempts: route.as_ref().map_or(DEFAULT_ATTEMPTS, |r| r.attempts),
             deadline,
             objective: route.as_ref().map_or(deadline, objective),
-            priority: route.as_ref().map_or(0, |r| r.priority),
+            priority: priority.unwrap_or(route.as_ref().map_or(0, |r| r.priority)),
             nested: origin.nested,
             max_body: service.limits.body.min(view.state.callers.body).0,
             limits: service.limits,
             service: service.id,
             is_rerouted: false,
-            team: None,
+            team,
             view,
             route,
             request,
@@ -165,8 +174,14 @@
 
     /// Routes the call by the view in force. The time that it has counts from its start.
     pub(super) fn route_again(&self, ingress: &Ingress) -> Result<Self, Rejection> {
-        let destination = find_destination(ingress, &self.origin.host, &self.request.path)?;
-        let routed = Self::new(destination, self.request.clone(), self.origin.clone());
+        let destination = find_destination(ingress, &self.origin, &self.request.path)?;
+        let dialect = ingress.dialect.as_ref();
+        let routed = Self::new(
+            dialect,
+            destination,
+            self.request.clone(),
+            self.origin.clone(),
+        );
         Ok(Self {
             is_rerouted: true,
             ..routed
@@ -206,25 +221,40 @@
     if metadata.depth > MAX_DEPTH {
         return Err(Rejection::TooDeep);
     }
-    let destination = find_destination(ingress, head.host(), &head.target)?;
     let origin = Origin {
         host: SmolStr::new(head.host()),
         time_left: metadata.time_left,
         started_at: now,
         latest: ingress.latest_answer(),
         nested: metadata.depth > 0,
+        key: ingress.dialect.key(&head.headers).map(KeyHash::of),
     };
+    let destination = find_destination(ingress, &origin, &head.target)?;
     let request = server_request(ingress, call, head, &metadata);
-    Ok(RoutedCall::new(destination, request, origin))
+    let dialect = ingress.dialect.as_ref();
+    Ok(RoutedCall::new(dialect, destination, request, origin))
 }
 
-/// Finds where the view in force sends a request.
-fn find_destination(ingress: &Ingress, host: &str, target: &str) -> Result<Destination, Rejection> {
+/// Finds where the view in force sends a request, and the team that it is of.
+fn find_destination(
+    ingress: &Ingress,
+    origin: &Origin,
+    target: &str,
+) -> Result<Destination, Rejection> {
     let path = path_of(target);
+    // Read before the view, so that no older view is judged by a newer proof.
+    let lease = *ingress.board.keys.borrow();
+    let now = ingress.board.clock.now();
+    let keys_valid = lease.is_none_or(|lease| lease.is_valid(now));
     ingress.with_routes(|view, routes| {
         let route = match view.state.is_addressed_by_path() {
             true => None,
-            false => Some(routes.find(host, path).ok_or(Rejection::NoRoute)?),
+            false => Some(routes.find(&origin.host, path).ok_or(Rejection::NoRoute)?),
+        };
+        let is_open = route.as_ref().is_some_and(|route| route.open);
+        let team = match view.state.teams.is_empty() || is_open {
+            true => None,
+            false => Some(find_team(routes, origin.key, keys_valid)?),
         };
         let service = match &route {
             Some(route) => routes.pick_service(route),
@@ -235,10 +265,41 @@
             view: Arc::clone(view),
             service: service.ok_or(Rejection::NoRoute)?.clone(),
             route,
+            team,
         })
     })
 }
 
+/// The team that holds a caller's key, if keys may be served at present.
+fn find_team(
+    routes: &RouteTable,
+    key: Option<KeyHash>,
+    keys_valid: bool,
+) -> Result<TeamId, Rejection> {
+    let key = key.ok_or(Rejection::NoTeam)?;
+    match routes.team(&key) {
+        _ if !keys_valid => Err(Rejection::KeysUnproven),
+        team => team.cloned().ok_or(Rejection::NoTeam),
+    }
+}
+
+/// Replaces the key by the name of its team, where teams are configured.
+fn set_team_headers(
+    dialect: &dyn Dialect,
+    view: &View,
+    team: Option<&TeamId>,
+    headers: &mut Vec<Header>,
+) {
+    headers.retain(|header| header.name != dialect.team_header());
+    if !view.state.teams.is_empty() {
+        headers.retain(|header| header.name != dialect.key_header());
+    }
+    headers.extend(team.map(|team| Header {
+        name: SmolStr::new_static(dialect.team_header()),
+        value: Bytes::copy_from_slice(team.as_str().as_bytes()),
+    }));
+}
+
 /// The path of a target, without its query.
 fn path_of(target: &str) -> &str {
     target.split('?').next().unwrap_or_default()
--- a/crates/node/src/ingress/tests/fixtures.rs
+++ b/crates/node/src/ingress/tests/fixtures.rs
@@ -74,6 +74,7 @@
         seeds: Vec::new(),
         reads: Rate::new(1.0).expect("a valid rate"),
         lease: Span::from_millis(60_000),
+        key_lease: None,
     };
     let source = Source::notes(Arc::new(SilentPlatform));
     let view_sync = view_sync::spawn(&board, source, &metrics, options);
--- a/crates/node/src/lifecycle.rs
+++ b/crates/node/src/lifecycle.rs
@@ -165,6 +165,7 @@
         seeds: settings.seeds.clone(),
         reads: settings.reads,
         lease: settings.lease(),
+        key_lease: settings.key_lease(),
     };
     let view_sync = view_sync::spawn(&board, source, &metrics, options);
     let retries = RetryPolicy {
--- a/crates/node/src/peers/server.rs
+++ b/crates/node/src/peers/server.rs
@@ -10,8 +10,8 @@
 use tonic::{Request, Response, Status};
 use types::{Boot, Moment, Revision};
 use wire::peer::{
-    AskRequest, OpenReply, OpenRequest, Outcome as WireOutcome, PullReply, PullRequest, RunRequest,
-    View, peer_server::Peer,
+    AskRequest, ConfigProof, OpenReply, OpenRequest, Outcome as WireOutcome, PullReply,
+    PullRequest, RunRequest, View, peer_server::Peer,
 };
 
 use super::{LocalGate, TransportError, convert, evidence};
@@ -42,6 +42,7 @@
 
     fn own_view(&self, peer: &View) -> View {
         let checked = *self.board.checked.borrow();
+        let proof = self.own_proof();
         let view = self.board.view();
         View {
             revision: view.revision.0,
@@ -53,10 +54,20 @@
             leaving: evidence::leaving_servers(&self.board),
             suspects: evidence::suspects_for(&self.board, peer),
             suspects_digest: self.board.quarantine.borrow().digest(),
+            proof,
             ..View::default()
         }
     }
 
+    fn own_proof(&self) -> Option<ConfigProof> {
+        let lease = (*self.board.keys.borrow())?;
+        let proof = lease.proof(self.board.clock.now())?;
+        Some(ConfigProof {
+            version: proof.version,
+            age: proof.age.0,
+        })
+    }
+
     fn respond(result: Result<Reply, TransportError>) -> Result<Response<WireOutcome>, Status> {
         match result {
             Ok(reply) => Ok(Response::new(convert::to_outcome(reply))),
--- a/crates/node/src/reload.rs
+++ b/crates/node/src/reload.rs
@@ -104,6 +104,7 @@
         ("reads", old.reads != new.reads),
         ("repeats", old.repeats != new.repeats),
         ("lease_ms", old.lease_ms != new.lease_ms),
+        ("key_lease_ms", old.key_lease_ms != new.key_lease_ms),
         ("threads", old.threads != new.threads),
         ("policy", old.policy != new.policy),
     ];
--- a/crates/node/src/settings.rs
+++ b/crates/node/src/settings.rs
@@ -4,7 +4,8 @@
 
 use log::LevelFilter;
 use route::PolicyKind;
-use serde::{Deserialize, Serialize};
+use serde::{Deserialize, Deserializer, Serialize, de::Error as _};
+use smol_str::SmolStr;
 use types::{HostId, Rate, ServiceId, Span, ZoneId};
 
 /// Allowed range of the graceful shutdown timeout, in milliseconds.
@@ -14,6 +15,9 @@
 /// Longest allowed lease on a view, in milliseconds.
 const MAX_LEASE_MS: u64 = 600_000;
 
+/// Shortest allowed lease on the teams' keys: reads of changes prove what was in force a second before.
+const MIN_KEY_LEASE_MS: u64 = 2_000;
+
 /// Protocols of the platform and of callers.
 #[derive(Debug, Clone, Copy, Default, PartialEq, Eq, Serialize, Deserialize)]
 #[serde(rename_all = "lowercase")]
@@ -79,6 +83,10 @@
     /// Duration of the lease on a view after a successful comparison, in milliseconds.
     #[serde(default = "default_lease")]
     pub lease_ms: u64,
+    /// Longest time in milliseconds, or as text such as `5000ms` or `5s`, for which a node serves teams' keys since
+    /// its configuration was last known to be current. Without it, keys are served while the view is.
+    #[serde(default, deserialize_with = "optional_millis")]
+    pub key_lease_ms: Option<u64>,
     /// Time in milliseconds for which a stopping node still accepts requests, so that callers can
     /// move away first.
     #[serde(default)]
@@ -111,6 +119,29 @@
     3_000
 }
 
+/// Deserializes milliseconds, or a text with a unit.
+fn optional_millis<'de, D: Deserializer<'de>>(from: D) -> Result<Option<u64>, D::Error> {
+    #[derive(Deserialize)]
+    #[serde(untagged)]
+    enum Millis {
+        Number(u64),
+        Text(SmolStr),
+    }
+    let parse = |text: &str| match (text.strip_suffix("ms"), text.strip_suffix('s')) {
+        (Some(ms), _) => ms.parse().ok(),
+        (None, Some(seconds)) => seconds.parse().ok().and_then(|s: u64| s.checked_mul(1_000)),
+        (None, None) => None,
+    };
+    match Option::<Millis>::deserialize(from)? {
+        None => Ok(None),
+        Some(Millis::Number(ms)) => Ok(Some(ms)),
+        Some(Millis::Text(text)) => match parse(&text) {
+            Some(ms) => Ok(Some(ms)),
+            None => Err(D::Error::custom("expected whole ms or s")),
+        },
+    }
+}
+
 fn default_stop() -> u64 {
     10_000
 }
@@ -125,6 +156,11 @@
         Span::from_millis(self.lease_ms)
     }
 
+    /// Returns the duration of the lease on the teams' keys.
+    pub fn key_lease(&self) -> Option<Span> {
+        self.key_lease_ms.map(Span::from_millis)
+    }
+
     /// Returns the time for which a stopping node still accepts requests.
     pub fn linger(&self) -> Span {
         Span::from_millis(self.linger_ms)
@@ -245,6 +281,16 @@
         () if s.lease_ms == 0 || s.lease_ms > MAX_LEASE_MS => {
             invalid("lease_ms", &s.lease_ms, "1 to 600000")
         }
+        () if s
+            .key_lease_ms
+            .is_some_and(|ms| !(MIN_KEY_LEASE_MS..=MAX_LEASE_MS).contains(&ms)) =>
+        {
+            invalid(
+                "key_lease_ms",
+                &s.key_lease_ms.unwrap_or_default(),
+                "2000 to 600000",
+            )
+        }
         () if s.linger_ms >= s.stop_ms => invalid("linger_ms", &s.linger_ms, "less than stop_ms"),
         () if s.threads == Some(0) => invalid("threads", &0, "1 or more"),
         () if s.repeats.is_some_and(|r| !r.is_finite() || r < 0.0) => {
--- a/crates/node/src/view_sync/exchange.rs
+++ b/crates/node/src/view_sync/exchange.rs
@@ -105,6 +105,8 @@
             leaving: peers::leaving_servers(&self.board),
             suspects: peers::changed_suspects(&self.board),
             suspects_digest: self.board.quarantine.borrow().digest(),
+            // A question's way may take any time, so the age in one would prove nothing.
+            proof: None,
         };
         tokio::spawn(async move {
             let view = timeout(COMPARE_TIMEOUT, compare(channel, own))
@@ -182,6 +184,9 @@
         if !differs {
             self.confirm_config(checked_stamp(peer_view));
         }
+        if let Some(proof) = &peer_view.proof {
+            self.adopt_proof(proof, sent_at);
+        }
         let report = PeerReport {
             digest: Some(digest),
             ..PeerReport::revision_only(peer, revision)
--- a/crates/node/src/view_sync/mod.rs
+++ b/crates/node/src/view_sync/mod.rs
@@ -12,6 +12,7 @@
 mod tests;
 
 mod exchange;
+mod keys;
 mod notes;
 mod registry;
 mod source;
@@ -19,7 +20,7 @@
 use std::{collections::HashMap, net::SocketAddr, sync::Arc};
 
 use board::{Board, Phase};
-use fleet::{Action, Digests, Gossip, Lease, ReadBudget, Readiness, ViewUpdate};
+use fleet::{Action, Digests, Gossip, KeyLease, Lease, ReadBudget, Readiness, ViewUpdate};
 use kameo::{
     actor::{ActorRef, Spawn, WeakActorRef},
     error::Infallible,
@@ -32,6 +33,7 @@
 use tonic::transport::Channel;
 use types::{Moment, Revision, Span, Stamp};
 
+use self::keys::KeySync;
 use crate::{metrics::Metrics, timer::WakeTimer};
 
 pub(crate) use exchange::checked_stamp;
@@ -115,6 +117,7 @@
     gossip: Gossip,
     readiness: Readiness,
     lease: Lease,
+    keys: Option<KeySync>,
     /// Connections to neighbours. They are kept because establishing one costs more than a
     /// comparison.
     channels: HashMap<SocketAddr, Channel>,
@@ -137,8 +140,10 @@
         seeds,
         reads,
         lease,
+        key_lease,
     } = options;
     let own_address = board.identity.node;
+    board.keys.send_replace(key_lease.map(KeyLease::new));
     let rng = SmallRng::seed_from_u64(board.identity.boot.0);
     let view_sync = ViewSync {
         board: Arc::clone(board),
@@ -148,6 +153,7 @@
         seeds,
         readiness: Readiness::default(),
         lease: Lease::new(lease),
+        keys: key_lease.map(KeySync::new),
         channels: HashMap::new(),
         actor: None,
         timer: WakeTimer::default(),
@@ -249,6 +255,7 @@
         let now = self.board.clock.now();
         self.timer.clear_expired(now);
         self.drop_expired(now);
+        self.check_keys(now);
         let mut actions = self.gossip.tick(now);
         if self.board.phase() == Phase::Joining {
             let unasked = self.readiness.take_unasked(self.gossip.neighbours());
@@ -269,6 +276,7 @@
             .source
             .next_expiry()
             .map_or(at, |expiry| expiry.min(at));
+        let at = self.next_key_check().map_or(at, |check| check.min(at));
         self.timer.set(at, self.board.clock, wake);
     }
 
@@ -317,6 +325,7 @@
         let members = nodes.chain(self.seeds.iter().copied()).collect();
         let revision = view.revision;
         self.board.view.send_replace(Arc::clone(view));
+        self.publish_keys();
         self.gossip.set_members(members);
         let actions = self.gossip.on_new_revision(revision);
         self.execute(actions);
@@ -335,7 +344,8 @@
             .count();
         log::info!(
             revision:% = view.revision, digest:% = view.digest, faults,
-            servers = state.servers.len(), closed = out_of_service, routes = state.routes.len();
+            servers = state.servers.len(), closed = out_of_service, routes = state.routes.len(),
+            teams = state.teams.len();
             "view_in_force"
         );
     }
--- a/crates/node/src/view_sync/notes.rs
+++ b/crates/node/src/view_sync/notes.rs
@@ -67,7 +67,7 @@
         }
     }
 
-    fn read_notes(&self) {
+    pub(super) fn read_notes(&self) {
         let Source::Notes { platform, history } = &self.source else {
             return;
         };
@@ -115,6 +115,7 @@
         if up_to_date {
             self.readiness.on_platform_read();
             self.renew_lease(sent_at);
+            self.confirm_keys(sent_at);
         } else if applied > 0 {
             // More notes follow, so the next page is read at once. A page without new notes isn't
             // followed by another read at once, since the platform may be unable to serve the next
--- a/crates/node/src/view_sync/registry.rs
+++ b/crates/node/src/view_sync/registry.rs
@@ -8,7 +8,7 @@
 use platform::{ConfigRead, PlatformError, RefusedVersion, RegistryEntries, UnusableItem};
 use types::{Moment, Revision, Stamp};
 
-use super::{Source, ViewSync, tell};
+use super::{Source, ViewSync, keys::proven_at, tell};
 
 /// Maximum number of unusable items that one line of the log shows.
 const MAX_LOGGED_ITEMS: usize = 20;
@@ -39,6 +39,11 @@
         self.unusable.len()
     }
 
+    /// Stamp after which changes of the configuration are read at `now`.
+    pub(super) fn known_config(&self, now: Moment) -> Option<Stamp> {
+        self.watch.at(now)
+    }
+
     pub(super) fn refused(&self) -> Option<&RefusedVersion> {
         self.refused.as_ref()
     }
@@ -55,6 +60,8 @@
 #[derive(Debug)]
 struct ConfigEnded {
     sent_at: Moment,
+    /// When the configuration was current, if it was read.
+    proven_at: Moment,
     /// Stamp of the entries that were read before.
     entries: Stamp,
     config: Result<ConfigRead, PlatformError>,
@@ -82,10 +89,11 @@
         match msg.config {
             Ok(config) => {
                 self.record_success(msg.sent_at);
-                self.apply_config(config, msg.entries);
+                self.apply_config(config, Some(msg.entries));
                 self.renew_lease(msg.sent_at);
                 self.publish();
                 self.publish_checked();
+                self.confirm_keys(msg.proven_at);
             }
             Err(error @ (PlatformError::NotFound { .. } | PlatformError::Decode { .. })) => {
                 self.record_success(msg.sent_at);
@@ -131,9 +139,9 @@
         self.log_era_change();
     }
 
-    /// Applies the result of a read of the configuration. The entries were read before it, so it holds
-    /// at their stamp too.
-    fn apply_config(&mut self, config: ConfigRead, entries: Stamp) {
+    /// Applies the result of a read of the configuration. If entries were read before it, it holds at their
+    /// stamp too.
+    pub(super) fn apply_config(&mut self, config: ConfigRead, entries: Option<Stamp>) {
         let now = self.board.clock.now();
         let Source::Registry {
             snapshot, progress, ..
@@ -141,14 +149,14 @@
         else {
             return;
         };
-        progress.complete = true;
+        progress.complete |= entries.is_some();
         progress.config_error = None;
         let (checked, changed, refused) = match config {
             ConfigRead::Unchanged(stamp) => (stamp, None, Vec::new()),
             ConfigRead::Changed(config) => (config.checked, Some(*config), Vec::new()),
             ConfigRead::Refused(read) => (read.checked, read.valid, read.refused),
         };
-        let checked = checked.max(entries);
+        let checked = checked.max(entries.unwrap_or_default());
         progress.watch.on_unchanged(checked, now);
         if let Some(config) = changed {
             let version = config.version;
@@ -333,15 +341,18 @@
         self.metrics.record_control_message("read");
         let (registry, actor) = (Arc::clone(registry), self.actor.clone());
         let sent_at = self.board.clock.now();
-        let known = progress.watch.at(sent_at);
+        let known = progress.known_config(sent_at);
+        let clock = self.board.clock;
         tokio::spawn(async move {
             let entries = registry.entries().await;
             let stamp = entries.as_ref().map(|e| e.listing.stamp).ok();
             tell(actor.clone(), EntriesRead { sent_at, entries }).await;
             if let Some(entries) = stamp {
+                let proven_at = proven_at(known.is_some(), clock.now());
                 let config = registry.config(known).await;
                 let ended = ConfigEnded {
                     sent_at,
+                    proven_at,
                     entries,
                     config,
                 };
--- a/crates/node/src/view_sync/source.rs
+++ b/crates/node/src/view_sync/source.rs
@@ -79,6 +79,14 @@
         }
     }
 
+    /// Returns the version of the configuration in force: that of the operators, or the revision of the notes.
+    pub(super) fn config_version(&self) -> u64 {
+        match self {
+            Self::Notes { history, .. } => history.view().revision.0,
+            Self::Registry { snapshot, .. } => snapshot.config_version(),
+        }
+    }
+
     pub(super) fn dump(&self) -> Option<RegistryDump> {
         let Self::Registry {
             snapshot, progress, ..
@@ -124,4 +132,6 @@
     pub(crate) reads: Rate,
     /// Duration of the lease on a view after a successful comparison.
     pub(crate) lease: Span,
+    /// Duration of the lease on the teams' keys, `None` if they are served while the view is.
+    pub(crate) key_lease: Option<Span>,
 }
--- a/crates/node/src/view_sync/tests.rs
+++ b/crates/node/src/view_sync/tests.rs
@@ -81,6 +81,7 @@
             seeds: Vec::new(),
             reads: budget,
             lease: Span::from_millis(3_000),
+            key_lease: None,
         },
     );
     let seconds = 3;
@@ -197,6 +198,7 @@
             seeds: vec![address],
             reads: Rate::new(3.0).expect("a valid rate"),
             lease: Span::from_millis(3_000),
+            key_lease: None,
         },
     );
     let changed = timeout(TRANSFER_TIME * 2, views.changed()).await;
@@ -254,6 +256,7 @@
             seeds: vec![address],
             reads: Rate::new(3.0).expect("a valid rate"),
             lease: Span::from_millis(3_000),
+            key_lease: None,
         },
     );
     let ready = phases.wait_for(|phase| *phase == Phase::Ready);
@@ -302,6 +305,7 @@
             seeds: Vec::new(),
             reads: Rate::new(READS_PER_SECOND as f64).expect("a valid rate"),
             lease: Span::from_millis(3_000),
+            key_lease: None,
         },
     );
     while registry.reads.load(Ordering::Relaxed) < 4 {
--- a/crates/node/src/view_sync/tests/silent_watch.rs
+++ b/crates/node/src/view_sync/tests/silent_watch.rs
@@ -114,6 +114,7 @@
             seeds: Vec::new(),
             reads: Rate::new(4.0).expect("a valid rate"),
             lease: Span::from_millis(3_000),
+            key_lease: None,
         },
     );
     let ready = phases.wait_for(|phase| *phase == Phase::Ready);
--- a/crates/note/src/check.rs
+++ b/crates/note/src/check.rs
@@ -3,7 +3,10 @@
 //! The result lists all faults of the note. It depends only on the note and the state, so that
 //! every node and the operators' command line tool reach the same result.
 
-use std::{collections::BTreeSet, fmt};
+use std::{
+    collections::{BTreeMap, BTreeSet},
+    fmt,
+};
 
 use serde::{Deserialize, Serialize};
 use smol_str::{SmolStr, format_smolstr};
@@ -12,11 +15,15 @@
 use crate::{
     parse::Note,
     state::{Entry, HostRoute, MAX_BODY_BYTES, Server, Service, State},
+    team::{KeyHash, Team},
 };
 
 /// Maximum slots or connections that a note may configure for one backend server.
 const MAX_SLOTS: Slots = Slots(100_000);
 
+/// Maximum allowance of a team, in requests per second.
+const MAX_RATE: u64 = 1_000_000_000;
+
 /// A kind of fault in a note.
 #[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
 #[serde(rename_all = "snake_case")]
@@ -48,6 +55,8 @@
     SamePath,
     /// A path prefix doesn't start and end with a slash.
     NoPrefix,
+    /// Another team has one of the team's keys.
+    SharedKey,
     /// A number is outside the allowed range.
     Range {
         /// Minimum, inclusive.
@@ -81,6 +90,7 @@
             Self::InUse => f.write_str("is still used by backend servers"),
             Self::Shared => f.write_str("has the host, node or address of another backend server"),
             Self::SamePath => f.write_str("has the host and path of another route"),
+            Self::SharedKey => f.write_str("has a key of another team"),
             Self::NoPrefix => f.write_str("must begin and end with a slash"),
             Self::Range { least, most } => write!(f, "must be from {least} to {most}"),
             Self::Unreadable { reason } => write!(f, "can't be read: {reason}"),
@@ -116,6 +126,7 @@
     check_services(note, &mut faults);
     check_references(note, next, &mut faults);
     check_routes(note, next, &mut faults);
+    check_note_teams(note, next, &mut faults);
     check_server_conflicts(note, next, &mut faults);
     faults.list
 }
@@ -140,7 +151,7 @@
 fn check_kind<'a, K: Ord + 'a, T: 'a>(
     kind: &str,
     after: Revision,
-    existing: &std::collections::BTreeMap<K, Entry<T>>,
+    existing: &BTreeMap<K, Entry<T>>,
     lists: [Vec<&'a K>; 3],
     faults: &mut Faults,
 ) {
@@ -187,6 +198,12 @@
         withdraw.routes.iter().collect(),
     ];
     check_kind("routes", note.after, &state.routes, routes, faults);
+    let teams = [
+        add.teams.iter().map(|t| &t.id).collect(),
+        change.teams.iter().map(|t| &t.id).collect(),
+        withdraw.teams.iter().collect(),
+    ];
+    check_kind("teams", note.after, &state.teams, teams, faults);
 }
 
 fn check_services(note: &Note, faults: &mut Faults) {
@@ -219,6 +236,45 @@
     }
 }
 
+fn check_note_teams(note: &Note, next: &State, faults: &mut Faults) {
+    if note.add.teams.is_empty() && note.change.teams.is_empty() {
+        return;
+    }
+    let holders = key_holders(next.teams.values().map(|e| &e.item));
+    for (action, list) in [("add", &note.add.teams), ("change", &note.change.teams)] {
+        for (index, team) in list.iter().enumerate() {
+            let place = format_smolstr!("{action}.teams[{index}]");
+            check_team(&place, team, &holders, faults);
+        }
+    }
+}
+
+/// Number of teams that hold each key.
+pub(crate) fn key_holders<'a>(teams: impl Iterator<Item = &'a Team>) -> BTreeMap<KeyHash, usize> {
+    let mut holders = BTreeMap::new();
+    for key in teams.flat_map(|team| &team.keys) {
+        *holders.entry(*key).or_default() += 1;
+    }
+    holders
+}
+
+/// Checks a team, among those that `holders` counts. Faults show no key.
+pub(crate) fn check_team(
+    place: &str,
+    team: &Team,
+    holders: &BTreeMap<KeyHash, usize>,
+    faults: &mut Faults,
+) {
+    let is_shared = |key: &KeyHash| holders.get(key).is_some_and(|teams| *teams > 1);
+    if team.keys.iter().any(is_shared) {
+        faults.add(format_smolstr!("{place}.keys"), Problem::SharedKey);
+    }
+    if let Some(allowance) = team.allowance {
+        let rate = allowance.rate.per_second().ceil() as u64;
+        check_ranges(place, &[("rate", rate, 1, MAX_RATE)], faults);
+    }
+}
+
 /// Upper bounds of a route, inclusive.
 #[derive(Debug, Clone, Copy)]
 pub(crate) struct RouteLimits {
--- a/crates/note/src/config_check.rs
+++ b/crates/note/src/config_check.rs
@@ -9,7 +9,10 @@
 use types::{Revision, ServiceId};
 
 use crate::{
-    check::{Fault, Faults, Problem, RouteLimits, check_cold_rate, check_ranges, check_route},
+    check::{
+        Fault, Faults, Problem, RouteLimits, check_cold_rate, check_ranges, check_route,
+        check_team, key_holders,
+    },
     registry::OperatorConfig,
 };
 
@@ -31,6 +34,7 @@
     }
     let services = check_services(config, &mut faults);
     check_routes(config, &services, &mut faults);
+    check_teams(config, &mut faults);
     let callers = &config.callers;
     let ranges = [
         ("head", callers.head.0, 1, u64::MAX),
@@ -70,3 +74,15 @@
         check_route(&place, route, exists, ROUTE_LIMITS, faults);
     }
 }
+
+fn check_teams(config: &OperatorConfig, faults: &mut Faults) {
+    let holders = key_holders(config.teams.iter());
+    let mut names = BTreeSet::new();
+    for team in &config.teams {
+        let place = format_smolstr!("teams[{}]", team.id);
+        if !names.insert(&team.id) {
+            faults.add(place.clone(), Problem::Twice);
+        }
+        check_team(&place, team, &holders, faults);
+    }
+}
--- a/crates/note/src/parse.rs
+++ b/crates/note/src/parse.rs
@@ -4,9 +4,12 @@
 
 use serde::{Deserialize, Serialize};
 use smol_str::SmolStr;
-use types::{Revision, RouteId, ServerId, ServiceId, ZoneId};
+use types::{Revision, RouteId, ServerId, ServiceId, TeamId, ZoneId};
 
-use crate::state::{HostRoute, Server, Service, Zone};
+use crate::{
+    state::{HostRoute, Server, Service, Zone},
+    team::Team,
+};
 
 /// Objects that a note adds, or replaces with a new version.
 #[derive(Debug, Clone, Default, PartialEq, Serialize, Deserialize)]
@@ -20,6 +23,9 @@
     pub servers: Vec<Server>,
     /// Routes.
     pub routes: Vec<HostRoute>,
+    /// Teams.
+    #[serde(skip_serializing_if = "Vec::is_empty")]
+    pub teams: Vec<Team>,
 }
 
 /// Identifiers of the objects that a note withdraws.
@@ -34,6 +40,9 @@
     pub servers: Vec<ServerId>,
     /// Routes.
     pub routes: Vec<RouteId>,
+    /// Teams.
+    #[serde(skip_serializing_if = "Vec::is_empty")]
+    pub teams: Vec<TeamId>,
 }
 
 /// A release note as written by operators.
--- a/crates/note/src/view.rs
+++ b/crates/note/src/view.rs
@@ -131,6 +131,9 @@
             .routes
             .insert(item.id.clone(), Entry { item, changed });
     }
+    for item in batch.teams.iter().cloned() {
+        state.teams.insert(item.id.clone(), Entry { item, changed });
+    }
 }
 
 fn remove_all(state: &mut State, withdrawal: &Withdrawal) {
@@ -142,4 +145,5 @@
         .servers
         .retain(|id, _| !withdrawal.servers.contains(id));
     state.routes.retain(|id, _| !withdrawal.routes.contains(id));
+    state.teams.retain(|id, _| !withdrawal.teams.contains(id));
 }
--- a/crates/route/src/route_table.rs
+++ b/crates/route/src/route_table.rs
@@ -2,16 +2,18 @@
 
 use std::{collections::HashMap, sync::Arc};
 
-use note::{HostRoute, State};
+use note::{HostRoute, KeyHash, State};
 use smol_str::SmolStr;
-use types::{Fingerprint, RouteId, ServiceId};
+use types::{Fingerprint, RouteId, ServiceId, TeamId};
 
 use crate::balancer::rendezvous_hash;
 
-/// The routes of one view, by host, each host's routes ordered from the longest path prefix.
+/// The routes of one view and the teams of their callers. The routes are stored by host, each host's routes ordered from the longest path prefix.
 #[derive(Debug, Default)]
 pub struct RouteTable {
     hosts: HashMap<SmolStr, Vec<Arc<HostRoute>>>,
+    /// Teams by the hashes of their keys.
+    teams: HashMap<KeyHash, TeamId>,
     /// State of the weighted choice for each route, kept when the view changes.
     round_robins: HashMap<RouteId, WeightedRoundRobin>,
 }
@@ -29,10 +31,18 @@
             routes.sort_by_key(|route| std::cmp::Reverse(route.path.len()));
         }
         self.hosts = hosts;
+        let teams = state.teams.values().map(|e| &e.item);
+        let keys = teams.flat_map(|team| team.keys.iter().map(|key| (*key, team.id.clone())));
+        self.teams = keys.collect();
         self.round_robins
             .retain(|id, _| state.routes.contains_key(id));
     }
 
+    /// The team that holds a key.
+    pub fn team(&self, key: &KeyHash) -> Option<&TeamId> {
+        self.teams.get(key)
+    }
+
     /// The route with the longest matching path prefix among those of the host. A port in `host` is
     /// ignored.
     pub fn find(&self, host: &str, path: &str) -> Option<Arc<HostRoute>> {
