teams: proofs by comparison before reads, key in the tool, sections of the template

A node whose proof grows old now asks its peers every quarter of a second first, and reads for itself at 0.7 of the lease only.

amaranthyoke key prints the hash of a key. The emulator's template knows sections, as the deploy file has one.

--- a/crates/cli/src/main.rs
+++ b/crates/cli/src/main.rs
@@ -1,9 +1,16 @@
 //! The operators' tool: parses the command line and runs one command.
 
-use std::{error::Error, net::SocketAddr, path::PathBuf, process::ExitCode};
+use std::{
+    error::Error,
+    io::{self, Read},
+    net::SocketAddr,
+    path::PathBuf,
+    process::ExitCode,
+};
 
 use bpaf::Bpaf;
 use cli::{AdminClient, ToolError, explain, nodes, notes};
+use note::KeyHash;
 use serde::Serialize;
 use types::{CallId, Fingerprint};
 
@@ -42,6 +49,10 @@
         #[bpaf(positional("FILE"))]
         files: Vec<PathBuf>,
     },
+    /// Print the hash of a team's key, which is read from standard input so that it reaches no command line. A line
+    /// break at its end isn't part of it
+    #[bpaf(command)]
+    Key,
     /// Print the state dump of a node as JSON
     #[bpaf(command)]
     Dump {
@@ -116,6 +127,14 @@
             print(json, &explanation, || explain::render(&explanation));
             Ok(true)
         }
+        Command::Key => {
+            let hash = hash_key(&mut io::stdin()).map_err(|cause| ToolError::File {
+                path: PathBuf::from("standard input"),
+                cause,
+            })?;
+            print(json, &hash, || format!("{hash}\n"));
+            Ok(true)
+        }
         Command::Dump { admin } => {
             let state = AdminClient::new().state(admin).await?;
             print(true, &state, String::new);
@@ -132,6 +151,21 @@
     }
 }
 
+/// Reads a key up to the end of the input.
+fn hash_key(input: &mut impl Read) -> io::Result<KeyHash> {
+    let mut key = Vec::new();
+    input.read_to_end(&mut key)?;
+    let line = key.strip_suffix(b"\n").unwrap_or(&key);
+    let line = line.strip_suffix(b"\r").unwrap_or(line);
+    match line.is_empty() {
+        true => Err(io::Error::new(
+            io::ErrorKind::InvalidInput,
+            "the key is empty",
+        )),
+        false => Ok(KeyHash::of(line)),
+    }
+}
+
 fn print<T: Serialize>(json: bool, value: &T, render: impl FnOnce() -> String) {
     match json {
         true => println!(
--- a/crates/cli/src/notes.rs
+++ b/crates/cli/src/notes.rs
@@ -95,6 +95,7 @@
         services,
         servers,
         routes,
+        teams,
         ..
     } = &view.state;
     let mut text = format!("revision {} digest {}\n", view.revision, view.digest);
@@ -132,6 +133,15 @@
             route.id, route.host, route.path
         );
     }
+    for team in teams.values().map(|e| &e.item) {
+        let limit = team.allowance.map_or_else(String::new, |allowance| {
+            format!(" rate {} burst {}", allowance.rate, allowance.burst)
+        });
+        let rank = team
+            .priority
+            .map_or_else(String::new, |p| format!(" priority {p}"));
+        text += &format!("team {}{limit}{rank}\n", team.id);
+    }
     for rejection in &view.rejected {
         text += &format!("rejected: revision {}\n", rejection.revision);
         rejection
--- a/crates/fleet/src/gossip.rs
+++ b/crates/fleet/src/gossip.rs
@@ -154,6 +154,12 @@
         targets.copied().map(Action::Compare).collect()
     }
 
+    /// Compares with a neighbour outside the usual times.
+    pub fn ask(&mut self) -> Option<Action> {
+        let peer = self.neighbours.choose(&mut self.rng).copied();
+        peer.map(Action::Compare)
+    }
+
     /// Handles the revision of a peer, and pulls from it if that is newer and no pull in progress
     /// will return it.
     pub fn on_peer_revision(&mut self, peer: SocketAddr, revision: Revision) -> Vec<Action> {
--- a/crates/fleet/src/lease.rs
+++ b/crates/fleet/src/lease.rs
@@ -112,13 +112,23 @@
         self.lease.until
     }
 
-    /// Time from which the node reads the platform for itself: half of the term is left for reads that fail.
+    /// Time from which the node asks peers more often than usual: one that has read lately spares it a read.
+    pub fn ask_at(&self) -> Moment {
+        self.lease.confirmed() + self.lease.term.scale(0.4)
+    }
+
+    /// Time between two such questions.
+    pub fn ask_interval(&self) -> Span {
+        self.lease.term.scale(0.05)
+    }
+
+    /// Time from which the node reads the platform for itself. The rest of the term is left for reads that fail.
     pub fn refresh_at(&self) -> Moment {
-        self.lease.confirmed() + self.lease.term.scale(0.5)
+        self.lease.confirmed() + self.lease.term.scale(0.7)
     }
 
     /// Time between two reads that fail.
     pub fn retry_interval(&self) -> Span {
-        self.lease.term.scale(0.1)
+        self.lease.term.scale(0.08)
     }
 }
--- a/crates/node/src/view_sync/keys.rs
+++ b/crates/node/src/view_sync/keys.rs
@@ -1,7 +1,7 @@
 //! Proofs that the configuration is current, on which the teams' keys depend.
 //!
-//! Most proofs come from peers in replies to comparisons. A node whose proof is old reads the platform for
-//! itself, which costs one call.
+//! Most proofs come from peers in replies to comparisons. A node whose proof grows old compares more often, and
+//! one whose proof is older still reads the platform for itself, which costs one call.
 
 use std::sync::Arc;
 
@@ -21,6 +21,8 @@
     reading: bool,
     /// Earliest time of the next such read.
     next_read: Moment,
+    /// Earliest time of the next comparison for a proof.
+    next_question: Moment,
     /// Whether keys were served when that was last checked, as logged.
     served: bool,
 }
@@ -31,9 +33,18 @@
             lease: KeyLease::new(term),
             reading: false,
             next_read: Moment(0),
+            next_question: Moment(0),
             served: false,
         }
     }
+
+    fn question_at(&self) -> Moment {
+        self.lease.ask_at().max(self.next_question)
+    }
+
+    fn read_at(&self) -> Moment {
+        self.lease.refresh_at().max(self.next_read)
+    }
 }
 
 /// A read of the configuration alone has ended.
@@ -92,10 +103,16 @@
     /// Publishes the lease, after the view that it is about.
     pub(super) fn publish_keys(&mut self) {
         let version = self.source.config_version();
+        let has_teams = self.has_proven_keys();
+        let now = self.board.clock.now();
         if let Some(keys) = &mut self.keys {
             keys.lease.set_version(version);
             self.board.keys.send_replace(Some(keys.lease));
-            self.log_keys(self.board.clock.now());
+            // Peers have some time for the first proof, before this node reads for it.
+            if has_teams && keys.next_read == Moment(0) {
+                keys.next_read = now + keys.lease.ask_interval();
+            }
+            self.log_keys(now);
         }
     }
 
@@ -119,36 +136,38 @@
         if !self.has_proven_keys() {
             return;
         }
-        match &mut self.keys {
-            Some(keys)
-                if !keys.reading && now >= keys.next_read && now >= keys.lease.refresh_at() =>
-            {
-                keys.next_read = now + keys.lease.retry_interval();
-                keys.reading = true;
-                self.read_proof(now);
-            }
-            _ => {}
+        let Some(keys) = &mut self.keys else { return };
+        let asks = now >= keys.question_at();
+        let reads = !keys.reading && now >= keys.read_at();
+        if asks {
+            keys.next_question = now + keys.lease.ask_interval();
+            let question = self.gossip.ask();
+            self.execute(question.into_iter().collect());
+        }
+        if reads {
+            self.read_proof(now);
         }
     }
 
     /// Time of the next [`check_keys`](Self::check_keys).
     pub(super) fn next_key_check(&self) -> Option<Moment> {
         let keys = self.keys.as_ref().filter(|_| self.has_proven_keys())?;
-        let read = keys.lease.refresh_at().max(keys.next_read);
-        let read = (!keys.reading).then_some(read);
-        let expiry = keys.served.then_some(keys.lease.until());
-        read.into_iter().chain(expiry).min()
+        let read = (!keys.reading).then(|| keys.read_at());
+        let question = Some(keys.question_at());
+        let expiry = keys.served.then(|| keys.lease.until());
+        [read, question, expiry].into_iter().flatten().min()
     }
 
     /// Starts a read of what has changed in the configuration. A history of notes is read as a whole anyway.
     fn read_proof(&mut self, now: Moment) {
+        if let Some(keys) = &mut self.keys {
+            keys.next_read = now + keys.lease.retry_interval();
+            keys.reading = matches!(self.source, Source::Registry { .. });
+        }
         let Source::Registry {
             registry, progress, ..
         } = &self.source
         else {
-            if let Some(keys) = &mut self.keys {
-                keys.reading = false;
-            }
             self.read_notes();
             return;
         };
