teams: tests of headers, leases and notes; documents

A hash of a key with a sign in it was taken, as the parser of integers takes one; the new test of hashes found it.

--- a/crates/node/src/ingress/tests.rs
+++ b/crates/node/src/ingress/tests.rs
@@ -3,6 +3,7 @@
 mod fixtures;
 mod reroute;
 mod routing;
+mod teams;
 
 use bytes::BytesMut;
 use dialect::Rejection;
--- a/crates/node/tests/settings.rs
+++ b/crates/node/tests/settings.rs
@@ -29,6 +29,21 @@
     assert_eq!(settings.policy.to_string(), "two-choices");
 }
 
+#[test]
+fn the_lease_on_keys_is_a_number_or_a_text_with_a_unit() {
+    for (value, millis) in [
+        (json!(5_000), Some(5_000)),
+        (json!("5000ms"), Some(5_000)),
+        (json!("5s"), Some(5_000)),
+        (Value::Null, None),
+    ] {
+        let mut settings = valid_settings();
+        settings["key_lease_ms"] = value.clone();
+        let settings = parse(&settings.to_string()).expect("valid settings");
+        assert_eq!(settings.key_lease_ms, millis, "{value}");
+    }
+}
+
 #[test]
 fn invalid_values_are_rejected() {
     let cases = [
@@ -46,6 +61,11 @@
         ("colour", json!("red"), "unknown field `colour`"),
         ("conventions", json!("other"), "conventions"),
         ("lease_ms", json!(0), "1 to 600000"),
+        ("key_lease_ms", json!(1_999), "2000 to 600000"),
+        ("key_lease_ms", json!("601s"), "2000 to 600000"),
+        ("key_lease_ms", json!("5"), "whole ms or s"),
+        ("key_lease_ms", json!("-5s"), "whole ms or s"),
+        ("key_lease_ms", json!(-1), "key_lease_ms"),
         ("linger_ms", json!(10_000), "less than stop_ms"),
         ("threads", json!(0), "1 or more"),
         ("repeats", json!(-1.0), "0 or more"),
--- a/crates/note/src/team.rs
+++ b/crates/note/src/team.rs
@@ -57,7 +57,8 @@
     fn from_str(text: &str) -> Result<Self, InvalidKeyHash> {
         let digits = text.as_bytes();
         let mut hash = [0; 32];
-        if digits.len() != 2 * hash.len() {
+        // The parser of integers would take a sign.
+        if digits.len() != 2 * hash.len() || !digits.iter().all(u8::is_ascii_hexdigit) {
             return Err(InvalidKeyHash);
         }
         for (byte, pair) in hash.iter_mut().zip(digits.chunks(2)) {
