node: requests of a team with an allowance take a token first

A request draws from the team's owner, over the message Draw, before its first attempt; one that isn't run gives its token back.

--- a/crates/allowance/src/owner.rs
+++ b/crates/allowance/src/owner.rs
@@ -17,7 +17,8 @@
     pub tokens: u32,
     /// When the bucket has its next token.
     pub room_at: Moment,
-    /// When there is room for another request behind all that were refused so far.
+    /// When there is room for the first request that is refused now, behind all that were refused before. The next
+    /// ones follow at the rate.
     pub retry_at: Moment,
 }
 
@@ -153,18 +154,20 @@
             .min(bucket.tokens as u32);
         bucket.tokens -= f64::from(tokens);
         bucket.granted += u64::from(tokens);
-        let turned_away = question.refused + question.waiting.saturating_sub(tokens);
-        bucket.refused += u64::from(turned_away);
+        let turned_away = question.waiting.saturating_sub(tokens);
+        bucket.refused += u64::from(question.refused) + u64::from(turned_away);
         let room_at = bucket.time_of(1.0, share, now);
-        let first = bucket.promised.max(room_at);
         let rate = bucket.terms.rate.per_second() * GAIN * share;
-        let behind = f64::from(turned_away.max(1) - 1) / rate.max(f64::MIN_POSITIVE);
-        let behind = Span((behind * 1e6).min(MAX_PROMISE.0 as f64) as u64);
-        let retry_at = (first + behind).min(now + MAX_PROMISE);
-        if turned_away > 0 {
-            let next = Span((1e6 / rate.max(f64::MIN_POSITIVE)).min(MAX_PROMISE.0 as f64) as u64);
-            bucket.promised = (retry_at + next).min(now + MAX_PROMISE);
-        }
+        let time_for = |requests: u32| {
+            let wait = f64::from(requests) / rate.max(f64::MIN_POSITIVE);
+            Span((wait * 1e6).min(MAX_PROMISE.0 as f64) as u64)
+        };
+        let free_at = bucket.promised.max(room_at);
+        let retry_at = (free_at + time_for(question.refused)).min(now + MAX_PROMISE);
+        bucket.promised = match question.refused + turned_away {
+            0 => bucket.promised,
+            _ => (retry_at + time_for(turned_away)).min(now + MAX_PROMISE),
+        };
         Drawn {
             tokens,
             room_at,
--- a/crates/allowance/src/purse.rs
+++ b/crates/allowance/src/purse.rs
@@ -11,6 +11,8 @@
 /// Shortest time between questions about a team without room: a few round trips between nodes, so that refusals of
 /// a busy team cost few messages.
 const MIN_DRY: Span = Span::from_millis(20);
+/// Longest time until which a refused request is told to return.
+const MAX_RETRY: Span = Span::from_millis(5_000);
 /// Most tokens in one question.
 const MAX_WANTED: u32 = 10_000;
 
@@ -48,7 +50,10 @@
 #[derive(Debug, Clone, Copy)]
 struct Dry {
     until: Moment,
+    /// When there is room for the next request that is refused.
     retry_at: Moment,
+    /// Refused requests that the owner counts already.
+    counted: u32,
 }
 
 #[derive(Debug, Default)]
@@ -119,9 +124,12 @@
             Some(dry) if now < dry.until => {
                 let step = 1.0 / terms.rate.per_second().max(f64::MIN_POSITIVE);
                 let step = Span((step * 1e6).min(1e6) as u64);
-                pocket.refused = pocket.refused.saturating_add(1);
+                if dry.counted == 0 {
+                    pocket.refused = pocket.refused.saturating_add(1);
+                }
                 pocket.dry = Some(Dry {
-                    retry_at: (dry.retry_at + step).min(now + Span::from_millis(5_000)),
+                    retry_at: (dry.retry_at + step).min(now + MAX_RETRY),
+                    counted: dry.counted.saturating_sub(1),
                     ..dry
                 });
                 Take::Refused {
@@ -168,6 +176,7 @@
             pocket.dry = Some(Dry {
                 until,
                 retry_at: drawn.retry_at.max(until),
+                counted: question.waiting - drawn.tokens,
             });
         }
     }
--- a/crates/allowance/src/reach.rs
+++ b/crates/allowance/src/reach.rs
@@ -11,7 +11,7 @@
 
 /// Time without an answer from an availability zone after which it counts as cut off: below [`TAKEOVER`], so that
 /// an owner reduces its rate before another one starts.
-const CUT_AFTER: Span = Span::from_millis(700);
+const CUT_AFTER: Span = Span::from_millis(900);
 /// Time for which an answer makes another probe needless.
 const FRESH: Span = Span::from_millis(250);
 /// Time for which a smaller share holds on after a cut, while a successor learns that its owner is back.
@@ -192,7 +192,10 @@
                 }));
             }
         }
-        self.shares.push_back((now, self.present_share(now)));
+        // A node that has just started has no answers yet.
+        if !self.zones.is_empty() || now.since(self.started_at) >= CUT_AFTER {
+            self.shares.push_back((now, self.present_share(now)));
+        }
         while self
             .shares
             .front()
--- a/crates/allowance/tests/support/mod.rs
+++ b/crates/allowance/tests/support/mod.rs
@@ -51,6 +51,8 @@
     /// Requests for which no owner was reached in time.
     pub(crate) unknown: u64,
     pub(crate) messages: u64,
+    /// When the requests refused so far were told to return.
+    pub(crate) told: Vec<Moment>,
     pub(crate) probes: u64,
     /// Delay of each message in microseconds, by turns.
     pub(crate) delays: Vec<u64>,
@@ -90,6 +92,7 @@
             refused: BTreeMap::new(),
             unknown: 0,
             messages: 0,
+            told: Vec::new(),
             probes: 0,
             delays: vec![2_000],
             cut: Default::default(),
@@ -304,6 +307,7 @@
             }
             Take::Refused { retry_at } => {
                 assert!(retry_at + STEP > now, "a retry time in the past");
+                self.told.push(retry_at);
                 *self.refused.entry(waiter.team).or_default() += 1;
             }
             Take::Wait => self.waiters.push(waiter),
--- a/crates/node/src/admin.rs
+++ b/crates/node/src/admin.rs
@@ -16,6 +16,7 @@
 use types::{Fingerprint, Moment, Revision, ServerId, ServiceId};
 
 use crate::{
+    allowances::AllowanceDump,
     gate_actor::{self, GateActor},
     ingress::{Ingress, ServerDump},
     view_sync::{self, ViewSync},
@@ -41,6 +42,7 @@
     services: HashMap<ServiceId, Vec<ServerDump>>,
     peers: Vec<PeerDump>,
     suspects: Vec<SuspectDump>,
+    allowances: AllowanceDump,
 }
 
 /// A request under which backend servers have ended.
@@ -116,6 +118,7 @@
         services: admin.ingress.services.dump(now),
         peers: peer_dumps(&admin.ingress),
         suspects: suspect_dumps(board, now),
+        allowances: admin.ingress.allowances.dump(),
     })
 }
 
--- /dev/null
+++ b/crates/node/src/allowances/courier.rs
@@ -0,0 +1,41 @@
+//! Brings questions about allowances to other nodes.
+
+use std::{collections::HashMap, net::SocketAddr, sync::Mutex};
+
+use futures::{FutureExt, future::BoxFuture};
+use tonic::transport::Channel;
+use wire::peer::{DrawReply, DrawRequest, peer_client::PeerClient};
+
+use crate::peers::endpoint;
+
+/// A client of other nodes.
+pub(crate) trait Courier: Send + Sync {
+    /// Sends a question to a node. `None` if there is no answer.
+    fn draw(&self, to: SocketAddr, request: DrawRequest) -> BoxFuture<'_, Option<DrawReply>>;
+}
+
+/// A client with connections of its own, so that questions don't wait behind large bodies.
+#[derive(Default)]
+pub(crate) struct TonicCourier {
+    channels: Mutex<HashMap<SocketAddr, Channel>>,
+}
+
+impl TonicCourier {
+    fn channel(&self, to: SocketAddr) -> Channel {
+        let mut channels = self
+            .channels
+            .lock()
+            .expect("no thread panics while holding this lock");
+        let channel = channels.entry(to);
+        channel
+            .or_insert_with(|| endpoint(to).connect_lazy())
+            .clone()
+    }
+}
+
+impl Courier for TonicCourier {
+    fn draw(&self, to: SocketAddr, request: DrawRequest) -> BoxFuture<'_, Option<DrawReply>> {
+        let mut client = PeerClient::new(self.channel(to));
+        async move { Some(client.draw(request).await.ok()?.into_inner()) }.boxed()
+    }
+}
--- a/crates/node/src/ingress/mod.rs
+++ b/crates/node/src/ingress/mod.rs
@@ -45,6 +45,7 @@
 use types::{CallId, Moment, Refusal, ServerId, ServiceId, Span};
 
 use crate::{
+    allowances::Allowances,
     body_budget::BodyBudget,
     metrics::Metrics,
     peers::{Peer, Peers},
@@ -91,6 +92,7 @@
     pub(crate) view_sync: ActorRef<ViewSync>,
     /// Limits the memory that callers' bodies use.
     pub(crate) body_budget: BodyBudget,
+    pub(crate) allowances: Arc<Allowances>,
 }
 
 impl Ingress {
@@ -171,6 +173,22 @@
         view.state.server(server).map(|s| self.peers.get(s.node))
     }
 
+    /// Runs a call if its team's allowance has room for it. A call that isn't run costs its team nothing.
+    async fn run_allowed(self: &Arc<Self>, routed: RoutedCall) -> Result<CallOutcome, Rejection> {
+        let token = match &routed.team {
+            Some(team) => self.allowances.take(team, routed.deadline).await?,
+            None => None,
+        };
+        let result = reroute::run_call(self, routed).await;
+        match (&result, token) {
+            (Ok(CallOutcome::NotRun { .. }) | Err(_), Some(token)) => {
+                self.allowances.give_back(token);
+            }
+            _ => {}
+        }
+        result
+    }
+
     /// Runs a call, records it in metrics and logs, and builds its response.
     async fn process(
         self: &Arc<Self>,
@@ -183,7 +201,7 @@
                 refusal: Refusal::Stopping,
                 retry_after: Span::default(),
             }),
-            Ok(routed) => reroute::run_call(self, routed).await,
+            Ok(routed) => self.run_allowed(routed).await,
             Err(rejection) => Err(rejection),
         };
         let took = self.board.clock.now().since(started_at);
--- a/crates/node/src/ingress/routing.rs
+++ b/crates/node/src/ingress/routing.rs
@@ -86,10 +86,6 @@
     /// 0 is the most urgent.
     pub(super) priority: u32,
     /// The team whose key the caller sent. `None` without teams, on open routes and for nested calls.
-    #[expect(
-        dead_code,
-        reason = "read where allowances are checked, which is not built yet"
-    )]
     pub(super) team: Option<TeamId>,
     pub(super) request: ServerRequest,
     /// Whether the call was routed before, by an older view, and wasn't run.
--- a/crates/node/src/ingress/tests/fixtures.rs
+++ b/crates/node/src/ingress/tests/fixtures.rs
@@ -22,6 +22,7 @@
     routing::{RequestHead, RoutedCall, route_call},
 };
 use crate::{
+    allowances::{Allowances, TonicCourier},
     backend::{Backend, ProbeError, RequestResult, ServerRequest, Target},
     body_budget::BodyBudget,
     fixtures::board,
@@ -78,6 +79,8 @@
     let source = Source::notes(Arc::new(SilentPlatform));
     let view_sync = view_sync::spawn(&board, source, &metrics, options);
     let services = Services::new(Boot(2), Default::default(), RetryPolicy::default());
+    let courier = Arc::new(TonicCourier::default());
+    let allowances = Allowances::new(Arc::clone(&board), courier, Arc::clone(&metrics));
     Arc::new(Ingress {
         board: Arc::clone(&board),
         dialect: Arc::new(SiteDialect),
@@ -88,6 +91,7 @@
         metrics,
         view_sync,
         body_budget: BodyBudget::default(),
+        allowances,
     })
 }
 
--- a/crates/node/src/ingress/tests/reroute.rs
+++ b/crates/node/src/ingress/tests/reroute.rs
@@ -15,8 +15,8 @@
 };
 use types::Span;
 use wire::peer::{
-    Answer, AskRequest, NotRun, OpenReply, OpenRequest, Outcome, PullReply, PullRequest, Refusal,
-    RunRequest, View,
+    Answer, AskRequest, DrawReply, DrawRequest, NotRun, OpenReply, OpenRequest, Outcome, PullReply,
+    PullRequest, Refusal, RunRequest, View,
     outcome::Result as Outcomes,
     peer_server::{Peer, PeerServer},
 };
@@ -74,6 +74,10 @@
         Err(Status::unimplemented("not used"))
     }
 
+    async fn draw(&self, _: Request<DrawRequest>) -> Result<Response<DrawReply>, Status> {
+        Err(Status::unimplemented("no allowances"))
+    }
+
     async fn pull(&self, _: Request<PullRequest>) -> Result<Response<PullReply>, Status> {
         Err(Status::unimplemented("not used"))
     }
--- a/crates/node/src/lib.rs
+++ b/crates/node/src/lib.rs
@@ -23,6 +23,7 @@
 mod fixtures;
 
 mod admin;
+mod allowances;
 mod backend;
 mod body_budget;
 mod fingerprint;
--- a/crates/node/src/lifecycle.rs
+++ b/crates/node/src/lifecycle.rs
@@ -29,6 +29,7 @@
 
 use crate::{
     admin::{self, Admin},
+    allowances::{Allowances, TonicCourier},
     backend::HttpBackend,
     body_budget::BodyBudget,
     gate_actor::{self, GateActor},
@@ -170,6 +171,9 @@
     let retries = RetryPolicy {
         fleet_burst: settings.repeats,
     };
+    let courier = Arc::new(TonicCourier::default());
+    let allowances = Allowances::new(Arc::clone(&board), courier, Arc::clone(&metrics));
+    tokio::spawn(Arc::clone(&allowances).run());
     let ingress = Arc::new(Ingress {
         board: Arc::clone(&board),
         dialect,
@@ -180,6 +184,7 @@
         metrics,
         view_sync: view_sync.clone(),
         body_budget,
+        allowances: Arc::clone(&allowances),
     });
     tokio::spawn(Arc::clone(&ingress).watch_board());
     let readiness = match &settings.readiness {
@@ -190,7 +195,12 @@
         None => None,
     };
 
-    let service = PeerService::new(Arc::clone(&board), gate_actor.clone(), view_sync.clone());
+    let service = PeerService::new(
+        Arc::clone(&board),
+        gate_actor.clone(),
+        view_sync.clone(),
+        allowances,
+    );
     let peers = serve_peers(peer_listener, service);
     let callers = serve_callers(caller_listener, Arc::clone(&ingress));
     let admin_state = Admin {
--- a/crates/node/src/metrics.rs
+++ b/crates/node/src/metrics.rs
@@ -6,6 +6,7 @@
 };
 use opentelemetry_sdk::metrics::SdkMeterProvider;
 use prometheus::{Encoder, Registry, TextEncoder};
+use smol_str::SmolStr;
 use types::{ServiceId, Span};
 
 /// Bucket bounds of the histograms in seconds, from the latency of one hop to the longest timeout
@@ -27,6 +28,7 @@
     control: Counter<u64>,
     malformed_limits: Counter<u64>,
     suspects: Counter<u64>,
+    teams: Counter<u64>,
     refused_configs: Counter<u64>,
     config_version: Gauge<u64>,
     unusable_items: Gauge<u64>,
@@ -66,6 +68,10 @@
                 .u64_counter("suspects")
                 .with_description("Requests under which backend servers end, by event")
                 .build(),
+            teams: meter
+                .u64_counter("teams")
+                .with_description("Requests of teams with an allowance, by team and outcome")
+                .build(),
             refused_configs: meter
                 .u64_counter("refused_configs")
                 .with_description("Versions of the operators' configuration that are invalid")
@@ -129,6 +135,13 @@
         }
     }
 
+    /// Counts a request of a team with an allowance.
+    pub(crate) fn record_team(&self, team: SmolStr, outcome: &'static str) {
+        let team = KeyValue::new("team", team.to_string());
+        let labels = [team, KeyValue::new("outcome", outcome)];
+        self.teams.add(1, &labels);
+    }
+
     /// Counts a version of the operators' configuration that is invalid. The number is 0 if it can't be
     /// read.
     pub(crate) fn record_refused_config(&self, version: u64) {
--- a/crates/node/src/peers/server.rs
+++ b/crates/node/src/peers/server.rs
@@ -10,12 +10,13 @@
 use tonic::{Request, Response, Status};
 use types::{Boot, Moment, Revision};
 use wire::peer::{
-    AskRequest, OpenReply, OpenRequest, Outcome as WireOutcome, PullReply, PullRequest, RunRequest,
-    View, peer_server::Peer,
+    AskRequest, DrawReply, DrawRequest, OpenReply, OpenRequest, Outcome as WireOutcome, PullReply,
+    PullRequest, RunRequest, View, peer_server::Peer,
 };
 
 use super::{LocalGate, TransportError, convert, evidence};
 use crate::{
+    allowances::Allowances,
     gate_actor::{GateActor, Reply},
     view_sync::{PeerReport, UpdateRequest, ViewSync, checked_stamp},
 };
@@ -25,6 +26,7 @@
     board: Arc<Board>,
     gate: LocalGate,
     view_sync: ActorRef<ViewSync>,
+    allowances: Arc<Allowances>,
 }
 
 impl PeerService {
@@ -32,11 +34,13 @@
         board: Arc<Board>,
         gate_actor: ActorRef<GateActor>,
         view_sync: ActorRef<ViewSync>,
+        allowances: Arc<Allowances>,
     ) -> Self {
         Self {
             board,
             gate: LocalGate::new(gate_actor),
             view_sync,
+            allowances,
         }
     }
 
@@ -138,6 +142,14 @@
         };
         Ok(Response::new(PullReply { view: view.into() }))
     }
+
+    async fn draw(&self, request: Request<DrawRequest>) -> Result<Response<DrawReply>, Status> {
+        let reply = self.allowances.serve(request.into_inner()).await;
+        match reply {
+            Some(reply) => Ok(Response::new(reply)),
+            None => Err(Status::invalid_argument("the question is malformed")),
+        }
+    }
 }
 
 /// Parses a digest, `None` if its length is wrong.
--- a/crates/node/src/view_sync/tests.rs
+++ b/crates/node/src/view_sync/tests.rs
@@ -26,8 +26,8 @@
 };
 use types::{Fingerprint, Moment, Rate, Revision, Span, Stamp};
 use wire::peer::{
-    AskRequest, OpenReply, OpenRequest, Outcome, PullReply, PullRequest, RunRequest, ServerEnd,
-    SuspectRequest, View,
+    AskRequest, DrawReply, DrawRequest, OpenReply, OpenRequest, Outcome, PullReply, PullRequest,
+    RunRequest, ServerEnd, SuspectRequest, View,
     peer_server::{Peer, PeerServer},
 };
 
@@ -156,6 +156,10 @@
         }))
     }
 
+    async fn draw(&self, _: Request<DrawRequest>) -> Result<Response<DrawReply>, Status> {
+        Err(Status::unimplemented("no allowances"))
+    }
+
     async fn pull(&self, _: Request<PullRequest>) -> Result<Response<PullReply>, Status> {
         tokio::time::sleep(TRANSFER_TIME).await;
         let parts = self.snapshot.parts(fleet::Digests::default(), Moment(0));
