--- a/crates/allowance/src/purse.rs
+++ b/crates/allowance/src/purse.rs
@@ -61,7 +61,7 @@
     /// Tokens by the moment at which they expire.
     tokens: Vec<(Moment, u32)>,
     asking: bool,
-    /// Requests that wait for the answer.
+    /// Requests that were told to wait and haven't taken again.
     waiting: u32,
     dry: Option<Dry>,
     /// Requests refused since the last question.
@@ -96,11 +96,14 @@
     /// The tokens used in half of the time for which a grant is valid, so that few expire.
     fn wanted(&self) -> u32 {
         let used = u64::from(self.used[1]) * GRANT_TERM.0 / (2 * USE_WINDOW.0);
-        (used as u32).max(1 + self.waiting).min(MAX_WANTED)
+        (used as u32).max(self.waiting).min(MAX_WANTED)
     }
 
     fn is_idle(&self, now: Moment) -> bool {
-        !self.asking && self.refused == 0 && now.since(self.window_start) > USE_WINDOW.scale(2.0)
+        !self.asking
+            && self.waiting == 0
+            && self.refused == 0
+            && now.since(self.window_start) > USE_WINDOW.scale(2.0)
     }
 }
 
@@ -114,8 +117,9 @@
     /// Takes a token for a request. `again` is set if the request has waited for an answer.
     pub fn take(&mut self, team: &TeamId, terms: Terms, again: bool, now: Moment) -> Take {
         let pocket = self.pockets.entry(team.clone()).or_default();
-        if !again {
-            pocket.count(now);
+        match again {
+            true => pocket.waiting = pocket.waiting.saturating_sub(1),
+            false => pocket.count(now),
         }
         if let Some(expires) = pocket.pop(now) {
             return Take::Granted { expires };
@@ -141,13 +145,13 @@
                 Take::Wait
             }
             _ => {
+                pocket.waiting = pocket.waiting.saturating_add(1);
                 let question = Question {
-                    waiting: 1 + pocket.waiting,
+                    waiting: pocket.waiting,
                     wanted: pocket.wanted(),
                     refused: pocket.refused,
                 };
                 pocket.asking = true;
-                pocket.waiting = 0;
                 pocket.refused = 0;
                 pocket.dry = None;
                 Take::Ask(question)
@@ -181,6 +185,13 @@
         }
     }
 
+    /// Ends the wait of a request that doesn't take again.
+    pub fn leave(&mut self, team: &TeamId) {
+        if let Some(pocket) = self.pockets.get_mut(team) {
+            pocket.waiting = pocket.waiting.saturating_sub(1);
+        }
+    }
+
     /// Ends a question that nobody has answered.
     pub fn fail(&mut self, team: &TeamId) {
         if let Some(pocket) = self.pockets.get_mut(team) {
--- a/crates/allowance/tests/support/mod.rs
+++ b/crates/allowance/tests/support/mod.rs
@@ -1,4 +1,5 @@
 //! A fleet of ingresses and owners that exchange messages in simulated time.
+#![allow(dead_code, reason = "each test uses a part")]
 
 use std::collections::BTreeMap;
 
@@ -14,6 +15,8 @@
 const TICK_STEPS: u64 = 25;
 /// Time after which an ingress doesn't wait for an answer any more.
 const TIMEOUT: Span = Span::from_millis(150);
+/// Time that a request waits for an answer.
+const MAX_WAIT: Span = Span::from_millis(400);
 const ZONES: usize = 3;
 const HOPS: u32 = 3;
 
@@ -163,9 +166,16 @@
                 self.tick(index);
             }
         }
-        self.deliver();
+        // A request takes again once there is an answer.
+        let answered = self.deliver();
+        let is_woken = |w: &Waiter| {
+            let asked = (w.ingress, w.team.clone());
+            answered.contains(&asked) || self.now.since(w.since) > MAX_WAIT
+        };
         let waiters = std::mem::take(&mut self.waiters);
-        for waiter in waiters {
+        let (woken, waiting): (Vec<_>, Vec<_>) = waiters.into_iter().partition(is_woken);
+        self.waiters = waiting;
+        for waiter in woken {
             self.serve(waiter, true);
         }
     }
@@ -191,7 +201,8 @@
         node.purse.tick(now);
     }
 
-    fn deliver(&mut self) {
+    /// Delivers messages, and returns the ingresses that have an answer or give up, with the team.
+    fn deliver(&mut self) -> Vec<(usize, TeamId)> {
         let now = self.now;
         let mut messages = std::mem::take(&mut self.on_the_way);
         for message in &mut messages {
@@ -206,6 +217,7 @@
         };
         let (open, ended): (Vec<_>, Vec<_>) = messages.into_iter().partition(is_open);
         self.on_the_way.extend(open);
+        let mut answered = Vec::new();
         for message in ended {
             let in_time = now >= message.returns;
             let purse = &mut self.nodes[message.ingress].purse;
@@ -215,7 +227,9 @@
                 }
                 _ => purse.fail(&message.team),
             }
+            answered.push((message.ingress, message.team));
         }
+        answered
     }
 
     fn ask(&mut self, ingress: usize, team: &TeamId, question: Question) -> Option<Drawn> {
@@ -291,8 +305,9 @@
 
     fn serve(&mut self, waiter: Waiter, again: bool) {
         let now = self.now;
-        if now.since(waiter.since) > TIMEOUT.scale(2.0) {
+        if now.since(waiter.since) > MAX_WAIT {
             self.unknown += 1;
+            self.nodes[waiter.ingress].purse.leave(&waiter.team);
             return;
         }
         if self.nodes[waiter.ingress].paused {
--- a/crates/node/src/allowances/mod.rs
+++ b/crates/node/src/allowances/mod.rs
@@ -54,6 +54,27 @@
     expires: Moment,
 }
 
+/// A request that waits for an answer. Its place is free again if it is dropped.
+struct Waiting<'a> {
+    allowances: &'a Allowances,
+    team: Option<&'a TeamId>,
+}
+
+impl Waiting<'_> {
+    /// Ends the wait as the request takes again.
+    fn end(mut self) {
+        self.team = None;
+    }
+}
+
+impl Drop for Waiting<'_> {
+    fn drop(&mut self) {
+        if let Some(team) = self.team {
+            self.allowances.core().purse.leave(team);
+        }
+    }
+}
+
 struct Core {
     owner: Owner,
     purse: Purse,
@@ -147,13 +168,14 @@
         };
         let started_at = self.board.clock.now();
         let latest = (started_at + MAX_WAIT).min(deadline);
-        let mut again = false;
+        let mut waiting = None;
         let result = loop {
             // An answer that comes after the take must find the request waiting.
             let notify = self.core().notify(team);
             let mut answered = pin!(notify.notified());
             answered.as_mut().enable();
             let now = self.board.clock.now();
+            let again = waiting.take().map(Waiting::end).is_some();
             let take = self.core().purse.take(team, terms, again, now);
             match take {
                 Take::Granted { expires } => {
@@ -170,7 +192,10 @@
                 }
                 Take::Wait => {}
             }
-            again = true;
+            waiting = Some(Waiting {
+                allowances: self,
+                team: Some(team),
+            });
             let left = latest.since(self.board.clock.now()).duration();
             if timeout(left, answered).await.is_err() {
                 break Err(Rejection::AllowanceUnknown);
