call: know attempts without their whole body as not run

A call whose deadline passed, or whose gate lost the session or the process, ended as unknown (502 or 504) also while the body of its only attempt was on its way, though a gate starts nothing without the whole body.

The call now notes which attempts are without the end of their body. An unknown outcome of such an attempt is sent elsewhere, and the deadline ends the call as not run; no more of the body is sent in both cases. The at-most-once simulation plays this as well: an ingress that settles or cancels an attempt sends no body, and only whole bodies count as sent.

Also: bodies that are truncated, too long or of another size than offered are an error at the gate's node, and nothing runs.

--- a/crates/call/src/core.rs
+++ b/crates/call/src/core.rs
@@ -101,11 +101,13 @@
     },
     /// Query the gate for the outcome of the attempt, over a new connection.
     Query(AttemptIndex),
-    /// Query the gate for the outcome of the attempt, and have it cancel the attempt.
+    /// Query the gate for the outcome of the attempt, and have it cancel the attempt. No more of its body is
+    /// sent.
     Cancel(AttemptIndex),
     /// Have the gate refuse the attempt if it is queued. Its outcome follows.
     Withdraw(AttemptIndex),
-    /// Record that the attempt is settled: its outcome will not be asked for again.
+    /// Record that the attempt is settled: its outcome will not be asked for again, and no more of its body is
+    /// sent.
     Settle(AttemptIndex),
     /// Report the outcome to the caller. Only [`Action::Cancel`] and [`Action::Settle`] may follow.
     Finish(CallOutcome),
@@ -131,6 +133,8 @@
     not_run: bool,
     /// Whether the backend server may be selected again, as the refusal says nothing against it.
     reusable: bool,
+    /// Whether the gate hasn't got the body to its end, without which it starts nothing.
+    withheld: bool,
     /// Whether the request certainly never reached the backend server.
     undelivered: bool,
     /// Whether the gate should refuse it rather than queue it or run it slowly.
@@ -208,6 +212,10 @@
         if self.attempts[attempt].phase == Phase::Settled {
             return Vec::new();
         }
+        let outcome = match outcome {
+            Outcome::Unknown if self.attempts[attempt].withheld => Outcome::refused(Refusal::Down),
+            known => known,
+        };
         let mut actions = self.settle(attempt);
         match outcome {
             _ if self.finished => {}
@@ -244,6 +252,16 @@
         actions
     }
 
+    /// Notes that an attempt is sent without its body, which follows once the gate has admitted it.
+    pub fn withhold_body(&mut self, attempt: AttemptIndex) {
+        self.attempts[attempt].withheld = true;
+    }
+
+    /// Notes that the last part of the body of an attempt is about to be sent.
+    pub fn on_body_sent(&mut self, attempt: AttemptIndex) {
+        self.attempts[attempt].withheld = false;
+    }
+
     /// Handles a broken connection under an attempt, or a node that can't be reached. An idempotent
     /// request is retried; for any other, the gate is asked for the outcome.
     pub fn on_disconnect(
@@ -487,6 +505,7 @@
             server: server.clone(),
             phase,
             not_run: false,
+            withheld: false,
             reusable: false,
             undelivered: false,
             fail_fast,
@@ -500,9 +519,10 @@
         }]
     }
 
-    /// Finishes the call without an answer.
+    /// Finishes the call without an answer. An open attempt without its body never runs, as it is cancelled and
+    /// no more of the body is sent.
     fn give_up(&mut self, late: bool) -> Vec<Action> {
-        let none_ran = self.attempts.iter().all(|a| a.not_run);
+        let none_ran = self.attempts.iter().all(|a| a.not_run || a.withheld);
         let (refusal, retry_after) = match self.last_refusal {
             // Other nodes may serve it at once.
             _ if self.is_ending => (Refusal::Stopping, Span::default()),
--- a/crates/call/tests/support/mod.rs
+++ b/crates/call/tests/support/mod.rs
@@ -257,9 +257,15 @@
                     attempt, server, ..
                 } => self.send(call, attempt, gate_index(&server)),
                 Action::Query(attempt) => self.query(call, attempt, Query::Outcome),
-                Action::Cancel(attempt) => self.query(call, attempt, Query::Cancel),
+                Action::Cancel(attempt) => {
+                    self.callers[call].bodies.insert(attempt);
+                    self.query(call, attempt, Query::Cancel);
+                }
                 Action::Withdraw(attempt) => self.query(call, attempt, Query::Withdraw),
-                Action::Settle(attempt) => self.settle_attempt(call, attempt),
+                Action::Settle(attempt) => {
+                    self.callers[call].bodies.insert(attempt);
+                    self.settle_attempt(call, attempt);
+                }
                 Action::Finish(outcome) => self.callers[call].outcomes.push(outcome),
             }
         }
@@ -286,6 +292,9 @@
         };
         let boot = process.gate.boot();
         let call = index;
+        if caller.is_large {
+            caller.call.withhold_body(attempt);
+        }
         self.in_flight.push(match caller.is_large {
             true => Message::Offer {
                 boot,
@@ -312,13 +321,17 @@
         }
         let (to, sent) = caller.sent[&attempt];
         self.bodies += 1;
+        let is_cut = self.bodies.is_multiple_of(CUT_BODIES);
+        if !is_cut {
+            caller.call.on_body_sent(attempt);
+        }
         self.in_flight.push(Message::Body {
             boot: sent.id.boot,
             id: sent.id,
             to,
             call,
             attempt,
-            is_cut: self.bodies.is_multiple_of(CUT_BODIES),
+            is_cut,
         });
     }
 
--- a/crates/node/src/ingress/driver.rs
+++ b/crates/node/src/ingress/driver.rs
@@ -31,7 +31,7 @@
 };
 use crate::{
     gate_actor::Reply,
-    peers::{Peer, TransportError},
+    peers::{Handover, Peer, TransportError},
     view_sync::PeerReport,
 };
 
@@ -92,6 +92,8 @@
     peer: Arc<Peer>,
     /// Set when the attempt gets its id, before it is sent.
     registered: Arc<OnceLock<SessionAttempt>>,
+    /// Set if the gate gets the body once it has admitted the attempt.
+    handover: Option<Handover>,
     abort_handle: AbortHandle,
     /// Whether the attempt has been cancelled or settled, or was never sent.
     closed: bool,
@@ -166,6 +168,11 @@
         &mut self,
         step: impl FnOnce(&mut Call, &mut Selector<'_>, &mut RetryBudget<'_>) -> Vec<Action>,
     ) -> Vec<Action> {
+        for (index, attempt) in self.attempts.iter().enumerate() {
+            if attempt.handover.as_ref().is_some_and(Handover::is_complete) {
+                self.call.on_body_sent(index);
+            }
+        }
         let services = &self.ingress.services;
         let service = &self.routed.service;
         let mut selector = Selector {
@@ -365,6 +372,11 @@
         let registered = Arc::new(OnceLock::new());
         let mut request = self.routed.request.clone();
         request.is_retry |= is_retry;
+        let is_offered = self.routed.offers_body(self.ingress.offer_bytes);
+        let handover = is_offered.then(Handover::default);
+        if is_offered {
+            self.call.withhold_body(attempt);
+        }
         let outgoing = OutgoingAttempt {
             ingress: Arc::clone(&self.ingress),
             peer: Arc::clone(&peer),
@@ -384,7 +396,7 @@
                 .services
                 .known_limit(&self.routed.service, &server),
             trial: self.trial.is_some() || self.broken,
-            offer_first: self.routed.offers_body(self.ingress.offer_bytes),
+            handover: handover.clone(),
             request,
             registered: Arc::clone(&registered),
         };
@@ -402,6 +414,7 @@
             server,
             peer,
             registered,
+            handover,
             abort_handle,
             closed: false,
         });
@@ -415,6 +428,7 @@
             server,
             peer,
             registered: Arc::default(),
+            handover: None,
             abort_handle,
             closed: true,
         }
@@ -496,6 +510,9 @@
 
     fn settle(&mut self, attempt: AttemptIndex) {
         let state = &mut self.attempts[attempt];
+        if state.handover.is_some() {
+            state.abort_handle.abort();
+        }
         if std::mem::replace(&mut state.closed, true) {
             return;
         }
--- a/crates/node/src/ingress/outgoing.rs
+++ b/crates/node/src/ingress/outgoing.rs
@@ -11,7 +11,7 @@
 use crate::{
     backend::ServerRequest,
     gate_actor::Reply,
-    peers::{Attempt, KnownLimit, Peer, TransportError},
+    peers::{Attempt, Handover, KnownLimit, Peer, TransportError},
 };
 
 /// An attempt that has no id yet.
@@ -27,8 +27,8 @@
     pub(super) route: SmolStr,
     pub(super) known_limit: Option<KnownLimit>,
     pub(super) trial: bool,
-    /// Whether a gate in another process is to admit the attempt before it gets the body.
-    pub(super) offer_first: bool,
+    /// Set if a gate in another process is to admit the attempt before it gets the body.
+    pub(super) handover: Option<Handover>,
     pub(super) request: ServerRequest,
     pub(super) registered: Arc<OnceLock<SessionAttempt>>,
 }
@@ -54,7 +54,7 @@
             route: self.route,
             known_limit: self.known_limit,
             trial: self.trial,
-            offer_first: self.offer_first,
+            handover: self.handover,
             request: self.request,
             revision: board.view.borrow().revision,
             node: board.identity.node,
--- a/crates/node/src/ingress/tests/bodies.rs
+++ b/crates/node/src/ingress/tests/bodies.rs
@@ -28,9 +28,15 @@
     sync::Semaphore,
     time::sleep,
 };
-use tonic::transport::{Server, server::TcpIncoming};
+use tonic::{
+    Code, Status,
+    transport::{Server, server::TcpIncoming},
+};
 use types::Answer;
-use wire::peer::peer_server::PeerServer;
+use wire::peer::{
+    self, BodyChunk, OfferRequest, OpenRequest, RunRequest, outcome::Result as Outcomes,
+    peer_client::PeerClient, peer_server::PeerServer,
+};
 
 use super::{
     super::Ingress,
@@ -219,6 +225,76 @@
     assert_eq!(send(&ingress, "/m/1", body()).await.status(), 200);
 }
 
+/// Offers a request with a body of three bytes to the gate, and sends `chunks` of one that is said to have
+/// `size` bytes. Returns the outcome, `None` if the stream ended without one.
+async fn deliver(
+    pair: &Pair,
+    size: u64,
+    chunks: &[&'static [u8]],
+) -> Result<Option<Outcomes>, Status> {
+    let address = format!("http://{}", pair.link.address);
+    let mut client = PeerClient::connect(address).await.expect("a connection");
+    let opened = client.open(OpenRequest { ingress: 7 }).await?.into_inner();
+    let attempt = peer::Attempt {
+        boot: opened.boot,
+        session: opened.session,
+        seq: 1,
+    };
+    let run = RunRequest {
+        attempt: Some(attempt),
+        deadline: opened.clock + 5_000_000,
+        objective: opened.clock + 5_000_000,
+        call: "call".into(),
+        server: "rinks".into(),
+        method: "PUT".into(),
+        path: "/m/1".into(),
+        node: "127.0.0.1:9".into(),
+        ..RunRequest::default()
+    };
+    let offer = OfferRequest {
+        run: Some(run),
+        body_bytes: 3,
+    };
+    let reply = client.offer(offer).await?.into_inner();
+    assert_eq!(reply.outcome, None, "it is admitted");
+    let parts = chunks.iter().enumerate().map(|(index, data)| BodyChunk {
+        attempt: (index == 0).then_some(attempt),
+        body_bytes: size,
+        data: Bytes::from_static(data),
+    });
+    let stream = futures::stream::iter(parts.collect::<Vec<_>>());
+    let mut replies = client.deliver(stream).await?.into_inner();
+    while let Some(reply) = replies.message().await? {
+        if let Some(outcome) = reply.outcome {
+            return Ok(outcome.result);
+        }
+    }
+    Ok(None)
+}
+
+#[tokio::test]
+async fn a_truncated_or_over_long_body_is_an_error_and_is_not_run() {
+    let pair = Pair::start(usize::MAX, Duration::ZERO).await;
+    let broken: [(u64, &[&'static [u8]]); 4] = [
+        (3, &[b"ab"]),
+        (3, &[b"ab", b"cd"]),
+        (3, &[b"abcd"]),
+        (u64::MAX, &[b"abc"]),
+    ];
+    for (size, chunks) in broken {
+        let error = deliver(&pair, size, chunks).await.expect_err("an error");
+        assert_eq!(error.code(), Code::InvalidArgument, "{size} {chunks:?}");
+    }
+    for (size, chunks) in [(4, b"abcd".as_slice()), (2, b"ab")] {
+        let outcome = deliver(&pair, size, &[chunks]).await.expect("an outcome");
+        assert!(matches!(outcome, Some(Outcomes::NotRun(_))), "{outcome:?}");
+    }
+    assert_eq!(pair.backend.sizes(), Vec::<usize>::new());
+    let outcome = deliver(&pair, 3, &[b"a", b"", b"bc"]).await;
+    let outcome = outcome.expect("an outcome");
+    assert!(matches!(outcome, Some(Outcomes::Answer(_))), "{outcome:?}");
+}
+
 /// Uploads share a link of 10 Mbit/s with lookups, which have 500 ms.
 #[tokio::test]
 async fn lookups_do_not_wait_behind_uploads() {
--- a/crates/node/src/peers/bodies.rs
+++ b/crates/node/src/peers/bodies.rs
@@ -3,16 +3,22 @@
 //! A body takes a slow link for longer than other messages may wait, so only a few of its chunks are on the way
 //! at a time. The gate acknowledges each one.
 
-use std::collections::VecDeque;
+use std::{
+    collections::VecDeque,
+    sync::{
+        Arc,
+        atomic::{AtomicBool, Ordering},
+    },
+};
 
 use bytes::{Bytes, BytesMut};
 use futures::{
     StreamExt,
-    channel::mpsc::{self, UnboundedSender},
+    channel::mpsc,
     stream::{self, BoxStream},
 };
 use tonic::{Status, Streaming, transport::Channel};
-use types::AttemptId;
+use types::{AttemptId, Outcome, Refusal};
 use wire::peer::{BodyChunk, DeliverReply, peer_client::PeerClient};
 
 use super::{LocalGate, TransportError, convert, remote::classify_error};
@@ -26,6 +32,32 @@
 /// Largest body that is taken, as for other messages between nodes.
 const MAX_BODY_BYTES: u64 = 68 << 20;
 
+/// Whether the body of an offered attempt has been handed over, shared between the attempt and its call.
+#[derive(Debug, Clone, Default)]
+pub(crate) struct Handover(Arc<AtomicBool>);
+
+impl Handover {
+    /// Records that the last part of the body is about to be sent.
+    pub(super) fn complete(&self) {
+        self.0.store(true, Ordering::Release);
+    }
+
+    /// Whether the gate may have the whole body.
+    pub(crate) fn is_complete(&self) -> bool {
+        self.0.load(Ordering::Acquire)
+    }
+}
+
+/// Reply of a gate that hasn't got the body of the attempt to its end. If it doesn't know the outcome, it has
+/// lost the session, and hasn't run the attempt.
+pub(super) fn without_body(reply: Reply) -> Reply {
+    let outcome = match reply.outcome {
+        Outcome::Unknown => Outcome::refused(Refusal::Session),
+        known => known,
+    };
+    Reply { outcome, ..reply }
+}
+
 /// Hands over the body of an admitted attempt, and waits for the outcome.
 ///
 /// # Errors
@@ -35,11 +67,22 @@
     mut client: PeerClient<Channel>,
     id: AttemptId,
     body: Bytes,
+    handover: &Handover,
 ) -> Result<Reply, TransportError> {
     let mut rest = chunks(id, body);
     let (sender, receiver) = mpsc::unbounded();
+    let send_next = |rest: &mut VecDeque<BodyChunk>| {
+        let Some(chunk) = rest.pop_front() else {
+            return;
+        };
+        if rest.is_empty() {
+            handover.complete();
+        }
+        // The receiver is gone if the connection is, which its reply tells.
+        let _ = sender.unbounded_send(chunk);
+    };
     for _ in 0..WINDOW_CHUNKS {
-        send_next(&mut rest, &sender);
+        send_next(&mut rest);
     }
     let mut replies = match client.deliver(receiver).await {
         Ok(response) => response.into_inner(),
@@ -48,8 +91,9 @@
     loop {
         match replies.message().await {
             Ok(Some(reply)) => match reply.outcome {
-                Some(outcome) => return Ok(convert::from_outcome(outcome)),
-                None => send_next(&mut rest, &sender),
+                Some(outcome) if rest.is_empty() => return Ok(convert::from_outcome(outcome)),
+                Some(outcome) => return Ok(without_body(convert::from_outcome(outcome))),
+                None => send_next(&mut rest),
             },
             Ok(None) => return Err(cut_or_lost(&Status::cancelled("no outcome"), &rest)),
             Err(status) => return Err(cut_or_lost(&status, &rest)),
@@ -72,13 +116,6 @@
     chunks
 }
 
-fn send_next(rest: &mut VecDeque<BodyChunk>, sender: &UnboundedSender<BodyChunk>) {
-    if let Some(chunk) = rest.pop_front() {
-        // The receiver is gone if the connection is, which its reply tells.
-        let _ = sender.unbounded_send(chunk);
-    }
-}
-
 fn cut_or_lost(status: &Status, rest: &VecDeque<BodyChunk>) -> TransportError {
     match classify_error(status) {
         TransportError::ConnectionLost if !rest.is_empty() => TransportError::BodyCut,
--- a/crates/node/src/peers/convert.rs
+++ b/crates/node/src/peers/convert.rs
@@ -54,7 +54,7 @@
         route,
         known_limit,
         trial,
-        offer_first: _,
+        handover: _,
         request,
         revision,
         node,
@@ -121,7 +121,7 @@
             incarnation: Boot(request.incarnation),
         }),
         trial: request.trial,
-        offer_first: false,
+        handover: None,
         request: ServerRequest {
             call: request.call.parse().map_err(ConvertError::InvalidId)?,
             method: request.method.into(),
--- a/crates/node/src/peers/local.rs
+++ b/crates/node/src/peers/local.rs
@@ -27,6 +27,9 @@
     /// Passes an attempt to the gate and waits for its outcome. If the future is dropped earlier,
     /// the gate is notified that the outcome is no longer awaited.
     pub(crate) async fn run_attempt(&self, attempt: Attempt) -> Result<Reply, TransportError> {
+        if let Some(handover) = &attempt.handover {
+            handover.complete();
+        }
         let (reply, outcome) = oneshot::channel();
         let id = attempt.registered.id;
         self.tell(to_message(attempt, reply)).await?;
--- a/crates/node/src/peers/mod.rs
+++ b/crates/node/src/peers/mod.rs
@@ -34,6 +34,7 @@
     gate_actor::{GateActor, OpenedSession, Reply},
 };
 
+pub(crate) use bodies::Handover;
 pub(crate) use evidence::{changed_suspects, leaving_servers, merge_evidence};
 pub(crate) use local::LocalGate;
 pub(crate) use remote::{RemoteGate, endpoint};
@@ -91,8 +92,8 @@
     pub(crate) known_limit: Option<KnownLimit>,
     /// Whether the request may end its backend server, see [`fleet::Quarantine`].
     pub(crate) trial: bool,
-    /// Whether a gate in another process is to admit the attempt before it gets the body.
-    pub(crate) offer_first: bool,
+    /// Set if a gate in another process is to admit the attempt before it gets the body.
+    pub(crate) handover: Option<Handover>,
     pub(crate) request: ServerRequest,
     pub(crate) revision: Revision,
     /// Address of the node that sends the attempt.
--- a/crates/node/src/peers/remote.rs
+++ b/crates/node/src/peers/remote.rs
@@ -23,7 +23,7 @@
 use types::{AttemptId, Boot};
 use wire::peer::{AskRequest, OfferRequest, OpenRequest, peer_client::PeerClient};
 
-use super::{Attempt, GateClient, TransportError, bodies, convert};
+use super::{Attempt, GateClient, Handover, TransportError, bodies, convert};
 use crate::{
     backend::ServerRequest,
     gate_actor::{OpenedSession, Reply},
@@ -95,7 +95,11 @@
     }
 
     /// Sends an attempt without its body, and the body once the gate has admitted the attempt.
-    async fn run_in_two_steps(&self, attempt: Attempt) -> Result<Reply, TransportError> {
+    async fn run_in_two_steps(
+        &self,
+        attempt: Attempt,
+        handover: &Handover,
+    ) -> Result<Reply, TransportError> {
         let id = attempt.registered.id;
         let body = attempt.request.body.clone();
         let bare = Attempt {
@@ -111,11 +115,14 @@
         };
         match self.client().offer(offer).await {
             Ok(reply) => match reply.into_inner().outcome {
-                Some(outcome) => Ok(convert::from_outcome(outcome)),
-                None => bodies::deliver(self.body_client(), id, body).await,
+                Some(outcome) => Ok(bodies::without_body(convert::from_outcome(outcome))),
+                None => bodies::deliver(self.body_client(), id, body, handover).await,
             },
             // A node of an earlier version, whose gate hasn't got the attempt.
-            Err(status) if status.code() == Code::Unimplemented => self.run_attempt(attempt).await,
+            Err(status) if status.code() == Code::Unimplemented => {
+                handover.complete();
+                self.run_attempt(attempt).await
+            }
             Err(status) => Err(match classify_error(&status) {
                 TransportError::ConnectionLost => TransportError::BodyCut,
                 other => other,
@@ -175,10 +182,13 @@
     }
 
     fn run(&self, attempt: Attempt) -> BoxFuture<'_, Result<Reply, TransportError>> {
-        match attempt.offer_first {
-            true => self.run_in_two_steps(attempt).boxed(),
-            false => self.run_attempt(attempt).boxed(),
+        async move {
+            match attempt.handover.clone() {
+                Some(handover) => self.run_in_two_steps(attempt, &handover).await,
+                None => self.run_attempt(attempt).await,
+            }
         }
+        .boxed()
     }
 
     fn query(&self, id: AttemptId) -> BoxFuture<'_, Result<Reply, TransportError>> {
--- a/crates/node/src/peers/tests.rs
+++ b/crates/node/src/peers/tests.rs
@@ -15,6 +15,7 @@
 
 use super::{
     Attempt, GateClient, Peer, TransportError,
+    bodies::without_body,
     convert::from_outcome,
     evidence::{changed_suspects, merge_evidence, suspects_for},
 };
@@ -217,3 +218,11 @@
         assert_eq!(reply.outcome, Outcome::Unknown, "{status}");
     }
 }
+
+#[test]
+fn a_gate_that_forgot_an_attempt_before_its_body_was_whole_has_not_run_it() {
+    let forgotten = without_body(reply(Outcome::Unknown, Boot(1)));
+    assert_eq!(forgotten.outcome, Outcome::refused(Refusal::Session));
+    let refused = without_body(reply(Outcome::refused(Refusal::Busy), Boot(1)));
+    assert_eq!(refused.outcome, Outcome::refused(Refusal::Busy));
+}
