--- a/crates/node/src/ingress/mod.rs
+++ b/crates/node/src/ingress/mod.rs
@@ -42,7 +42,7 @@
     task::JoinSet,
     time::sleep,
 };
-use types::{CallId, Moment, Refusal, ServerId, ServiceId, Span};
+use types::{CallId, Moment, Refusal, ServerId, ServiceId, Size, Span};
 
 use crate::{
     allowances::Allowances,
@@ -93,6 +93,8 @@
     /// Limits the memory that callers' bodies use.
     pub(crate) body_budget: BodyBudget,
     pub(crate) allowances: Arc<Allowances>,
+    /// Size from which the body of a request on a bulk route is only sent to a gate that has admitted it.
+    pub(crate) offer_bytes: Size,
 }
 
 impl Ingress {
--- a/crates/node/src/lifecycle.rs
+++ b/crates/node/src/lifecycle.rs
@@ -186,6 +186,7 @@
         view_sync: view_sync.clone(),
         body_budget,
         allowances: Arc::clone(&allowances),
+        offer_bytes: settings.offer_bytes,
     });
     tokio::spawn(Arc::clone(&ingress).watch_board());
     let readiness = match &settings.readiness {
--- a/crates/node/src/peers/mod.rs
+++ b/crates/node/src/peers/mod.rs
@@ -6,6 +6,7 @@
 #[cfg(test)]
 mod tests;
 
+mod bodies;
 mod convert;
 mod evidence;
 mod local;
@@ -33,6 +34,7 @@
     gate_actor::{GateActor, OpenedSession, Reply},
 };
 
+pub(crate) use bodies::Handover;
 pub(crate) use evidence::{changed_suspects, leaving_servers, merge_evidence};
 pub(crate) use local::LocalGate;
 pub(crate) use remote::{RemoteGate, endpoint};
@@ -49,6 +51,8 @@
     Unreachable,
     /// The connection was lost. The request may have arrived.
     ConnectionLost,
+    /// The connection was lost before the whole body was handed over, so the gate starts nothing.
+    BodyCut,
 }
 
 impl TransportError {
@@ -58,6 +62,7 @@
             Self::ConnectionRefused => "refused",
             Self::Unreachable => "unreached",
             Self::ConnectionLost => "broken",
+            Self::BodyCut => "body_cut",
         }
     }
 }
@@ -87,6 +92,8 @@
     pub(crate) known_limit: Option<KnownLimit>,
     /// Whether the request may end its backend server, see [`fleet::Quarantine`].
     pub(crate) trial: bool,
+    /// Set if a gate in another process is to admit the attempt before it gets the body.
+    pub(crate) handover: Option<Handover>,
     pub(crate) request: ServerRequest,
     pub(crate) revision: Revision,
     /// Address of the node that sends the attempt.
