route: shares of requests that leave the availability zone

An ingress compared the better of two local servers with the better of two remote ones for each request, with a constant of 3 ms for the way, and in a zone of 12 servers or more it knew no other zone. Callers of a zone with more load than servers waited there while others had room.

Spill computes, for one service, the part of the requests that goes to each other zone: the excess over the level at which the zones bear the load together, in proportion to room, where that saves more time than the way takes. Shares are damped, follow at once when a zone is lost, and let requests with time to spare leave first and costly bodies last. Links measures round trips from replies. Members carry their zone; without a Spill the balancer chooses as before.

Ruled out: weights computed in one place, spill by latency alone, and room that fades to nothing with old reports (docs/design/zones.md).

Existing tests and the bench only name the zone of their members, and the emulator ignores the new field of a selection.

--- a/crates/rig/benches/decisions.rs
+++ b/crates/rig/benches/decisions.rs
@@ -76,6 +76,9 @@
 fn members(count: usize) -> Vec<Member> {
     let member = |index: usize| Member {
         id: format!("server-{index}").parse().expect("valid server id"),
+        zone: format!("zone-{}", index % 4)
+            .parse()
+            .expect("valid zone id"),
         local: index.is_multiple_of(4),
         slots: 10,
     };
--- a/crates/rig/src/emulator/host.rs
+++ b/crates/rig/src/emulator/host.rs
@@ -41,6 +41,7 @@
             let own = services.iter().enumerate().filter(|(_, s)| **s == service);
             own.map(|(index, _)| Member {
                 id: server_id(index),
+                zone: "zone".parse().expect("a valid name"),
                 local: true,
                 slots: SLOTS,
             })
--- a/crates/rig/src/emulator/mod.rs
+++ b/crates/rig/src/emulator/mod.rs
@@ -101,6 +101,7 @@
         let route::Selection {
             server,
             has_alternatives,
+            ..
         } = self.0.select(tried, declined, self.1)?;
         Some(Selection {
             server,
--- a/crates/rig/tests/deadly_model.rs
+++ b/crates/rig/tests/deadly_model.rs
@@ -56,6 +56,7 @@
         let member = |local: usize| {
             move |index: usize| Member {
                 id: server(index),
+                zone: format!("zone-{}", index % 3).parse().expect("a valid name"),
                 local: index % 3 == local % 3,
                 slots: 6,
             }
--- a/crates/route/src/balancer.rs
+++ b/crates/route/src/balancer.rs
@@ -1,14 +1,24 @@
 //! Load, health and selection of the backend servers of one service.
 
-use std::hash::{DefaultHasher, Hash, Hasher};
+use std::{
+    collections::BTreeMap,
+    fmt,
+    hash::{DefaultHasher, Hash, Hasher},
+};
 
 use rand::rngs::SmallRng;
-use types::{Boot, Fingerprint, Moment, Refusal, ServerId, Span};
+use types::{Boot, Fingerprint, Moment, Refusal, ServerId, Span, ZoneId};
 
-use crate::policy::Policy;
+use crate::{
+    policy::Policy,
+    spill::{Direction, Spill, Trip},
+    subset::subset,
+    zone_load::{FULL, ZoneLoad, zone_loads},
+};
+
+/// Latency that a round trip to another availability zone adds, unless it is measured.
+const CROSS_ZONE_LATENCY: Span = Span::from_millis(3);
 
-/// Maximum backend servers of one service that an ingress uses. Other ingresses use the rest.
-const MAX_SERVERS: usize = 12;
 /// Half-lives of the weight of a report's load and mean latency.
 const LOAD_HALF_LIFE: Span = Span::from_millis(20);
 const LATENCY_HALF_LIFE: Span = Span::from_millis(200);
@@ -40,7 +50,9 @@
 pub struct Member {
     /// Identifier of the backend server.
     pub id: ServerId,
-    /// Whether it is in the ingress's own availability zone.
+    /// Its availability zone.
+    pub zone: ZoneId,
+    /// Whether that is the ingress's own.
     pub local: bool,
     /// Maximum concurrent requests when warm.
     pub slots: u32,
@@ -76,6 +88,8 @@
     pub avoid_until: Moment,
     /// Number of consecutive failed answers, counted only as far as they lengthen the backoff.
     pub consecutive_failures: u32,
+    /// Time that a round trip there takes longer than one within the ingress's zone.
+    pub added: Span,
     /// Moving average of the mean latency over all reports of the service, in microseconds.
     service_latency: f64,
 }
@@ -90,8 +104,13 @@
             room_after: Span::default(),
         };
         let (reported_at, avoid_until) = (Moment(0), Moment(0));
+        let added = match member.local {
+            true => Span::default(),
+            false => CROSS_ZONE_LATENCY,
+        };
         Self {
             member,
+            added,
             open_attempts: 0,
             report,
             reported_at,
@@ -124,6 +143,33 @@
         let service = self.service_latency + excess * decay(LATENCY_HALF_LIFE);
         service * factor * (1.0 + utilization) + room_at.since(now).0 as f64
     }
+
+    /// Whether an attempt is expected to take as long as at a full server, or longer.
+    fn is_strained(&self, now: Moment) -> bool {
+        self.expected_latency_us(now) >= self.service_latency * (1.0 + FULL)
+    }
+}
+
+/// Why an attempt goes to the zone that it goes to.
+#[derive(Debug, Clone, Copy, Default, PartialEq, Eq)]
+pub enum Reason {
+    /// The share of its zone.
+    Share,
+    /// It looked faster than the others, or none was left in the zone that the shares chose.
+    #[default]
+    Faster,
+    /// An earlier attempt of the call was sent elsewhere.
+    Again,
+}
+
+impl fmt::Display for Reason {
+    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        f.write_str(match self {
+            Self::Share => "share",
+            Self::Faster => "faster",
+            Self::Again => "again",
+        })
+    }
 }
 
 /// The backend server selected for an attempt.
@@ -133,6 +179,8 @@
     pub server: ServerId,
     /// Whether other backend servers remain that may be better.
     pub has_alternatives: bool,
+    /// Why it is in its zone.
+    pub reason: Reason,
 }
 
 /// Balances the load of one ingress over the backend servers of one service.
@@ -141,30 +189,48 @@
     servers: Vec<ServerState>,
     /// All members, also those that this ingress doesn't use.
     members: Vec<ServerId>,
+    /// Configured slots of all members by zone.
+    slots: BTreeMap<ZoneId, u32>,
     policy: Box<dyn Policy>,
+    /// Set if the requests that leave the zone are a computed share.
+    spill: Option<Spill>,
     rng: SmallRng,
 }
 
 impl Balancer {
-    /// Creates a balancer without members.
+    /// Creates a balancer without members, which compares servers of all zones for each request.
     pub fn new(policy: Box<dyn Policy>, rng: SmallRng) -> Self {
         Self {
             servers: Vec::new(),
             members: Vec::new(),
+            slots: BTreeMap::new(),
             policy,
+            spill: None,
             rng,
         }
     }
 
+    /// Has first attempts leave the zone by the shares of `spill`.
+    pub fn with_spill(self, spill: Spill) -> Self {
+        Self {
+            spill: Some(spill),
+            ..self
+        }
+    }
+
     /// Replaces the members. The state of those that stay is kept.
     ///
     /// Only a subset of many members is used, so that the number of connections doesn't grow with
     /// the fleet. Local members come first, ordered by a rendezvous hash with the ingress's
-    /// incarnation, which spreads the ingresses evenly over the backend servers.
-    pub fn set_members(&mut self, mut members: Vec<Member>, ingress: Boot) {
+    /// incarnation, which spreads the ingresses evenly over the backend servers. With shares of
+    /// other zones, some servers of each are used too.
+    pub fn set_members(&mut self, members: Vec<Member>, ingress: Boot) {
         self.members = members.iter().map(|member| member.id.clone()).collect();
-        members.sort_by_cached_key(|m| (!m.local, rendezvous_hash(ingress, &m.id)));
-        members.truncate(MAX_SERVERS);
+        self.slots.clear();
+        for member in &members {
+            *self.slots.entry(member.zone.clone()).or_default() += member.slots;
+        }
+        let members = subset(members, ingress, self.spill.is_some());
         let previous = std::mem::take(&mut self.servers);
         self.servers = members
             .into_iter()
@@ -180,23 +246,65 @@
             .collect();
     }
 
-    /// Selects a backend server that is neither in `tried` nor avoided, as the policy picks it. If
+    /// Selects a backend server as [`Balancer::select_for`] does, for a request that loses nothing
+    /// by leaving the zone.
+    pub fn select(
+        &mut self,
+        tried: &[ServerId],
+        declined: &[ServerId],
+        now: Moment,
+    ) -> Option<Selection> {
+        let trip = Trip {
+            spare: true,
+            slack: Span(u64::MAX),
+            ..Trip::default()
+        };
+        self.select_for(&trip, tried, declined, now)
+    }
+
+    /// Selects a backend server that is neither in `tried` nor avoided, as the policy picks it. With
+    /// shares of other zones, the first attempt goes to the zone that they choose. If
     /// there is none, selects the one with the lowest expected latency of the untried and of
     /// `declined`, whose gates declined a fail-fast attempt.
-    pub fn select(
+    pub fn select_for(
         &mut self,
+        trip: &Trip,
         tried: &[ServerId],
         declined: &[ServerId],
         now: Moment,
     ) -> Option<Selection> {
+        let direction = match tried {
+            [] => self.direct(trip, now),
+            _ => None,
+        };
         let untried = |s: &&ServerState| !tried.contains(&s.member.id);
         let available = |s: &&ServerState| untried(s) && s.avoid_until <= now;
         let candidates: Vec<&ServerState> = self.servers.iter().filter(available).collect();
+        let selection = |server: &ServerState, reason| Selection {
+            server: server.member.id.clone(),
+            has_alternatives: candidates.len() > 1 || !declined.is_empty(),
+            reason,
+        };
+        let otherwise = match tried {
+            [] => Reason::Faster,
+            _ => Reason::Again,
+        };
+        if let Some(direction) = direction {
+            let there: Vec<&ServerState> = candidates
+                .iter()
+                .filter(|s| direction.is_to(&s.member))
+                .copied()
+                .collect();
+            let keeps = self.spill.as_ref().is_some_and(|spill| spill.keeps(trip));
+            match self.policy.pick(&there, now, &mut self.rng) {
+                Some(picked) if keeps || !there[picked].is_strained(now) => {
+                    return Some(selection(there[picked], Reason::Share));
+                }
+                _ => {}
+            }
+        }
         if let Some(picked) = self.policy.pick(&candidates, now, &mut self.rng) {
-            return Some(Selection {
-                server: candidates[picked].member.id.clone(),
-                has_alternatives: candidates.len() > 1 || !declined.is_empty(),
-            });
+            return Some(selection(candidates[picked], otherwise));
         }
         let remaining = |s: &&ServerState| untried(s) || declined.contains(&s.member.id);
         let remaining = self.servers.iter().filter(remaining);
@@ -207,9 +315,40 @@
         Some(Selection {
             server: fastest.member.id.clone(),
             has_alternatives: false,
+            reason: otherwise,
         })
     }
 
+    /// The zone of a first attempt, `None` without shares of other zones.
+    fn direct(&mut self, trip: &Trip, now: Moment) -> Option<Direction> {
+        let spill = self.spill.as_mut()?;
+        if spill.is_due(now) {
+            let loads = zone_loads(&self.servers, &self.slots, now);
+            let is_home = |load: &ZoneLoad| {
+                let mut there = self.servers.iter().filter(|s| s.member.zone == load.zone);
+                there.any(|s| s.member.local)
+            };
+            let (home, others): (Vec<_>, Vec<_>) = loads.into_iter().partition(is_home);
+            let service = self.servers.first().map_or(0.0, |s| s.service_latency);
+            let home = home.first();
+            spill.update(home, &others, Span(service as u64), now);
+        }
+        Some(spill.choose(trip, &mut self.rng))
+    }
+
+    /// The shares of other zones, if they are computed.
+    pub fn spill(&self) -> Option<&Spill> {
+        self.spill.as_ref()
+    }
+
+    /// Sets what a round trip to a zone takes longer than one within the ingress's.
+    pub fn set_added(&mut self, zone: &ZoneId, added: Span) {
+        let there = self.servers.iter_mut().filter(|s| s.member.zone == *zone);
+        there
+            .filter(|s| !s.member.local)
+            .for_each(|s| s.added = added);
+    }
+
     /// Selects the backend server that runs a suspect request, of those that aren't in `tried`, and those of
     /// `ended` last. All ingresses with the same members and evidence select the same one, whichever members
     /// they use or avoid.
@@ -224,6 +363,7 @@
         Some(Selection {
             server: untried.max_by_key(key)?.clone(),
             has_alternatives: false,
+            reason: Reason::default(),
         })
     }
 
--- a/crates/route/src/lib.rs
+++ b/crates/route/src/lib.rs
@@ -6,14 +6,26 @@
 //! and health. A [`Policy`] picks one of the candidates. [`TwoChoices`] is the default; the others
 //! are baselines for experiments.
 //!
+//! With a [`Spill`], the part of the requests that leaves the availability zone is computed from the load
+//! of whole zones, and [`Links`] measures what the way there takes.
+//!
 //! An ingress knows a backend server only from replies to its own calls, which are outdated on
 //! arrival. So a selection is cheap, avoids backend servers that refused recently, and leaves the
 //! exact admission decision to the gate.
 
 mod balancer;
+mod cost;
+mod link;
 mod policy;
 mod route_table;
+mod spill;
+mod subset;
+mod zone_load;
 
-pub use balancer::{Balancer, LoadReport, Member, Selection, ServerState};
+pub use balancer::{Balancer, LoadReport, Member, Reason, Selection, ServerState};
+pub use cost::ByteCost;
+pub use link::Links;
 pub use policy::{LeastReported, Policy, PolicyKind, Random, RoundRobin, TwoChoices};
 pub use route_table::{RouteTable, host_name, service_for_trial};
+pub use spill::{Direction, Spill, Trip};
+pub use zone_load::ZoneLoad;
--- a/crates/route/src/policy.rs
+++ b/crates/route/src/policy.rs
@@ -4,13 +4,10 @@
 
 use rand::{RngExt, rngs::SmallRng};
 use serde::{Deserialize, Serialize};
-use types::{Moment, Span};
+use types::Moment;
 
 use crate::balancer::ServerState;
 
-/// Latency that a round trip to another availability zone adds.
-const CROSS_ZONE_LATENCY: Span = Span::from_millis(3);
-
 /// Picks one of the candidates.
 pub trait Policy: fmt::Debug + Send {
     /// The index of the picked candidate, `None` if there are no candidates.
@@ -84,8 +81,8 @@
 }
 
 /// Power of two choices: the better of two random candidates of the ingress's availability zone.
-/// The better of two from other zones is picked if its expected latency is lower by more than the
-/// cross-zone latency, or if the ingress's zone has no candidate.
+/// The better of two from other zones is picked if its expected latency is lower by more than what
+/// the round trip to its zone adds, or if the ingress's zone has no candidate.
 #[derive(Debug)]
 pub struct TwoChoices;
 
@@ -95,16 +92,20 @@
             (0..servers.len()).partition(|at| servers[*at].member.local);
         let local = better_of_two(servers, &local, now, rng);
         let remote = better_of_two(servers, &remote, now, rng);
-        prefer_local(local, remote).map(|(at, _)| at)
+        prefer_local(servers, local, remote).map(|(at, _)| at)
     }
 }
 
 /// Index of a candidate, and its expected latency in microseconds.
 type Scored = (usize, f64);
 
-fn prefer_local(local: Option<Scored>, remote: Option<Scored>) -> Option<Scored> {
+fn prefer_local(
+    servers: &[&ServerState],
+    local: Option<Scored>,
+    remote: Option<Scored>,
+) -> Option<Scored> {
     match (local, remote) {
-        (Some(l), Some(r)) if r.1 + (CROSS_ZONE_LATENCY.0 as f64) < l.1 => Some(r),
+        (Some(l), Some(r)) if r.1 + (servers[r.0].added.0 as f64) < l.1 => Some(r),
         (Some(l), _) => Some(l),
         (None, remote) => remote,
     }
--- a/crates/route/tests/balancer.rs
+++ b/crates/route/tests/balancer.rs
@@ -2,12 +2,17 @@
 
 use rand::{SeedableRng, rngs::SmallRng};
 use route::{Balancer, LoadReport, Member, PolicyKind};
-use types::{Boot, Fingerprint, Moment, Refusal, ServerId, Span};
+use types::{Boot, Fingerprint, Moment, Refusal, ServerId, Span, ZoneId};
 
 fn id(index: usize) -> ServerId {
     format!("server-{index}").parse().expect("a valid name")
 }
 
+fn zone(local: bool) -> ZoneId {
+    let name = if local { "home" } else { "away" };
+    name.parse().expect("a valid name")
+}
+
 fn at(ms: u64) -> Moment {
     Moment(1_000_000) + Span::from_millis(ms)
 }
@@ -18,6 +23,7 @@
     let mut balancer = Balancer::new(PolicyKind::TwoChoices.build(), SmallRng::seed_from_u64(1));
     let member = |index| Member {
         id: id(index),
+        zone: zone(index < local),
         local: index < local,
         slots: 10,
     };
@@ -102,6 +108,7 @@
     balancer.on_sent(&id(0));
     let member = |index| Member {
         id: id(index),
+        zone: zone(index < 4),
         local: index < 4,
         slots: 10,
     };
@@ -157,6 +164,7 @@
     let member = |local: fn(usize) -> bool| {
         move |index| Member {
             id: id(index),
+            zone: zone(local(index)),
             local: local(index),
             slots: 10,
         }
--- /dev/null
+++ b/crates/route/tests/spill.rs
@@ -0,0 +1,188 @@
+//! What callers get from zones with uneven load and servers, whose ingresses send each other zone a share.
+
+mod fleet;
+
+use fleet::{Fleet, Plan};
+use rand::{SeedableRng, rngs::SmallRng};
+use route::{ByteCost, Direction, Links, Spill, Trip, ZoneLoad};
+use types::{Moment, ServerId, Size, Span, ZoneId};
+
+const SERVICE: Span = Span::from_millis(140);
+
+fn zone(index: usize) -> ZoneId {
+    format!("zone-{index}").parse().expect("a valid name")
+}
+
+fn load(index: usize, capacity: f64, load: f64, added_ms: u64) -> ZoneLoad {
+    ZoneLoad {
+        zone: zone(index),
+        capacity,
+        load,
+        added: Span::from_millis(added_ms),
+    }
+}
+
+/// Shares after 10 s of the same loads.
+fn settled(home: &ZoneLoad, others: &[ZoneLoad], cost: ByteCost) -> Spill {
+    let mut spill = Spill::new(cost);
+    for step in 0..100 {
+        let now = Moment(0) + Span::from_millis(100 * step);
+        // The load of the zone falls as its requests leave.
+        let home = ZoneLoad {
+            load: home.load * (1.0 - spill.total()),
+            ..home.clone()
+        };
+        spill.update(Some(&home), others, SERVICE, now);
+    }
+    spill
+}
+
+const SPARE: Trip = Trip {
+    bytes: Size(0),
+    slack: Span::from_millis(600),
+    spare: true,
+};
+
+/// Number of 1,000 first attempts of `trip` that leave the zone, beside as many with time to spare.
+fn leaving(spill: &mut Spill, trip: &Trip) -> usize {
+    let rng = &mut SmallRng::seed_from_u64(1);
+    let attempt = |_| {
+        spill.choose(&SPARE, rng);
+        spill.choose(trip, rng)
+    };
+    let attempts = (0..1_000).map(attempt);
+    attempts.filter(|d| *d != Direction::Home).count()
+}
+
+#[test]
+fn what_a_zone_cannot_bear_goes_to_the_others_in_proportion_to_their_room() {
+    let home = load(0, 100.0, 140.0, 0);
+    let others = [load(1, 100.0, 30.0, 9), load(2, 100.0, 60.0, 9)];
+    let spill = settled(&home, &others, ByteCost::default());
+    let shares: Vec<f64> = spill.shares().map(|(_, share)| share).collect();
+    assert!((spill.total() - 50.0 / 140.0).abs() < 0.02, "{shares:?}");
+    assert!((shares[0] / shares[1] - 2.0).abs() < 0.1, "{shares:?}");
+}
+
+#[test]
+fn nothing_leaves_a_zone_that_bears_its_load_or_where_the_way_takes_longer_than_the_wait() {
+    let others = [load(1, 100.0, 10.0, 9)];
+    let spill = settled(&load(0, 100.0, 80.0, 0), &others, ByteCost::default());
+    assert_eq!(spill.total(), 0.0);
+    let far = [load(1, 100.0, 10.0, 200)];
+    let spill = settled(&load(0, 100.0, 140.0, 0), &far, ByteCost::default());
+    assert_eq!(spill.total(), 0.0);
+}
+
+#[test]
+fn the_shares_of_a_zone_that_is_lost_move_to_the_others_at_once() {
+    let home = load(0, 100.0, 140.0, 0);
+    let others = [load(1, 100.0, 30.0, 9), load(2, 100.0, 30.0, 9)];
+    let mut spill = settled(&home, &others, ByteCost::default());
+    let before = spill.total();
+    let now = Moment(0) + Span::from_millis(20_000);
+    let lost = [load(1, 0.0, 0.0, 9), others[1].clone()];
+    let home = load(0, 100.0, 140.0 * (1.0 - before), 0);
+    spill.update(Some(&home), &lost, SERVICE, now);
+    assert_eq!(spill.shares().count(), 1);
+    assert!((spill.total() - before).abs() < 0.05);
+    spill.update(None, &lost, SERVICE, now);
+    assert!((spill.total() - 1.0).abs() < 1e-9, "no server at home");
+}
+
+#[test]
+fn requests_with_time_to_spare_leave_first_and_large_bodies_last() {
+    let home = load(0, 100.0, 140.0, 0);
+    let cost = ByteCost(100.0);
+    let mut spill = settled(&home, &[load(1, 100.0, 30.0, 9)], cost);
+    assert!(leaving(&mut spill, &SPARE) > 250);
+    let nested = Trip {
+        spare: false,
+        ..SPARE
+    };
+    assert!(leaving(&mut spill, &nested) < 50);
+    let large = Trip {
+        bytes: Size(4_000_000),
+        ..SPARE
+    };
+    assert_eq!(leaving(&mut spill, &large), 0);
+    let lost = Trip {
+        slack: Span::from_millis(20),
+        ..large
+    };
+    assert!(leaving(&mut spill, &lost) > 250, "staying would lose it");
+}
+
+#[test]
+fn a_round_trip_is_the_median_of_the_servers_waits_aside() {
+    let mut links = Links::default();
+    let id = |index: usize| -> ServerId { format!("s-{index}").parse().expect("a valid name") };
+    for round in 0..50_u64 {
+        for server in 0..5 {
+            let wait = if server == 4 {
+                80_000
+            } else {
+                round % 7 * 9_000
+            };
+            let took = Span(8_800 + 140_000 + wait);
+            links.record(&zone(1), &id(server), took, SERVICE);
+            links.record(&zone(0), &id(10 + server), Span(140_200), SERVICE);
+        }
+    }
+    let added = links.added(&zone(0), &zone(1)).expect("both are measured");
+    assert!((8_000..16_000).contains(&added.0), "{added}");
+    assert_eq!(links.added(&zone(0), &zone(2)), None);
+}
+
+/// Four zones of eight servers; the first has twice the load that it bears, the others half.
+fn uneven(added_ms: u64) -> Plan {
+    Plan {
+        load: [1.8, 0.45, 0.45, 0.45],
+        added: Span::from_millis(added_ms),
+        ..Plan::default()
+    }
+}
+
+#[test]
+fn callers_of_a_zone_with_twice_its_load_are_served_in_time() {
+    for added_ms in [1, 20] {
+        let played = Fleet::play(uneven(added_ms));
+        let (worst, best) = played.worst_and_best();
+        assert!(worst > best - 0.05, "{added_ms} ms: {played}");
+        // What the zone can't bear is half of its load, 0.9 of 3.15.
+        assert!(played.crossing < 0.40, "{added_ms} ms: {played}");
+        assert!(played.swing < 0.1, "{added_ms} ms: {played}");
+    }
+}
+
+#[test]
+fn callers_of_a_wave_are_served_in_time() {
+    let played = Fleet::play(Plan {
+        load: [0.8; 4],
+        wave: 0.6,
+        ..Plan::default()
+    });
+    let (worst, best) = played.worst_and_best();
+    assert!(worst > best - 0.05, "{played}");
+}
+
+#[test]
+fn callers_of_a_zone_that_loses_its_servers_are_served_and_come_back() {
+    let played = Fleet::play(Plan {
+        load: [0.6; 4],
+        lost: Some((10, 15)),
+        ..Plan::default()
+    });
+    let (worst, best) = played.worst_and_best();
+    assert!(worst > best - 0.05, "{played}");
+    assert!(played.last_crossing < 0.02, "{played}");
+}
+
+#[test]
+fn even_zones_keep_their_requests() {
+    let played = Fleet::play(Plan {
+        load: [0.7; 4],
+        ..Plan::default()
+    });
+    assert!(played.crossing < 0.05, "{played}");
+}
