node: setting zones, shares against nearest

With `zones: shares` first attempts leave the zone by the shares of route::Spill, with round trips measured from the node's own attempts, and `zone_cost` weighs bytes against waiting. Metrics zone_attempts and zone_bytes, the event zone_shares for changes of a tenth, and `zones` in /state tell what leaves, where to and why. The default stays `nearest`.

The tests of node were not run to the end: they didn't build within seven minutes on a busy machine.

--- a/crates/node/src/admin.rs
+++ b/crates/node/src/admin.rs
@@ -17,7 +17,7 @@
 
 use crate::{
     gate_actor::{self, GateActor},
-    ingress::{Ingress, ServerDump},
+    ingress::{Ingress, ServerDump, ZoneDump},
     view_sync::{self, ViewSync},
 };
 
@@ -39,6 +39,9 @@
     gate: Option<gate_actor::GateDump>,
     spread: Option<view_sync::SyncDump>,
     services: HashMap<ServiceId, Vec<ServerDump>>,
+    /// Left out unless shares of other zones are computed.
+    #[serde(skip_serializing_if = "Option::is_none")]
+    zones: Option<ZoneDump>,
     peers: Vec<PeerDump>,
     suspects: Vec<SuspectDump>,
 }
@@ -114,6 +117,7 @@
         gate,
         spread,
         services: admin.ingress.services.dump(now),
+        zones: admin.ingress.services.dump_shares(),
         peers: peer_dumps(&admin.ingress),
         suspects: suspect_dumps(board, now),
     })
--- a/crates/node/src/ingress/driver.rs
+++ b/crates/node/src/ingress/driver.rs
@@ -5,6 +5,7 @@
 //! caller has its answer or has disconnected, so they run in separate tasks that own their data.
 
 mod logs;
+mod trip;
 
 use std::{
     pin::{Pin, pin},
@@ -168,11 +169,14 @@
     ) -> Vec<Action> {
         let services = &self.ingress.services;
         let service = &self.routed.service;
+        let now = self.ingress.board.clock.now();
         let mut selector = Selector {
             services,
             service,
             trial: self.trial.as_ref(),
-            now: self.ingress.board.clock.now(),
+            trip: self.trip(now),
+            metrics: &self.ingress.metrics,
+            now,
         };
         let mut budget = RetryBudget { services, service };
         step(&mut self.call, &mut selector, &mut budget)
@@ -185,6 +189,7 @@
 
     fn handle(&mut self, event: Event) -> Vec<Action> {
         let now = self.now();
+        self.record_round_trip(&event, now);
         match event {
             Event::Aborted => Vec::new(),
             Event::RunEnded {
--- a/crates/node/src/ingress/services.rs
+++ b/crates/node/src/ingress/services.rs
@@ -2,7 +2,7 @@
 //! latency statistics of each route or service.
 
 use std::{
-    collections::HashMap,
+    collections::{BTreeMap, HashMap},
     sync::{Mutex, MutexGuard},
 };
 
@@ -10,12 +10,13 @@
 use call::{Budget, LatencyEstimate, Selection, ServerSelector, TokenBucket};
 use note::State;
 use rand::{SeedableRng, rngs::SmallRng};
-use route::{Balancer, LoadReport, Member, PolicyKind, ServerState};
+use route::{Balancer, ByteCost, LoadReport, Member, PolicyKind, ServerState, Spill, Trip};
 use serde::Serialize;
 use smol_str::SmolStr;
-use types::{Boot, Fingerprint, Moment, Outcome, Rate, ServerId, ServiceId, Span};
+use types::{Boot, Fingerprint, Moment, Outcome, Rate, ServerId, ServiceId, Span, ZoneId};
 
-use crate::{gate_actor::Reply, peers::KnownLimit};
+use super::zones::{Crossing, ZoneShares};
+use crate::{gate_actor::Reply, metrics::Metrics, peers::KnownLimit};
 
 /// State of one service.
 struct ServiceState {
@@ -23,6 +24,8 @@
     retry_budget: TokenBucket,
     /// Limits that backend servers have named, also of those that are out of service.
     limits: HashMap<ServerId, KnownLimit>,
+    /// Part of the requests that left the zone when it was last logged.
+    logged_share: f64,
 }
 
 /// A backend server in the state dump.
@@ -42,6 +45,15 @@
     limit: Option<Rate>,
 }
 
+/// Shares of other zones in the state dump.
+#[derive(Debug, Serialize)]
+pub(crate) struct ZoneDump {
+    /// Part of the requests that goes to each other zone, by service.
+    shares: BTreeMap<ServiceId, BTreeMap<ZoneId, f64>>,
+    /// Microseconds of a round trip to each zone.
+    round_trips: BTreeMap<ZoneId, Span>,
+}
+
 /// Limit on the retries that a node sends.
 #[derive(Debug, Clone, Copy, Default)]
 pub(crate) struct RetryPolicy {
@@ -67,6 +79,8 @@
     states: Mutex<HashMap<ServiceId, ServiceState>>,
     /// Latency statistics by key, which is the name of a route or of a service.
     latencies: Mutex<HashMap<SmolStr, LatencyEstimate>>,
+    /// Set if the requests that leave the zone are a computed share.
+    shares: Option<ZoneShares>,
 }
 
 impl Services {
@@ -77,9 +91,16 @@
             retry_policy,
             states: Mutex::default(),
             latencies: Mutex::default(),
+            shares: None,
         }
     }
 
+    /// Has requests leave the zone `home` by computed shares.
+    pub(crate) fn with_shares(self, home: ZoneId, cost: ByteCost) -> Self {
+        let shares = Some(ZoneShares::new(home, cost));
+        Self { shares, ..self }
+    }
+
     fn latencies(&self) -> MutexGuard<'_, HashMap<SmolStr, LatencyEstimate>> {
         self.latencies
             .lock()
@@ -115,6 +136,9 @@
         };
         self.latencies()
             .retain(|latency_key, _| exists(latency_key));
+        if let Some(shares) = &self.shares {
+            shares.retain(|server| state.servers.contains_key(server));
+        }
         let nodes = state.servers.len();
         for id in state.services.keys() {
             let service = states
@@ -136,8 +160,13 @@
     fn new_state(&self, nodes: usize) -> ServiceState {
         let rng = SmallRng::seed_from_u64(self.boot.0);
         let balancer = Balancer::new(self.policy.build(), rng);
+        let balancer = match &self.shares {
+            Some(shares) => balancer.with_spill(Spill::new(shares.cost)),
+            None => balancer,
+        };
         ServiceState {
             balancer,
+            logged_share: 0.0,
             retry_budget: self.retry_policy.new_budget(nodes),
             limits: HashMap::new(),
         }
@@ -234,6 +263,40 @@
         });
     }
 
+    /// Records the round trip of an attempt that was answered `took` after it was sent, of which its
+    /// backend server spent `served` on it.
+    pub(crate) fn record_round_trip(
+        &self,
+        service: &ServiceId,
+        server: &ServerId,
+        took: Span,
+        served: Span,
+    ) {
+        let Some(shares) = &self.shares else { return };
+        self.update(service, |state| {
+            let zone = state.balancer.server(server).map(|s| s.member.zone.clone());
+            let zone = zone?;
+            let added = shares.record(&zone, server, took, served)?;
+            state.balancer.set_added(&zone, added);
+            Some(())
+        });
+    }
+
+    /// What the state dump tells of the shares, `None` if none are computed.
+    pub(crate) fn dump_shares(&self) -> Option<ZoneDump> {
+        let shares = self.shares.as_ref()?;
+        let states = self.states();
+        let of_service = |(id, state): (&ServiceId, &ServiceState)| {
+            let spill = state.balancer.spill()?;
+            let flows = spill.shares().map(|(zone, share)| (zone.clone(), share));
+            Some((id.clone(), flows.collect()))
+        };
+        Some(ZoneDump {
+            shares: states.iter().filter_map(of_service).collect(),
+            round_trips: shares.round_trips(),
+        })
+    }
+
     /// Records that a gate gave no reply.
     pub(crate) fn record_no_reply(&self, service: &ServiceId, server: &ServerId, now: Moment) {
         let (refusal, retry_after) = (types::Refusal::Down, Span::default());
@@ -278,6 +341,7 @@
     });
     let member = |s: &note::Server| Member {
         id: s.id.clone(),
+        zone: s.zone.clone(),
         local: s.zone == board.identity.zone,
         slots: state.limits_of(s).map_or(1, |limits| limits.slots.0),
     };
@@ -298,9 +362,37 @@
     pub(crate) service: &'a ServiceId,
     /// Set for a suspect, which only one backend server may run.
     pub(crate) trial: Option<&'a Trial>,
+    /// What the request loses by leaving its zone.
+    pub(crate) trip: Trip,
+    pub(crate) metrics: &'a Metrics,
     pub(crate) now: Moment,
 }
 
+impl Selector<'_> {
+    /// Counts an attempt that leaves the zone, and logs the service's share if it has changed.
+    fn note_shares(&self, state: &mut ServiceState, selection: &route::Selection) {
+        let Some(shares) = &self.services.shares else {
+            return;
+        };
+        let server = state.balancer.server(&selection.server);
+        if let Some(server) = server.filter(|server| !server.member.local) {
+            self.metrics.record_crossing(&Crossing {
+                service: self.service,
+                from: &shares.home,
+                to: &server.member.zone,
+                reason: selection.reason,
+                bytes: self.trip.bytes,
+            });
+        }
+        let spill = state.balancer.spill();
+        if let Some(share) =
+            spill.and_then(|spill| shares.log(self.service, spill, state.logged_share))
+        {
+            state.logged_share = share;
+        }
+    }
+}
+
 impl ServerSelector for Selector<'_> {
     fn select(&mut self, tried: &[ServerId], declined: &[ServerId]) -> Option<Selection> {
         let chosen = self
@@ -310,7 +402,12 @@
                     let Trial { request, ended } = trial;
                     state.balancer.select_for_trial(*request, tried, ended)
                 }
-                None => state.balancer.select(tried, declined, self.now),
+                None => {
+                    let Self { trip, now, .. } = self;
+                    let selection = state.balancer.select_for(trip, tried, declined, *now)?;
+                    self.note_shares(state, &selection);
+                    Some(selection)
+                }
             });
         chosen.map(|picked| Selection {
             server: picked.server,
--- /dev/null
+++ b/crates/node/src/ingress/zones.rs
@@ -0,0 +1,88 @@
+//! What an ingress keeps of the availability zones for all services.
+
+use std::{
+    collections::BTreeMap,
+    sync::{Mutex, MutexGuard},
+};
+
+use route::{ByteCost, Links, Reason, Spill};
+use types::{ServerId, ServiceId, Size, Span, ZoneId};
+
+/// Change of a service's share that is logged.
+const LOGGED_CHANGE: f64 = 0.1;
+
+/// An attempt that leaves the zone.
+#[derive(Debug)]
+pub(crate) struct Crossing<'a> {
+    pub(crate) service: &'a ServiceId,
+    pub(crate) from: &'a ZoneId,
+    pub(crate) to: &'a ZoneId,
+    pub(crate) reason: Reason,
+    /// Size of the request's body.
+    pub(crate) bytes: Size,
+}
+
+/// The zone of an ingress that computes shares, and its links to the others.
+#[derive(Debug)]
+pub(crate) struct ZoneShares {
+    pub(crate) home: ZoneId,
+    pub(crate) cost: ByteCost,
+    links: Mutex<Links>,
+}
+
+impl ZoneShares {
+    pub(crate) fn new(home: ZoneId, cost: ByteCost) -> Self {
+        Self {
+            home,
+            cost,
+            links: Mutex::default(),
+        }
+    }
+
+    fn links(&self) -> MutexGuard<'_, Links> {
+        self.links
+            .lock()
+            .expect("no thread panics while holding this lock")
+    }
+
+    /// Records a message that was answered. Returns what a round trip to its zone adds.
+    pub(crate) fn record(
+        &self,
+        zone: &ZoneId,
+        server: &ServerId,
+        took: Span,
+        served: Span,
+    ) -> Option<Span> {
+        let mut links = self.links();
+        links.record(zone, server, took, served);
+        links.added(&self.home, zone)
+    }
+
+    /// Forgets the servers that `keep` doesn't hold for.
+    pub(crate) fn retain(&self, keep: impl Fn(&ServerId) -> bool) {
+        self.links().retain(keep);
+    }
+
+    /// The round trips to all zones that are known.
+    pub(crate) fn round_trips(&self) -> BTreeMap<ZoneId, Span> {
+        self.links().round_trips()
+    }
+
+    /// Logs the shares of a service if they have changed since `logged`. Returns what was logged.
+    pub(crate) fn log(&self, service: &ServiceId, spill: &Spill, logged: f64) -> Option<f64> {
+        let total = spill.total();
+        if (total - logged).abs() < LOGGED_CHANGE {
+            return None;
+        }
+        let to: Vec<String> = spill
+            .shares()
+            .map(|(zone, share)| format!("{zone}:{share:.2}"))
+            .collect();
+        log::info!(
+            service:% = service, from:% = self.home, leaving:% = format_args!("{total:.2}"),
+            to:% = to.join(","), wait_us = spill.wait().0, saved_us = spill.saved().0;
+            "zone_shares"
+        );
+        Some(total)
+    }
+}
--- a/crates/node/src/lifecycle.rs
+++ b/crates/node/src/lifecycle.rs
@@ -170,12 +170,17 @@
     let retries = RetryPolicy {
         fleet_burst: settings.repeats,
     };
+    let services = Services::new(board.identity.boot, settings.policy, retries);
+    let services = match settings.share_cost() {
+        Some(cost) => services.with_shares(settings.zone.clone(), cost),
+        None => services,
+    };
     let ingress = Arc::new(Ingress {
         board: Arc::clone(&board),
         dialect,
         local_service: settings.service.clone(),
         peers: Peers::new(Arc::clone(&board), gate_actor.clone()),
-        services: Services::new(board.identity.boot, settings.policy, retries),
+        services,
         routes: Mutex::default(),
         metrics,
         view_sync: view_sync.clone(),
--- a/crates/node/src/metrics.rs
+++ b/crates/node/src/metrics.rs
@@ -8,6 +8,8 @@
 use prometheus::{Encoder, Registry, TextEncoder};
 use types::{ServiceId, Span};
 
+use crate::ingress::Crossing;
+
 /// Bucket bounds of the histograms in seconds, from the latency of one hop to the longest timeout
 /// of callers.
 const BUCKET_BOUNDS_SECONDS: [f64; 12] = [
@@ -27,6 +29,8 @@
     control: Counter<u64>,
     malformed_limits: Counter<u64>,
     suspects: Counter<u64>,
+    zone_attempts: Counter<u64>,
+    zone_bytes: Counter<u64>,
     refused_configs: Counter<u64>,
     config_version: Gauge<u64>,
     unusable_items: Gauge<u64>,
@@ -66,6 +70,16 @@
                 .u64_counter("suspects")
                 .with_description("Requests under which backend servers end, by event")
                 .build(),
+            zone_attempts: meter
+                .u64_counter("zone_attempts")
+                .with_description("Attempts that leave the zone by service, zones and reason")
+                .build(),
+            zone_bytes: meter
+                .u64_counter("zone_bytes")
+                .with_description(
+                    "Bytes of request bodies that leave the zone by service and zones",
+                )
+                .build(),
             refused_configs: meter
                 .u64_counter("refused_configs")
                 .with_description("Versions of the operators' configuration that are invalid")
@@ -115,6 +129,18 @@
         self.attempts.add(1, &[KeyValue::new("outcome", outcome)]);
     }
 
+    /// Counts an attempt that leaves the zone, and the bytes of its body.
+    pub(crate) fn record_crossing(&self, crossing: &Crossing<'_>) {
+        let mut labels = vec![
+            KeyValue::new("service", crossing.service.to_string()),
+            KeyValue::new("from", crossing.from.to_string()),
+            KeyValue::new("to", crossing.to.to_string()),
+        ];
+        self.zone_bytes.add(crossing.bytes.0, &labels);
+        labels.push(KeyValue::new("reason", crossing.reason.to_string()));
+        self.zone_attempts.add(1, &labels);
+    }
+
     /// Counts a response that names a limit that isn't a rate.
     pub(crate) fn record_malformed_limit(&self) {
         self.malformed_limits.add(1, &[]);
--- a/crates/node/src/reload.rs
+++ b/crates/node/src/reload.rs
@@ -106,6 +106,8 @@
         ("lease_ms", old.lease_ms != new.lease_ms),
         ("threads", old.threads != new.threads),
         ("policy", old.policy != new.policy),
+        ("zones", old.zones != new.zones),
+        ("zone_cost", old.zone_cost != new.zone_cost),
     ];
     let changed = fields.into_iter().filter(|(_, changed)| *changed);
     changed.map(|(field, _)| field).collect()
--- a/crates/node/src/settings.rs
+++ b/crates/node/src/settings.rs
@@ -3,7 +3,7 @@
 use std::{error::Error, fmt, fs, io, net::SocketAddr, path::Path};
 
 use log::LevelFilter;
-use route::PolicyKind;
+use route::{ByteCost, PolicyKind};
 use serde::{Deserialize, Serialize};
 use types::{HostId, Rate, ServiceId, Span, ZoneId};
 
@@ -25,6 +25,18 @@
     Site,
 }
 
+/// How requests leave the availability zone.
+#[derive(Debug, Clone, Copy, Default, PartialEq, Eq, Serialize, Deserialize)]
+#[serde(rename_all = "lowercase")]
+pub enum ZoneMode {
+    /// Each attempt goes to the backend server that looks fastest, with a fixed advantage for those
+    /// of the node's zone.
+    #[default]
+    Nearest,
+    /// The part that leaves is computed from the load of the zones, see [`route::Spill`].
+    Shares,
+}
+
 /// Endpoint that reports whether a node accepts requests from callers.
 #[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
 #[serde(deny_unknown_fields)]
@@ -92,6 +104,13 @@
     /// Load balancing policy.
     #[serde(default)]
     pub policy: PolicyKind,
+    /// How requests leave the availability zone.
+    #[serde(default)]
+    pub zones: ZoneMode,
+    /// Milliseconds that callers would rather wait than have a megabyte pass between zones. Only with
+    /// [`ZoneMode::Shares`]. By default, latency alone decides.
+    #[serde(default)]
+    pub zone_cost: Option<ByteCost>,
     /// Least severe log level that is written.
     #[serde(default = "default_log")]
     pub log: LevelFilter,
@@ -130,6 +149,14 @@
         Span::from_millis(self.linger_ms)
     }
 
+    /// Returns the cost of bytes between zones, `None` if no shares are computed.
+    pub fn share_cost(&self) -> Option<ByteCost> {
+        match self.zones {
+            ZoneMode::Nearest => None,
+            ZoneMode::Shares => Some(self.zone_cost.unwrap_or_default()),
+        }
+    }
+
     /// Returns the graceful shutdown timeout.
     pub fn stop_timeout(&self) -> Span {
         Span::from_millis(self.stop_ms)
@@ -250,6 +277,14 @@
         () if s.repeats.is_some_and(|r| !r.is_finite() || r < 0.0) => {
             invalid("repeats", &s.repeats.unwrap_or_default(), "0 or more")
         }
+        () if s.zone_cost.is_some_and(|c| !c.0.is_finite() || c.0 < 0.0) => {
+            invalid("zone_cost", &s.zone_cost.unwrap_or_default(), "0 or more")
+        }
+        () if s.zone_cost.is_some() && s.zones != ZoneMode::Shares => invalid(
+            "zone_cost",
+            &s.zone_cost.unwrap_or_default(),
+            "no value unless zones is shares",
+        ),
         () if !s.cold_over.is_finite() || s.cold_over < 1.0 => {
             invalid("cold_over", &s.cold_over, "1 or more")
         }
--- a/crates/node/tests/settings.rs
+++ b/crates/node/tests/settings.rs
@@ -50,6 +50,9 @@
         ("threads", json!(0), "1 or more"),
         ("repeats", json!(-1.0), "0 or more"),
         ("cold_over", json!(0.5), "1 or more"),
+        ("zones", json!("all"), "zones"),
+        ("zone_cost", json!(-1.0), "0 or more"),
+        ("zone_cost", json!(10.0), "unless zones is shares"),
         ("service", json!("A B"), "service"),
         (
             "readiness",
