--- a/crates/node/src/admin.rs
+++ b/crates/node/src/admin.rs
@@ -18,7 +18,7 @@
 use crate::{
     allowances::AllowanceDump,
     gate_actor::{self, GateActor},
-    ingress::{Ingress, ServerDump},
+    ingress::{Ingress, ServerDump, ZoneDump},
     view_sync::{self, ViewSync},
 };
 
@@ -44,6 +44,9 @@
     gate: Option<gate_actor::GateDump>,
     spread: Option<view_sync::SyncDump>,
     services: HashMap<ServiceId, Vec<ServerDump>>,
+    /// Left out unless shares of other zones are computed.
+    #[serde(skip_serializing_if = "Option::is_none")]
+    zones: Option<ZoneDump>,
     peers: Vec<PeerDump>,
     suspects: Vec<SuspectDump>,
     allowances: AllowanceDump,
@@ -128,6 +131,7 @@
         gate,
         spread,
         services: admin.ingress.services.dump(now),
+        zones: admin.ingress.services.dump_shares(),
         peers: peer_dumps(&admin.ingress),
         suspects: suspect_dumps(board, now),
         allowances: admin.ingress.allowances.dump(),
--- a/crates/node/src/metrics.rs
+++ b/crates/node/src/metrics.rs
@@ -9,6 +9,8 @@
 use smol_str::SmolStr;
 use types::{ServiceId, Span};
 
+use crate::ingress::Crossing;
+
 /// Bucket bounds of the histograms in seconds, from the latency of one hop to the longest timeout
 /// of callers.
 const BUCKET_BOUNDS_SECONDS: [f64; 12] = [
@@ -30,6 +32,8 @@
     malformed_limits: Counter<u64>,
     suspects: Counter<u64>,
     teams: Counter<u64>,
+    zone_attempts: Counter<u64>,
+    zone_bytes: Counter<u64>,
     refused_configs: Counter<u64>,
     config_version: Gauge<u64>,
     unusable_items: Gauge<u64>,
@@ -77,6 +81,16 @@
                 .u64_counter("teams")
                 .with_description("Requests of teams with an allowance, by team and outcome")
                 .build(),
+            zone_attempts: meter
+                .u64_counter("zone_attempts")
+                .with_description("Attempts that leave the zone by service, zones and reason")
+                .build(),
+            zone_bytes: meter
+                .u64_counter("zone_bytes")
+                .with_description(
+                    "Bytes of request bodies that leave the zone by service and zones",
+                )
+                .build(),
             refused_configs: meter
                 .u64_counter("refused_configs")
                 .with_description("Versions of the operators' configuration that are invalid")
@@ -132,6 +146,18 @@
         self.offers.add(1, &[KeyValue::new("event", event)]);
     }
 
+    /// Counts an attempt that leaves the zone, and the bytes of its body.
+    pub(crate) fn record_crossing(&self, crossing: &Crossing<'_>) {
+        let mut labels = vec![
+            KeyValue::new("service", crossing.service.to_string()),
+            KeyValue::new("from", crossing.from.to_string()),
+            KeyValue::new("to", crossing.to.to_string()),
+        ];
+        self.zone_bytes.add(crossing.bytes.0, &labels);
+        labels.push(KeyValue::new("reason", crossing.reason.to_string()));
+        self.zone_attempts.add(1, &labels);
+    }
+
     /// Counts a response that names a limit that isn't a rate.
     pub(crate) fn record_malformed_limit(&self) {
         self.malformed_limits.add(1, &[]);
--- a/crates/node/src/reload.rs
+++ b/crates/node/src/reload.rs
@@ -108,6 +108,8 @@
         ("key_lease_ms", old.key_lease_ms != new.key_lease_ms),
         ("threads", old.threads != new.threads),
         ("policy", old.policy != new.policy),
+        ("zones", old.zones != new.zones),
+        ("zone_cost", old.zone_cost != new.zone_cost),
     ];
     let changed = fields.into_iter().filter(|(_, changed)| *changed);
     changed.map(|(field, _)| field).collect()
