--- a/crates/allowance/tests/bound.rs
+++ b/crates/allowance/tests/bound.rs
@@ -5,6 +5,7 @@
 
 use proptest::{collection::vec, prelude::*, test_runner::RngSeed};
 use support::{Draws, Fleet, STEP, bound, team, terms};
+use types::Span;
 
 const NODES: usize = 9;
 
@@ -20,6 +21,8 @@
     KillOwner,
     PauseOwner,
     Herd,
+    Leave(u64),
+    Join(u64),
 }
 
 fn event() -> impl Strategy<Value = Event> {
@@ -64,6 +67,9 @@
         }
         Event::KillOwner => fleet.kill(owner),
         Event::PauseOwner => fleet.set_paused(owner, true),
+        // The owner's backend server is unlisted and listed again.
+        Event::Leave(lag_ms) => fleet.change_members(Some(owner), Span::from_millis(lag_ms)),
+        Event::Join(lag_ms) => fleet.change_members(None, Span::from_millis(lag_ms)),
         Event::Herd => {
             for node in 0..NODES {
                 fleet.kill(node);
@@ -73,6 +79,68 @@
     }
 }
 
+/// As [`event`], while the members of the view change as well.
+fn event_or_change() -> impl Strategy<Value = Event> {
+    prop_oneof![
+        2 => (0..NODES).prop_map(Event::Kill),
+        4 => (0..NODES).prop_map(Event::Start),
+        1 => (0..NODES).prop_map(Event::Pause),
+        3 => (0..NODES).prop_map(Event::Wake),
+        3 => (0..3_usize, 0..3_usize).prop_map(|(a, b)| Event::Cut(a, b)),
+        2 => (0..3_usize).prop_map(Event::Isolate),
+        4 => Just(Event::Heal),
+        3 => Just(Event::KillOwner),
+        2 => Just(Event::PauseOwner),
+        1 => Just(Event::Herd),
+        2 => (0..500_u64).prop_map(Event::Leave),
+        2 => (0..500_u64).prop_map(Event::Join),
+    ]
+}
+
+#[derive(Debug, Clone)]
+struct Load {
+    rate: f64,
+    burst: u32,
+    /// Requests sent, in multiples of the rate.
+    over: u64,
+    seed: u64,
+    delays: Vec<u64>,
+}
+
+/// Plays events, each some steps after the one before, and returns the most requests that ran in a window.
+fn most_run(load: Load, events: &[(u64, Event)]) -> usize {
+    let team = team("team");
+    let mut fleet = Fleet::new(NODES);
+    fleet
+        .terms
+        .insert(team.clone(), terms(load.rate, load.burst));
+    fleet.delays = load.delays;
+    let mut draws = Draws(load.seed);
+    let mut arrivals = 0.0;
+    let calm_end = 800;
+    let mut at = calm_end;
+    let mut schedule = Vec::new();
+    for (gap, event) in events {
+        at += gap;
+        schedule.push((at, event));
+    }
+    for step in 0..at + 600 {
+        for (_, event) in schedule.iter().filter(|(at, _)| *at == step) {
+            apply(&mut fleet, event);
+        }
+        fleet.step();
+        // The team starts when its bucket is full.
+        if step >= calm_end - 100 {
+            arrivals += load.rate * load.over as f64 * STEP.0 as f64 / 1e6;
+        }
+        while arrivals >= 1.0 {
+            arrivals -= 1.0;
+            fleet.request(draws.below(NODES as u64) as usize, &team);
+        }
+    }
+    fleet.most_run(&team)
+}
+
 proptest! {
     #![proptest_config(ProptestConfig { cases: 200, failure_persistence: None, rng_seed: RngSeed::Fixed(42), ..ProptestConfig::default() })]
 
@@ -85,28 +153,22 @@
         delays in vec(prop_oneof![4 => 1_000..20_000_u64, 1 => 20_000..140_000_u64], 1..8),
         events in vec((0..150_u64, event()), 0..30),
     ) {
-        let team = team("team");
-        let mut fleet = Fleet::new(NODES);
-        fleet.terms.insert(team.clone(), terms(rate, burst));
-        fleet.delays = delays;
-        let mut draws = Draws(seed);
-        let mut arrivals = 0.0;
-        let calm_end = 800;
-        let mut at = calm_end;
-        let schedule: Vec<_> = events.iter().map(|(gap, event)| { at += gap; (at, event) }).collect();
-        for step in 0..at + 600 {
-            for (_, event) in schedule.iter().filter(|(at, _)| *at == step) {
-                apply(&mut fleet, event);
-            }
-            fleet.step();
-            // The team starts when its bucket is full.
-            arrivals += if step < calm_end - 100 { 0.0 } else { rate * over as f64 * STEP.0 as f64 / 1e6 };
-            while arrivals >= 1.0 {
-                arrivals -= 1.0;
-                fleet.request(draws.below(NODES as u64) as usize, &team);
-            }
-        }
-        let (most, bound) = (fleet.most_run(&team), bound(rate, burst));
+        let load = Load { rate, burst, over, seed, delays };
+        let (most, bound) = (most_run(load, &events), bound(rate, burst));
+        prop_assert!(most <= bound, "{most} ran in a window, allowed are {bound}");
+    }
+
+    #[test]
+    fn no_window_exceeds_the_bound_while_members_change(
+        rate in prop_oneof![1.0..20.0_f64, 20.0..400.0_f64],
+        burst in 0..300_u32,
+        over in 1..9_u64,
+        seed in any::<u64>(),
+        delays in vec(prop_oneof![4 => 1_000..20_000_u64, 1 => 20_000..140_000_u64], 1..8),
+        events in vec((0..150_u64, event_or_change()), 0..30),
+    ) {
+        let load = Load { rate, burst, over, seed, delays };
+        let (most, bound) = (most_run(load, &events), bound(rate, burst));
         prop_assert!(most <= bound, "{most} ran in a window, allowed are {bound}");
     }
 
--- a/crates/allowance/tests/support/mod.rs
+++ b/crates/allowance/tests/support/mod.rs
@@ -62,6 +62,8 @@
     /// Pairs of zones that don't reach each other.
     pub(crate) cut: [[bool; ZONES]; ZONES],
     nodes: Vec<Node>,
+    /// Lists of members on their way to nodes.
+    views: Vec<(Moment, usize, Vec<Member>)>,
     on_the_way: Vec<Message>,
     waiters: Vec<Waiter>,
     steps: u64,
@@ -90,6 +92,7 @@
         let mut fleet = Self {
             now,
             nodes: Vec::new(),
+            views: Vec::new(),
             terms: BTreeMap::new(),
             ran: BTreeMap::new(),
             refused: BTreeMap::new(),
@@ -142,6 +145,17 @@
         }
     }
 
+    /// Takes a member out of the view, or all back in. Each node hears of it within `lag`.
+    pub(crate) fn change_members(&mut self, out: Option<usize>, lag: Span) {
+        let members = self.members.iter().enumerate();
+        let members = members.filter(|(index, _)| Some(*index) != out);
+        let members: Vec<_> = members.map(|(_, member)| member.clone()).collect();
+        for index in 0..self.nodes.len() {
+            let after = Span(lag.0 * (index as u64 * 7 % 9) / 8);
+            self.views.push((self.now + after, index, members.clone()));
+        }
+    }
+
     pub(crate) fn set_paused(&mut self, index: usize, paused: bool) {
         self.nodes[index].paused = paused;
     }
@@ -166,6 +180,14 @@
                 self.tick(index);
             }
         }
+        let now = self.now;
+        let (due, later): (Vec<_>, Vec<_>) = std::mem::take(&mut self.views)
+            .into_iter()
+            .partition(|(at, ..)| *at <= now);
+        self.views = later;
+        for (_, index, members) in due {
+            self.nodes[index].reach.set_members(members, now);
+        }
         // A request takes again once there is an answer.
         let answered = self.deliver();
         let is_woken = |w: &Waiter| {
@@ -233,7 +255,7 @@
     }
 
     fn ask(&mut self, ingress: usize, team: &TeamId, question: Question) -> Option<Drawn> {
-        let order = owners(team, &self.members);
+        let order = owners(team, self.nodes[ingress].reach.members());
         for candidate in candidates(&order) {
             let to = self.index(&candidate);
             let now = self.now;
@@ -248,7 +270,7 @@
             self.nodes[ingress]
                 .reach
                 .answered(candidate.node, true, now);
-            if let Some(drawn) = self.answer(to, &order, team, question, HOPS) {
+            if let Some(drawn) = self.answer(to, team, question, HOPS) {
                 return Some(drawn);
             }
         }
@@ -258,7 +280,6 @@
     fn answer(
         &mut self,
         index: usize,
-        order: &[Member],
         team: &TeamId,
         question: Question,
         hops: u32,
@@ -266,7 +287,8 @@
         let now = self.now;
         let terms = self.terms[team];
         let node = &mut self.nodes[index];
-        let next = match node.reach.stand(order, now) {
+        let order = owners(team, node.reach.members());
+        let next = match node.reach.stand(&order, now) {
             Stand::Own { since } => {
                 let since = since.max(node.reach.owned_since(team));
                 return Some(node.owner.draw(team, terms, question, since, now));
@@ -288,7 +310,7 @@
             return None;
         }
         self.nodes[index].reach.answered(next, direct, now);
-        self.answer(to, order, team, question, hops - 1)
+        self.answer(to, team, question, hops - 1)
     }
 
     /// A request of a team arrives at an ingress.
