--- a/crates/node/src/ingress/mod.rs
+++ b/crates/node/src/ingress/mod.rs
@@ -180,11 +180,8 @@
             None => None,
         };
         let result = reroute::run_call(self, routed).await;
-        match (&result, token) {
-            (Ok(CallOutcome::NotRun { .. }) | Err(_), Some(token)) => {
-                self.allowances.give_back(token);
-            }
-            _ => {}
+        if let (Ok(CallOutcome::NotRun { .. }) | Err(_), Some(token)) = (&result, token) {
+            self.allowances.give_back(token);
         }
         result
     }
