--- a/crates/node/src/ingress/tests/bodies.rs
+++ b/crates/node/src/ingress/tests/bodies.rs
@@ -25,7 +25,7 @@
         TcpListener, TcpStream,
         tcp::{OwnedReadHalf, OwnedWriteHalf},
     },
-    sync::Semaphore,
+    sync::{Notify, Semaphore},
     time::sleep,
 };
 use tonic::{
@@ -87,8 +87,9 @@
     address: SocketAddr,
     /// Bytes that were sent to the gate.
     sent: AtomicUsize,
-    /// Bytes after which a connection that carries bodies breaks.
+    /// Bytes after which a connection breaks, and no new one can be made.
     cut_after: usize,
+    cut: Notify,
     /// Time that a kilobyte takes, whichever connection it is on.
     pace: Duration,
     free: Semaphore,
@@ -96,7 +97,11 @@
 
 impl Link {
     async fn relay(self: Arc<Self>, listener: TcpListener) {
-        while let Ok((client, _)) = listener.accept().await {
+        loop {
+            let (client, _) = tokio::select! {
+                accepted = listener.accept() => accepted.expect("a connection"),
+                () = self.cut.notified() => return,
+            };
             let gate = TcpStream::connect(self.address).await;
             let gate = gate.expect("the gate listens");
             let _ = (client.set_nodelay(true), gate.set_nodelay(true));
@@ -119,7 +124,10 @@
             }
             total += read;
             self.sent.fetch_add(read, Ordering::Relaxed);
-            if total > self.cut_after || to.write_all(&buffer[..read]).await.is_err() {
+            if total > self.cut_after {
+                return self.cut.notify_one();
+            }
+            if to.write_all(&buffer[..read]).await.is_err() {
                 return;
             }
         }
@@ -145,6 +153,7 @@
             address: peers.local_addr().expect("a bound address"),
             sent: AtomicUsize::new(0),
             cut_after,
+            cut: Notify::new(),
             pace,
             free: Semaphore::new(1),
         });
--- a/crates/node/tests/settings.rs
+++ b/crates/node/tests/settings.rs
@@ -27,6 +27,7 @@
     let settings = parse(&valid_settings().to_string()).expect("valid settings");
     assert_eq!(settings.stop_ms, 10_000);
     assert_eq!(settings.policy.to_string(), "two-choices");
+    assert_eq!(settings.offer_bytes.to_string(), "16384 B");
 }
 
 #[test]
@@ -50,6 +51,7 @@
         ("threads", json!(0), "1 or more"),
         ("repeats", json!(-1.0), "0 or more"),
         ("cold_over", json!(0.5), "1 or more"),
+        ("offer_bytes", json!(-1), "offer_bytes"),
         ("service", json!("A B"), "service"),
         (
             "readiness",
