gate: nested requests rank with the work that waits for them

Cause: a gate started nested requests before all others, so those of a patient route went before urgent callers. And a gate refused a fail-fast nested request even if it would have started next, so nested requests asked several full gates while their parents held slots.

Change, for all deployments, since the inversion is a plain fault: - A node's gate publishes the priority of the most urgent request that its server runs; the node's ingress sends it along with each attempt (`RunRequest.parent`). A gate uses it for requests that it knows as nested. They start before top-level requests of the same or lower urgency, not before more urgent ones. Without it, as from an older node, the priority of the route counts; an older gate ignores it. - A fail-fast nested request that would start next is queued, unless it is a hedge or retry.

Ruled out, by the emulator (docs/EXPERIMENTS.md): waiting at the best gate after two or three refusals, ending the call if that gate refuses too, waiting at once after refusals of other calls, queueing urgent top-level requests at once.

Offers in older tests name the two new fields; their checks are unchanged. Run: gate, call, route, board and rig's nested_overload.

--- a/crates/board/src/lib.rs
+++ b/crates/board/src/lib.rs
@@ -12,6 +12,7 @@
 //! | `quarantine` | any, by merging | `GateActor`, ingress, `ViewSync` |
 //! | `phase` | `ViewSync` (ready), lifecycle (leaving, stopping, exiting) | all |
 //! | `stop_at` | lifecycle | `GateActor`, ingress |
+//! | `urgency` | `GateActor` | ingress |
 
 mod clock;
 
@@ -88,6 +89,8 @@
     pub phase: watch::Sender<Phase>,
     /// When a stopping node exits, whether or not its requests are completed. It is written before `phase`.
     pub stop_at: watch::Sender<Moment>,
+    /// Priority of the most urgent request that the own backend server runs, 0 for the most urgent.
+    pub urgency: watch::Sender<Option<u32>>,
 }
 
 impl Board {
@@ -104,6 +107,7 @@
             quarantine: watch::Sender::default(),
             phase: watch::Sender::new(Phase::Joining),
             stop_at: watch::Sender::new(Moment::MAX),
+            urgency: watch::Sender::default(),
         })
     }
 
--- a/crates/call/tests/misdirected.rs
+++ b/crates/call/tests/misdirected.rs
@@ -71,6 +71,7 @@
             floor: Seq(self.next_seq),
             deadline: now + Span::from_millis(1_000),
             fail_fast,
+            is_retry: false,
             refusal: None,
             rank: Rank::default(),
         };
--- a/crates/call/tests/support/mod.rs
+++ b/crates/call/tests/support/mod.rs
@@ -269,6 +269,7 @@
             floor: sent.floor,
             deadline: sent.deadline,
             fail_fast: false,
+            is_retry: false,
             refusal: None,
             rank: gate::Rank::default(),
         };
--- a/crates/gate/src/core/admission.rs
+++ b/crates/gate/src/core/admission.rs
@@ -98,7 +98,8 @@
         let late_full = self.will_be_late(&queued, wait, now)
             && now < self.overloaded_until
             && self.expected_late(now).len() >= self.max_late(now);
-        if offer.fail_fast || full || too_late || late_full {
+        let declined = offer.fail_fast && !takes_place(&offer, ahead);
+        if declined || full || too_late || late_full {
             return self.refuse_for_capacity(offer.id, offer.fail_fast, now);
         }
         self.sessions.record(offer.id, AttemptState::Pending);
@@ -231,3 +232,10 @@
             .collect()
     }
 }
+
+/// Whether a fail-fast offer with `ahead` requests before it takes a place in the queue. Other gates that a nested
+/// request is likely to find are as full under a sustained overload, and the next slot here comes sooner than
+/// refusals from each. A retry or hedge only looks for free slots.
+fn takes_place(offer: &Offer, ahead: usize) -> bool {
+    offer.rank.nested && !offer.is_retry && ahead == 0
+}
--- a/crates/gate/src/event.rs
+++ b/crates/gate/src/event.rs
@@ -38,8 +38,10 @@
     /// Time by which the caller needs the answer.
     pub deadline: Moment,
     /// Whether the attempt is refused rather than queued or run slowly, since the ingress can try
-    /// other backend servers.
+    /// other backend servers. A nested request that would start next is queued nevertheless.
     pub fail_fast: bool,
+    /// Whether the attempt is a hedge or retry, or belongs to work that is one.
+    pub is_retry: bool,
     /// Why the attempt is refused whatever the state of the gate, if it is: it is addressed to another
     /// backend server, or held back.
     pub refusal: Option<Refusal>,
--- a/crates/gate/src/queue.rs
+++ b/crates/gate/src/queue.rs
@@ -5,9 +5,9 @@
 //! answer all of them just too late. Instead, the order is:
 //!
 //! 1. requests that can still be answered within their objective, before those that can't;
-//! 2. nested requests, sent by a backend server in the course of another request, whose work is
-//!    lost if they fail;
-//! 3. the more urgent priority;
+//! 2. the more urgent priority, which for nested requests, sent by a backend server in the course of
+//!    another request, is that of the work that waits for them;
+//! 3. nested requests, since that work is lost if they fail;
 //! 4. the earlier objective, or the earlier deadline among requests that can't meet their
 //!    objective.
 //!
@@ -33,6 +33,19 @@
     pub priority: u32,
     /// Whether a backend server sends the request in the course of another request.
     pub nested: bool,
+    /// Priority of the most urgent request that ran at the sender's backend server when it sent the request.
+    /// `None` if none ran or if it isn't known.
+    pub parent: Option<u32>,
+}
+
+impl Rank {
+    /// Priority that counts: a nested request has that of the work that waits for it.
+    pub fn urgency(&self) -> u32 {
+        match self.parent {
+            Some(parent) if self.nested => parent,
+            _ => self.priority,
+        }
+    }
 }
 
 impl Default for Rank {
@@ -42,6 +55,7 @@
             service_time: Span::default(),
             priority: 0,
             nested: false,
+            parent: None,
         }
     }
 }
@@ -60,8 +74,8 @@
 #[derive(Debug, PartialEq, Eq, PartialOrd, Ord)]
 struct SortKey {
     late: bool,
+    urgency: u32,
     top_level: bool,
-    priority: u32,
     due: Moment,
     id: AttemptId,
 }
@@ -72,8 +86,8 @@
         let Rank {
             objective,
             service_time,
-            priority,
             nested,
+            ..
         } = self.rank;
         let done = now + service_time.scale(slowdown);
         // The objective of the outermost caller isn't known here, so only the deadline counts.
@@ -81,8 +95,8 @@
         let late = done > objective;
         SortKey {
             late,
+            urgency: self.rank.urgency(),
             top_level: !nested,
-            priority,
             due: if late { self.deadline } else { objective },
             id: self.id,
         }
--- a/crates/gate/tests/concurrency.rs
+++ b/crates/gate/tests/concurrency.rs
@@ -120,6 +120,7 @@
             floor: Seq(seq),
             deadline,
             fail_fast: false,
+            is_retry: false,
             refusal: None,
             rank: gate::Rank::default(),
         };
--- a/crates/gate/tests/invariants.rs
+++ b/crates/gate/tests/invariants.rs
@@ -111,6 +111,7 @@
                         floor: Seq(0),
                         deadline,
                         fail_fast: false,
+                        is_retry: false,
                         refusal: None,
                         rank: gate::Rank::default(),
                     },
@@ -308,6 +309,7 @@
         floor: Seq(0),
         deadline: now + Span::from_millis(100),
         fail_fast: false,
+        is_retry: false,
         refusal: None,
         rank: gate::Rank::default(),
     };
@@ -356,6 +358,7 @@
         floor: Seq(0),
         deadline,
         fail_fast: false,
+        is_retry: false,
         refusal,
         rank: gate::Rank::default(),
     };
--- a/crates/gate/tests/malformed.rs
+++ b/crates/gate/tests/malformed.rs
@@ -59,6 +59,7 @@
                 service_time: Span(service_time),
                 priority,
                 nested,
+                parent: (seq % 2 == 0).then_some(priority),
             };
             profiles.record_service_time(&route, Span(service_time));
             let rank = profiles.refine(&route, rank);
--- a/crates/gate/tests/overload.rs
+++ b/crates/gate/tests/overload.rs
@@ -81,6 +81,7 @@
                 service_time: SERVICE_TIME,
                 priority: class.priority,
                 nested: false,
+                parent: None,
             },
             ..self.open_gate.offer(now + class.deadline)
         };
--- a/crates/gate/tests/service_overload.rs
+++ b/crates/gate/tests/service_overload.rs
@@ -93,6 +93,7 @@
                 service_time: Span::from_millis((SERVICE_MS.0 + SERVICE_MS.1) / 2),
                 priority: 0,
                 nested: false,
+                parent: None,
             },
             ..self.gates[gate].offer(*arrived + DEADLINE)
         };
--- a/crates/gate/tests/settled.rs
+++ b/crates/gate/tests/settled.rs
@@ -46,6 +46,7 @@
         floor: Seq(floor),
         deadline: now + TIMEOUT,
         fail_fast: false,
+        is_retry: false,
         refusal: None,
         rank: Rank::default(),
     }
--- a/crates/gate/tests/support/mod.rs
+++ b/crates/gate/tests/support/mod.rs
@@ -37,6 +37,7 @@
             floor: Seq(0),
             deadline,
             fail_fast: false,
+            is_retry: false,
             refusal: None,
             rank: Rank::default(),
         }
--- a/crates/node/src/gate_actor/state.rs
+++ b/crates/node/src/gate_actor/state.rs
@@ -325,9 +325,19 @@
                 Action::Probe => self.probe(),
             }
         }
+        self.publish_urgency();
         self.set_timer();
     }
 
+    /// Tells the ingress how urgent the work is that a nested request may belong to.
+    fn publish_urgency(&self) {
+        let running = self.attempts.values().filter(|a| a.started_at.is_some());
+        let urgency = running.map(|a| a.rank.urgency()).min();
+        self.board
+            .urgency
+            .send_if_modified(|known| std::mem::replace(known, urgency) != urgency);
+    }
+
     /// Sends an attempt to the backend server, unless it has become a suspect while it was queued.
     fn start(&mut self, id: AttemptId, deadline: Moment) -> Vec<Action> {
         let target = self
@@ -376,7 +386,7 @@
         log::info!(
             call, attempt:% = id, server = self.server_id().map(ToString::to_string), outcome,
             age_us = age, objective_us = rank.objective.since(now).0,
-            expected_us = rank.service_time.0, priority = rank.priority, nested = rank.nested,
+            expected_us = rank.service_time.0, priority = rank.urgency(), nested = rank.nested,
             running = load.running, waiting = load.waiting, allowed = load.allowed,
             pace = load.slowdown_percent, cold = self.gate.is_cold(now),
             view:% = self.board.view.borrow().revision;
--- a/crates/node/src/gate_actor/tests/actor.rs
+++ b/crates/node/src/gate_actor/tests/actor.rs
@@ -182,6 +182,7 @@
             floor: Seq(floor),
             deadline: opened.gate_time + Span::from_millis(10_000),
             fail_fast: false,
+            is_retry: false,
             refusal: None,
             rank: Rank::default(),
         },
@@ -247,3 +248,14 @@
     assert!(replied.try_recv().is_err(), "it runs");
     assert_eq!(actor.gate.load(actor.board.clock.now()).running, 1);
 }
+
+#[tokio::test]
+async fn the_ingress_learns_how_urgent_the_running_work_is() {
+    let mut actor = actor();
+    let urgency = actor.board.urgency.subscribe();
+    assert_eq!(*urgency.borrow(), None);
+    let (first, _waiter) = offer(&mut actor, 1);
+    assert_eq!(*urgency.borrow(), Some(0));
+    actor.run_finished(first, Completion::Shed.into());
+    assert_eq!(*urgency.borrow(), None);
+}
--- a/crates/node/src/ingress/driver.rs
+++ b/crates/node/src/ingress/driver.rs
@@ -377,6 +377,7 @@
                 service_time: self.service_time,
                 priority: self.routed.priority,
                 nested: self.routed.nested,
+                parent: *self.ingress.board.urgency.borrow(),
             },
             route: self.routed.latency_key.clone(),
             known_limit: self
--- a/crates/node/src/peers/convert.rs
+++ b/crates/node/src/peers/convert.rs
@@ -81,6 +81,7 @@
         priority: rank.priority,
         expected: rank.service_time.0,
         nested: rank.nested,
+        parent: rank.parent,
         route: route.to_string(),
         limit: known_limit.map(|known| known.rate.per_second()),
         incarnation: known_limit.map_or(0, |known| known.incarnation.0),
@@ -113,6 +114,7 @@
             service_time: Span(request.expected),
             priority: request.priority,
             nested: request.nested,
+            parent: request.parent,
         },
         route: request.route.into(),
         known_limit: rate.map(|rate| KnownLimit {
--- a/crates/node/src/peers/local.rs
+++ b/crates/node/src/peers/local.rs
@@ -32,6 +32,7 @@
                 floor: attempt.registered.floor,
                 deadline: attempt.registered.deadline,
                 fail_fast: attempt.fail_fast,
+                is_retry: attempt.request.is_retry,
                 refusal: None,
                 rank: attempt.rank,
             },
--- a/crates/rig/benches/decisions.rs
+++ b/crates/rig/benches/decisions.rs
@@ -179,6 +179,7 @@
                 floor: attempt.floor,
                 deadline: attempt.deadline,
                 fail_fast: false,
+                is_retry: false,
                 refusal: None,
                 rank: gate::Rank::default(),
             };
--- a/crates/rig/src/emulator/mod.rs
+++ b/crates/rig/src/emulator/mod.rs
@@ -62,19 +62,20 @@
 /// Formats the counts as a table.
 pub fn render(counts: &BTreeMap<Kind, Counts>) -> String {
     let mut text = format!(
-        "{:<8} {:>7} {:>7} {:>7} {:>7} {:>7}\n",
-        "kind", "asked", "in time", "late", "refused", "failed"
+        "{:<8} {:>7} {:>7} {:>7} {:>7} {:>7} {:>9}\n",
+        "kind", "asked", "in time", "late", "refused", "failed", "fruitless"
     );
     for (kind, c) in counts {
         let _ = writeln!(
             text,
-            "{:<8} {:>7} {:>7} {:>7} {:>7} {:>7}",
+            "{:<8} {:>7} {:>7} {:>7} {:>7} {:>7} {:>9}",
             format!("{kind:?}"),
             c.asked,
             c.in_time,
             c.late,
             c.refused,
-            c.failed
+            c.failed,
+            c.fruitless
         );
     }
     text
@@ -109,9 +110,16 @@
     }
 }
 
+/// How a call sends an attempt.
+#[derive(Debug, Clone, Copy)]
+struct Terms {
+    fail_fast: bool,
+    is_retry: bool,
+}
+
 /// Messages that are due after one hop.
 enum Event {
-    Offer(usize, AttemptIndex, bool),
+    Offer(usize, AttemptIndex, Terms),
     Outcome(usize, AttemptIndex, Outcome),
 }
 
@@ -203,8 +211,14 @@
                     attempt,
                     server,
                     fail_fast,
-                    ..
-                } => self.send(index, attempt, &server, fail_fast),
+                    is_retry,
+                } => {
+                    let terms = Terms {
+                        fail_fast,
+                        is_retry,
+                    };
+                    self.send(index, attempt, &server, terms);
+                }
                 CallAction::Cancel(attempt) => {
                     let (host, id) = self.callers[index].attempts[attempt];
                     let actions = self.hosts[host].gate.query(id, Query::Cancel, self.now);
@@ -216,7 +230,7 @@
         }
     }
 
-    fn send(&mut self, index: usize, attempt: AttemptIndex, server: &ServerId, fail_fast: bool) {
+    fn send(&mut self, index: usize, attempt: AttemptIndex, server: &ServerId, terms: Terms) {
         let caller = &self.callers[index];
         self.hosts[caller.ingress].balancers[caller.kind.service()].on_sent(server);
         let target = self.hosts.iter().position(|h| h.id == *server);
@@ -230,20 +244,24 @@
         };
         self.callers[index].attempts.push((target, id));
         self.attempts.insert((target, id), (index, attempt));
-        self.schedule(Event::Offer(index, attempt, fail_fast));
+        self.schedule(Event::Offer(index, attempt, terms));
     }
 
-    fn offer(&mut self, index: usize, attempt: AttemptIndex, fail_fast: bool) {
+    fn offer(&mut self, index: usize, attempt: AttemptIndex, terms: Terms) {
         let caller = &self.callers[index];
         let (target, id) = caller.attempts[attempt];
         let origin = service(self.hosts[caller.ingress].service);
         let ingress = &self.hosts[caller.ingress];
         let usual = ingress.latencies.get(&caller.kind).copied();
+        let running = ingress.runs.values();
+        let priorities = running.map(|run| self.callers[run.call].kind.priority());
+        let parent = priorities.min();
         let rank = Rank {
             objective: caller.began + caller.kind.objective(),
             service_time: usual.unwrap_or_default().service_time(),
             priority: caller.kind.priority(),
             nested: false,
+            parent,
         };
         let (route, deadline) = (caller.kind.route(), caller.deadline);
         let host = &mut self.hosts[target];
@@ -256,7 +274,8 @@
             id,
             floor: Seq(0),
             deadline,
-            fail_fast,
+            fail_fast: terms.fail_fast,
+            is_retry: terms.is_retry,
             refusal: None,
             rank,
         };
@@ -350,6 +369,9 @@
             room_after: load.room_after,
         };
         balancer.on_report(&server, report, self.now);
+        let refused = matches!(outcome, Outcome::NotRun { .. });
+        let counts = self.counts.entry(caller.kind).or_default();
+        counts.fruitless += u64::from(refused);
         match &outcome {
             Outcome::NotRun {
                 refusal,
@@ -438,7 +460,7 @@
                 && entry.key().0 <= self.now
             {
                 match entry.remove() {
-                    Event::Offer(call, attempt, fail_fast) => self.offer(call, attempt, fail_fast),
+                    Event::Offer(call, attempt, terms) => self.offer(call, attempt, terms),
                     Event::Outcome(call, attempt, outcome) => self.outcome(call, attempt, outcome),
                 }
             }
