node: connections for questions about allowances end with their nodes

A node kept a connection to each address that it had ever asked. Addresses change with releases, so their number grew with the life of the process. Connections to nodes that the view no longer names are closed. The tests of allowances pass (6).

--- a/crates/node/src/allowances/mod.rs
+++ b/crates/node/src/allowances/mod.rs
@@ -81,6 +81,8 @@
     reach: Reach,
     /// The view that the members are from.
     view: Weak<View>,
+    /// The view whose members connections are kept to.
+    connected: Weak<View>,
     /// Wakes the requests that wait for an answer, by team.
     answered: HashMap<TeamId, Arc<Notify>>,
     watch: Watch,
@@ -106,6 +108,7 @@
             purse: Purse::default(),
             reach: Reach::new(board.identity.node, now),
             view: Weak::new(),
+            connected: Weak::new(),
             answered: HashMap::new(),
             watch: Watch::default(),
         };
@@ -141,6 +144,12 @@
         let now = self.board.clock.now();
         let mut core = self.core();
         core.set_view(&view, now);
+        if !core.connected.ptr_eq(&core.view) {
+            core.connected = Weak::clone(&core.view);
+            let members = core.reach.members().iter();
+            self.courier
+                .retain(&members.map(|member| member.node).collect());
+        }
         for probe in core.reach.tick(now) {
             self.metrics.record_control_message("probe");
             tokio::spawn(Arc::clone(self).probe(probe));
--- a/crates/node/src/allowances/tests.rs
+++ b/crates/node/src/allowances/tests.rs
@@ -46,6 +46,8 @@
             None => futures::future::pending().boxed(),
         }
     }
+
+    fn retain(&self, _: &HashSet<SocketAddr>) {}
 }
 
 struct Fleet {
