--- a/crates/rig/src/site/cluster.rs
+++ b/crates/rig/src/site/cluster.rs
@@ -168,6 +168,10 @@
     ///
     /// Returns an error if a node can't be started, ends, or isn't ready in time.
     pub async fn start_nodes(&mut self) -> io::Result<()> {
+        // A node that starts before its service has a server is ready, and rightly refuses.
+        for server in &self.servers {
+            server.wait_registered(&self.store).await;
+        }
         for index in 0..self.servers.len() {
             let node = self.start_node(index)?;
             self.nodes.push(node);
--- a/crates/rig/src/site/server.rs
+++ b/crates/rig/src/site/server.rs
@@ -34,6 +34,8 @@
 pub(super) const SIGNATURE: &str = "x-response-signature";
 /// Interval of the writes of an entry, and time without one after which it is removed.
 const HEARTBEAT: Duration = Duration::from_millis(1_500);
+/// Time between two looks for an entry.
+const REGISTRATION_POLL: Duration = Duration::from_millis(2);
 /// Time without a write after which an entry is removed: three silent intervals.
 pub const LEASE: Duration = Duration::from_millis(4_500);
 
@@ -152,6 +154,15 @@
         &self.shared.place
     }
 
+    /// Waits until the store has the server's entry, for one heartbeat at most.
+    pub async fn wait_registered(&self, store: &Store) {
+        let Some(life) = &self.life else { return };
+        let deadline = Instant::now() + HEARTBEAT;
+        while !store.contains(&key(life)) && Instant::now() < deadline {
+            sleep(REGISTRATION_POLL).await;
+        }
+    }
+
     /// Identifier of the present or last lifetime.
     pub fn id(&self) -> &str {
         self.life.as_ref().map_or("", |life| &life.id)
--- a/crates/rig/src/site/store/mod.rs
+++ b/crates/rig/src/site/store/mod.rs
@@ -228,6 +228,11 @@
         state.history_start = state.revision;
     }
 
+    /// Whether there is an item with this key.
+    pub fn contains(&self, key: &str) -> bool {
+        self.state().items.contains_key(key)
+    }
+
     /// A copy of all items, for [`restore`](Self::restore).
     pub fn copy(&self) -> Copy {
         let state = self.state();
