allowance: nodes of the test's fleet learn the view as the product's do

Cause: the model, not the rule. In the product a node that starts has no members until it has compared with its neighbours or read the registry, and its view never goes back.

Change: views have an order, and no node goes back to an earlier one; before, a list that took longer replaced a newer one. A started node has the oldest view of any peer that runs, from its first step, and learns a newer one as late as the slowest peer does. This is stricter than before in two points: a paused node no longer hears of changes while it is paused, and one that wakes up learns them as late as a started one.

--- a/crates/allowance/tests/support/mod.rs
+++ b/crates/allowance/tests/support/mod.rs
@@ -24,10 +24,32 @@
     owner: Owner,
     reach: Reach,
     purse: Purse,
+    /// Number of the view that the node has.
+    view: usize,
+    /// When the node started, or woke up.
+    runs_since: Moment,
     alive: bool,
     paused: bool,
 }
 
+/// Members of the fleet, which each node learns within some time.
+struct View {
+    changed_at: Moment,
+    /// Longest time until a node knows the view, from the change or from when the node runs again.
+    lag: Span,
+    members: Vec<Member>,
+}
+
+impl View {
+    /// When a node knows the view.
+    fn known_at(&self, index: usize, runs_since: Moment) -> Moment {
+        match runs_since > self.changed_at {
+            true => runs_since + self.lag,
+            false => self.changed_at + Span(self.lag.0 * (index as u64 * 7 % 9) / 8),
+        }
+    }
+}
+
 /// A question on its way to an owner, and then its answer.
 struct Message {
     ingress: usize,
@@ -62,8 +84,8 @@
     /// Pairs of zones that don't reach each other.
     pub(crate) cut: [[bool; ZONES]; ZONES],
     nodes: Vec<Node>,
-    /// Lists of members on their way to nodes.
-    views: Vec<(Moment, usize, Vec<Member>)>,
+    /// All views, the newest last. A node never goes back to an earlier one.
+    views: Vec<View>,
     on_the_way: Vec<Message>,
     waiters: Vec<Waiter>,
     steps: u64,
@@ -92,7 +114,11 @@
         let mut fleet = Self {
             now,
             nodes: Vec::new(),
-            views: Vec::new(),
+            views: vec![View {
+                changed_at: now,
+                lag: Span::default(),
+                members: members.clone(),
+            }],
             terms: BTreeMap::new(),
             ran: BTreeMap::new(),
             refused: BTreeMap::new(),
@@ -111,10 +137,17 @@
         fleet
     }
 
+    /// A node that has just started, with the view of the peer that has the oldest one. Without a peer it reads the
+    /// newest one from the registry.
     fn fresh_node(&self, index: usize) -> Node {
+        let peers = self.nodes.iter().filter(|n| n.alive && !n.paused);
+        let newest = self.views.len() - 1;
+        let view = peers.map(|n| n.view).min().unwrap_or(newest);
         let mut reach = Reach::new(self.members[index].node, self.now);
-        reach.set_members(self.members.clone(), self.now);
+        reach.set_members(self.views[view].members.clone(), self.now);
         Node {
+            view,
+            runs_since: self.now,
             owner: Owner::new(self.now),
             reach,
             purse: Purse::default(),
@@ -150,14 +183,19 @@
         let members = self.members.iter().enumerate();
         let members = members.filter(|(index, _)| Some(*index) != out);
         let members: Vec<_> = members.map(|(_, member)| member.clone()).collect();
-        for index in 0..self.nodes.len() {
-            let after = Span(lag.0 * (index as u64 * 7 % 9) / 8);
-            self.views.push((self.now + after, index, members.clone()));
-        }
+        self.views.push(View {
+            changed_at: self.now,
+            lag,
+            members,
+        });
     }
 
     pub(crate) fn set_paused(&mut self, index: usize, paused: bool) {
-        self.nodes[index].paused = paused;
+        let node = &mut self.nodes[index];
+        if node.paused && !paused {
+            node.runs_since = self.now;
+        }
+        node.paused = paused;
     }
 
     fn connected(&self, from: usize, to: usize) -> bool {
@@ -180,13 +218,8 @@
                 self.tick(index);
             }
         }
-        let now = self.now;
-        let (due, later): (Vec<_>, Vec<_>) = std::mem::take(&mut self.views)
-            .into_iter()
-            .partition(|(at, ..)| *at <= now);
-        self.views = later;
-        for (_, index, members) in due {
-            self.nodes[index].reach.set_members(members, now);
+        for index in 0..self.nodes.len() {
+            self.learn_view(index);
         }
         // A request takes again once there is an answer.
         let answered = self.deliver();
@@ -202,6 +235,19 @@
         }
     }
 
+    /// Gives a node the newest view that it can know by now.
+    fn learn_view(&mut self, index: usize) {
+        let now = self.now;
+        let node = &mut self.nodes[index];
+        let known = |view: &View| view.known_at(index, node.runs_since) <= now;
+        let newest = self.views.iter().rposition(known).unwrap_or_default();
+        if node.alive && !node.paused && newest > node.view {
+            node.view = newest;
+            let members = self.views[newest].members.clone();
+            node.reach.set_members(members, now);
+        }
+    }
+
     fn tick(&mut self, index: usize) {
         let now = self.now;
         for probe in self.nodes[index].reach.tick(now) {
