allowance: an owner that has just started doesn't claim that there is no room

Cause, seen in the trace of the test of members that change: an owner reaches a share of 0 of the fleet until its first probes are answered, up to half a second after its start, and until its next tick after a pause. Asked then, it answered no tokens and room in 5 s, the longest promise. The ingress refused the team's requests for these 5 s with 429, also those inside the allowance.

Change: such an owner gives no answer, like a node that reaches nobody.

`cargo test -p allowance` and the tests of allowances in node pass.

--- a/crates/allowance/src/owner.rs
+++ b/crates/allowance/src/owner.rs
@@ -122,6 +122,8 @@
     }
 
     /// Answers a question of an ingress. `owned_since` is when this node became the owner of the team.
+    ///
+    /// `None` while the owner doesn't know yet that it reaches anybody: it can't tell when there is room.
     pub fn draw(
         &mut self,
         team: &TeamId,
@@ -129,9 +131,12 @@
         question: Question,
         owned_since: Moment,
         now: Moment,
-    ) -> Drawn {
+    ) -> Option<Drawn> {
         self.detect_pause(now);
         let share = self.share;
+        if share <= 0.0 {
+            return None;
+        }
         let since = self.since.max(owned_since);
         // Another node has granted out of a bucket of its own before that.
         let is_stale = |bucket: &Bucket| bucket.owned_since < since;
@@ -176,11 +181,11 @@
             0 => bucket.promised,
             _ => (retry_at + time_for(turned_away)).min(now + MAX_PROMISE),
         };
-        Drawn {
+        Some(Drawn {
             tokens,
             room_at,
             retry_at,
-        }
+        })
     }
 
     /// Drops the buckets of teams that have another owner now.
--- a/crates/allowance/tests/support/mod.rs
+++ b/crates/allowance/tests/support/mod.rs
@@ -337,7 +337,7 @@
         let next = match node.reach.stand(&order, now) {
             Stand::Own { since } => {
                 let since = since.max(node.reach.owned_since(team));
-                return Some(node.owner.draw(team, terms, question, since, now));
+                return node.owner.draw(team, terms, question, since, now);
             }
             Stand::Pass(next) if hops > 0 => next,
             Stand::Pass(_) | Stand::Unreached => return None,
--- a/crates/node/src/allowances/answer.rs
+++ b/crates/node/src/allowances/answer.rs
@@ -68,6 +68,9 @@
                 Stand::Own { since } => {
                     let since = since.max(core.reach.owned_since(team));
                     let drawn = core.owner.draw(team, terms, question, since, now);
+                    let Some(drawn) = drawn else {
+                        return DrawReply::default();
+                    };
                     return DrawReply {
                         reached: true,
                         granted: drawn.tokens,
