fleet: nodes ask the last readers for a proof of the configuration

Cause: questions went to a neighbour. A node fills its neighbours from the first members that it learns, so nodes that start together have the same few, and what any other reader has read reaches nobody; those few ask each other only.

Ruled out: lost comparisons (none in the trial) and proofs of another version.

Change: a node asks the member that had an earlier turn at reading, which each node can compute, from half of the lease on; after a question in vain it asks the reader before that one, and a neighbour besides. From 0.7 on it reads as before, so a cut-off node stops in the same time. The times of questions and reads move from node to fleet::ProofSchedule, so that they are tested without a network.

--- a/crates/fleet/src/gossip.rs
+++ b/crates/fleet/src/gossip.rs
@@ -33,6 +33,11 @@
 /// nodes, one delegated read in sixteen fails, and another follows in the next turn.
 const MAX_READ_HOPS: u32 = 4;
 
+/// Number of earlier readers that are asked by turns, in case that some are down or don't reach the platform.
+const ASKED_READERS: u64 = 4;
+/// Length of turns above which what earlier readers have read is too old to ask for.
+const MAX_ASKED_TURN: Span = Span::from_millis(1_000);
+
 /// Limit on the fleet's reads of the platform.
 #[derive(Debug, Clone, Copy)]
 pub struct ReadBudget {
@@ -154,10 +159,23 @@
         targets.copied().map(Action::Compare).collect()
     }
 
-    /// Compares with a neighbour outside the usual times.
-    pub fn ask(&mut self) -> Option<Action> {
-        let peer = self.neighbours.choose(&mut self.rng).copied();
-        peer.map(Action::Compare)
+    /// Compares outside the usual times with the peer that has read the platform lately. Each further attempt asks
+    /// the reader of an earlier turn, and a neighbour besides.
+    pub fn ask_reader(&mut self, attempt: u64, now: Moment) -> Vec<Action> {
+        // The reader of the present turn may still wait for its answer.
+        let turns_ago = 1 + attempt % ASKED_READERS;
+        let length = self.turn_length();
+        let members = self.members.iter().copied().chain([self.own]);
+        let reader = self
+            .clock
+            .earlier_reader(members, length, turns_ago, now)
+            .filter(|reader| *reader != self.own && length <= MAX_ASKED_TURN);
+        let neighbour = match reader {
+            Some(_) if attempt == 0 => None,
+            _ => self.neighbours.choose(&mut self.rng).copied(),
+        };
+        let asked = reader.into_iter().chain(neighbour);
+        asked.map(Action::Compare).collect()
     }
 
     /// Handles the revision of a peer, and pulls from it if that is newer and no pull in progress
--- a/crates/fleet/src/lease.rs
+++ b/crates/fleet/src/lease.rs
@@ -112,9 +112,14 @@
         self.lease.until
     }
 
-    /// Time from which the node asks peers more often than usual: one that has read lately spares it a read.
+    /// Time from which the node asks peers that have read lately, which spares it a read.
     pub fn ask_at(&self) -> Moment {
-        self.lease.confirmed() + self.lease.term.scale(0.4)
+        self.lease.confirmed() + self.lease.term.scale(0.5)
+    }
+
+    /// Number of questions since [`ask_at`](Self::ask_at) that have brought no younger proof.
+    pub fn unanswered(&self, now: Moment) -> u64 {
+        now.since(self.ask_at()).0 / self.ask_interval().0.max(1)
     }
 
     /// Time between two such questions.
--- a/crates/fleet/src/read_turns.rs
+++ b/crates/fleet/src/read_turns.rs
@@ -69,6 +69,18 @@
         moved
     }
 
+    /// Returns the member that had the turn so many turns before the present one.
+    pub(crate) fn earlier_reader(
+        &self,
+        members: impl Iterator<Item = SocketAddr>,
+        length: Span,
+        turns_ago: u64,
+        now: Moment,
+    ) -> Option<SocketAddr> {
+        let turn = (self.time(now).0 / length.0).checked_sub(turns_ago)?;
+        members.max_by_key(|m| (weight(*m, turn), *m))
+    }
+
     /// Returns the node's next turn after `now`, for turns of the given length.
     pub(crate) fn next_turn(
         &self,
--- a/crates/node/src/view_sync/keys.rs
+++ b/crates/node/src/view_sync/keys.rs
@@ -1,11 +1,11 @@
 //! Proofs that the configuration is current, on which the teams' keys depend.
 //!
-//! Most proofs come from peers in replies to comparisons. A node whose proof grows old compares more often, and
-//! one whose proof is older still reads the platform for itself, which costs one call.
+//! Most proofs come from peers in replies to comparisons. A node whose proof grows old asks those that have read the
+//! platform lately, and one whose proof is older still reads for itself, which costs one call.
 
 use std::sync::Arc;
 
-use fleet::{ConfigProof, KeyLease, MAX_SILENCE};
+use fleet::{ConfigProof, MAX_SILENCE, ProofSchedule};
 use kameo::message::{Context, Message};
 use platform::{ConfigRead, PlatformError};
 use types::{Moment, Span};
@@ -16,13 +16,7 @@
 /// State of the lease on the teams' keys.
 #[derive(Debug)]
 pub(super) struct KeySync {
-    lease: KeyLease,
-    /// Whether a read for a proof is in progress.
-    reading: bool,
-    /// Earliest time of the next such read.
-    next_read: Moment,
-    /// Earliest time of the next comparison for a proof.
-    next_question: Moment,
+    schedule: ProofSchedule,
     /// Whether keys were served when that was last checked, as logged.
     served: bool,
 }
@@ -30,21 +24,10 @@
 impl KeySync {
     pub(super) fn new(term: Span) -> Self {
         Self {
-            lease: KeyLease::new(term),
-            reading: false,
-            next_read: Moment(0),
-            next_question: Moment(0),
+            schedule: ProofSchedule::new(term),
             served: false,
         }
     }
-
-    fn question_at(&self) -> Moment {
-        self.lease.ask_at().max(self.next_question)
-    }
-
-    fn read_at(&self) -> Moment {
-        self.lease.refresh_at().max(self.next_read)
-    }
 }
 
 /// A read of the configuration alone has ended.
@@ -59,7 +42,7 @@
 
     async fn handle(&mut self, msg: ProofRead, _ctx: &mut Context<Self, ()>) {
         if let Some(keys) = &mut self.keys {
-            keys.reading = false;
+            keys.schedule.on_read_ended();
         }
         match msg.config {
             Ok(config) => {
@@ -83,7 +66,7 @@
     /// Records that the configuration in force was current at `read_at`, as a read showed.
     pub(super) fn confirm_keys(&mut self, read_at: Moment) {
         if let Some(keys) = &mut self.keys {
-            keys.lease.confirm(read_at);
+            keys.schedule.lease.confirm(read_at);
             self.publish_keys();
         }
     }
@@ -95,7 +78,7 @@
             age: Span(proof.age),
         };
         if let Some(keys) = &mut self.keys {
-            keys.lease.adopt(proof, asked);
+            keys.schedule.lease.adopt(proof, asked);
             self.publish_keys();
         }
     }
@@ -106,11 +89,10 @@
         let has_teams = self.has_proven_keys();
         let now = self.board.clock.now();
         if let Some(keys) = &mut self.keys {
-            keys.lease.set_version(version);
-            self.board.keys.send_replace(Some(keys.lease));
-            // Peers have some time for the first proof, before this node reads for it.
-            if has_teams && keys.next_read == Moment(0) {
-                keys.next_read = now + keys.lease.ask_interval();
+            keys.schedule.lease.set_version(version);
+            self.board.keys.send_replace(Some(keys.schedule.lease));
+            if has_teams {
+                keys.schedule.start(now);
             }
             self.log_keys(now);
         }
@@ -120,9 +102,9 @@
     fn log_keys(&mut self, now: Moment) {
         let has_teams = self.has_proven_keys();
         let Some(keys) = &mut self.keys else { return };
-        let is_valid = keys.lease.is_valid(now);
+        let is_valid = keys.schedule.lease.is_valid(now);
         let was_valid = std::mem::replace(&mut keys.served, is_valid);
-        let age_ms = keys.lease.age(now).as_millis();
+        let age_ms = keys.schedule.lease.age(now).as_millis();
         match (was_valid, is_valid) {
             (true, false) if has_teams => log::warn!(age_ms; "keys_unproven"),
             (false, true) if has_teams => log::info!(age_ms; "keys_proven"),
@@ -130,21 +112,19 @@
         }
     }
 
-    /// Reads the configuration if the proof is old, and logs if it has become too old.
+    /// Asks peers or reads the configuration if the proof is old, and logs if it has become too old.
     pub(super) fn check_keys(&mut self, now: Moment) {
         self.log_keys(now);
         if !self.has_proven_keys() {
             return;
         }
         let Some(keys) = &mut self.keys else { return };
-        let asks = now >= keys.question_at();
-        let reads = !keys.reading && now >= keys.read_at();
-        if asks {
-            keys.next_question = now + keys.lease.ask_interval();
-            let question = self.gossip.ask();
-            self.execute(question.into_iter().collect());
+        let due = keys.schedule.check(now);
+        if let Some(attempt) = due.question {
+            let questions = self.gossip.ask_reader(attempt, now);
+            self.execute(questions);
         }
-        if reads {
+        if due.reads {
             self.read_proof(now);
         }
     }
@@ -152,22 +132,20 @@
     /// Time of the next [`check_keys`](Self::check_keys).
     pub(super) fn next_key_check(&self) -> Option<Moment> {
         let keys = self.keys.as_ref().filter(|_| self.has_proven_keys())?;
-        let read = (!keys.reading).then(|| keys.read_at());
-        let question = Some(keys.question_at());
-        let expiry = keys.served.then(|| keys.lease.until());
-        [read, question, expiry].into_iter().flatten().min()
+        let expiry = keys.served.then(|| keys.schedule.lease.until());
+        let check = keys.schedule.next_check();
+        Some(expiry.map_or(check, |expiry| expiry.min(check)))
     }
 
     /// Starts a read of what has changed in the configuration. A history of notes is read as a whole anyway.
     fn read_proof(&mut self, now: Moment) {
-        if let Some(keys) = &mut self.keys {
-            keys.next_read = now + keys.lease.retry_interval();
-            keys.reading = matches!(self.source, Source::Registry { .. });
-        }
         let Source::Registry {
             registry, progress, ..
         } = &self.source
         else {
+            if let Some(keys) = &mut self.keys {
+                keys.schedule.on_read_ended();
+            }
             self.read_notes();
             return;
         };
