route: the state of a server has a module of its own

balancer.rs used policy, spill, subset and zone_load, and each of them used balancer.rs for Member, ServerState or the hash: a circle of five files. The state of a server, its load report and the utilization that counts as full move to server.rs, the hash to rendezvous.rs. Both are leaves now and no circle is left.

--- a/crates/route/src/policy.rs
+++ b/crates/route/src/policy.rs
@@ -6,7 +6,7 @@
 use serde::{Deserialize, Serialize};
 use types::Moment;
 
-use crate::balancer::ServerState;
+use crate::server::ServerState;
 
 /// Picks one of the candidates.
 pub trait Policy: fmt::Debug + Send {
--- a/crates/route/src/route_table.rs
+++ b/crates/route/src/route_table.rs
@@ -6,7 +6,7 @@
 use smol_str::SmolStr;
 use types::{Fingerprint, RouteId, ServiceId, TeamId};
 
-use crate::balancer::rendezvous_hash;
+use crate::rendezvous::rendezvous_hash;
 
 /// The routes of one view and the teams of their callers. The routes are stored by host, each host's routes ordered from the longest path prefix.
 #[derive(Debug, Default)]
--- a/crates/route/src/spill.rs
+++ b/crates/route/src/spill.rs
@@ -10,9 +10,9 @@
 use types::{Moment, Size, Span, ZoneId};
 
 use crate::{
-    balancer::Member,
     cost::ByteCost,
-    zone_load::{FULL, ZoneLoad},
+    server::{FULL, Member},
+    zone_load::ZoneLoad,
 };
 
 /// Time between two computations of the shares.
--- a/crates/route/src/subset.rs
+++ b/crates/route/src/subset.rs
@@ -4,7 +4,7 @@
 
 use types::{Boot, ZoneId};
 
-use crate::balancer::{Member, rendezvous_hash};
+use crate::{rendezvous::rendezvous_hash, server::Member};
 
 /// Maximum backend servers of one service that an ingress uses. Other ingresses use the rest.
 const MAX_SERVERS: usize = 12;
--- a/crates/route/src/zone_load.rs
+++ b/crates/route/src/zone_load.rs
@@ -4,10 +4,8 @@
 
 use types::{Moment, Span, ZoneId};
 
-use crate::balancer::ServerState;
+use crate::server::{FULL, ServerState};
 
-/// Utilization up to which a zone bears its load: nearly all requests find a free slot.
-pub(crate) const FULL: f64 = 0.9;
 /// Highest utilization that is told apart. Beyond it the queues say how long a zone has been
 /// overloaded, not by how much.
 const MAX_UTILIZATION: f64 = 2.0;
