node: what ingress and gate say of an attempt has a module of its own

Both, the request as backend servers get it and its identity are in `attempt` now, which uses neither.

--- a/crates/node/src/fingerprint.rs
+++ b/crates/node/src/attempt/identity.rs
@@ -10,7 +10,7 @@
 use smol_str::{SmolStr, StrExt};
 use types::{Fingerprint, Moment, ServiceId};
 
-use crate::backend::ServerRequest;
+use super::request::ServerRequest;
 
 /// What equal requests have in common: the service that the caller belongs to, method, host, path,
 /// query and body. The service that runs the request doesn't count, as a route may have several and may
--- a/crates/node/src/backend/mod.rs
+++ b/crates/node/src/backend/mod.rs
@@ -33,11 +33,14 @@
 use hyper::body::Incoming;
 use smol_str::SmolStr;
 use tokio::time::{Instant, timeout, timeout_at};
-use types::{Answer, CallId, Header, ServerId, ServiceId, Span};
+use types::{Answer, CallId, Header, ServerId, Span};
 
 use pool::{Pool, SendError, Sent};
 
-use crate::body_budget::{BodyBudget, BodyError, BodyReservation};
+use crate::{
+    attempt::ServerRequest,
+    body_budget::{BodyBudget, BodyError, BodyReservation},
+};
 
 /// Timeout of a probe: the interval between probes at the usual rate of four a second.
 const PROBE_TIMEOUT: Duration = Duration::from_millis(250);
@@ -53,23 +56,6 @@
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
 pub(crate) struct TooManyHeaders;
 
-/// A request for the backend server.
-#[derive(Debug, Clone)]
-pub(crate) struct ServerRequest {
-    pub(crate) call: CallId,
-    pub(crate) method: SmolStr,
-    /// Path and query, in the caller's encoding.
-    pub(crate) path: SmolStr,
-    pub(crate) headers: Vec<Header>,
-    pub(crate) body: Bytes,
-    /// Levels of nested calls above this one.
-    pub(crate) depth: u32,
-    /// Whether this attempt, or a call above it, repeats an earlier one.
-    pub(crate) is_retry: bool,
-    /// Service of the host whose node received the request from its caller, if known.
-    pub(crate) caller_service: Option<ServiceId>,
-}
-
 /// Where a request is sent, and how its answer is read.
 #[derive(Debug, Clone)]
 pub(crate) struct Target {
--- a/crates/node/src/backend/tests.rs
+++ b/crates/node/src/backend/tests.rs
@@ -26,8 +26,8 @@
 
 use types::Header;
 
-use super::{Backend, HttpBackend, ServerRequest, Target};
-use crate::body_budget::BodyBudget;
+use super::{Backend, HttpBackend, Target};
+use crate::{attempt::ServerRequest, body_budget::BodyBudget};
 use polls::{Watched, thread_time};
 
 /// Answers the requests of each connection in turn with the texts in `answers`, each given 20 ms
--- a/crates/node/src/gate_actor/arrivals.rs
+++ b/crates/node/src/gate_actor/arrivals.rs
@@ -4,7 +4,7 @@
 use types::{AttemptId, Moment, Refusal, ServerId, Size};
 
 use super::{BodyLost, DeliverBody, GateActor, OfferBody, RunAttempt, state::PendingAttempt};
-use crate::{backend::ServerRequest, fingerprint::RequestIdentity};
+use crate::attempt::{RequestIdentity, ServerRequest};
 
 impl GateActor {
     pub(super) fn run(&mut self, msg: RunAttempt) {
--- a/crates/node/src/gate_actor/evidence.rs
+++ b/crates/node/src/gate_actor/evidence.rs
@@ -14,7 +14,7 @@
 use fleet::{ServerEnd, Verdict};
 use types::{AttemptId, Fingerprint, Moment, Refusal, ServerId, Span};
 
-use crate::fingerprint::RequestIdentity;
+use crate::attempt::RequestIdentity;
 
 /// Time after requests broke within which a refused connection or a new incarnation shows that the backend
 /// server ended under them.
--- a/crates/node/src/gate_actor/mod.rs
+++ b/crates/node/src/gate_actor/mod.rs
@@ -32,12 +32,12 @@
 use serde::Serialize;
 use smol_str::SmolStr;
 use tokio::sync::oneshot;
-use types::{AttemptId, Boot, Moment, Outcome, Revision, ServerId, SessionId, Size, Span};
+use types::{AttemptId, Boot, Moment, ServerId, Size};
 
 use crate::{
-    backend::{Backend, ProbeError, RequestResult, ServerRequest},
+    attempt::{KnownLimit, OpenedSession, Reply, ServerRequest},
+    backend::{Backend, ProbeError, RequestResult},
     metrics::Metrics,
-    peers::KnownLimit,
 };
 
 pub(crate) use state::GateActor;
@@ -45,45 +45,12 @@
 /// Capacity of the actor's mailbox, in messages.
 const MAILBOX_MESSAGES: usize = 8_192;
 
-/// A gate's reply about an attempt: its outcome, and the state of the gate at that time.
-#[derive(Debug, Clone)]
-pub(crate) struct Reply {
-    pub(crate) outcome: Outcome,
-    pub(crate) load: Load,
-    pub(crate) revision: Revision,
-    pub(crate) boot: Boot,
-    /// Time of the reply on the gate's clock.
-    pub(crate) gate_time: Moment,
-    /// Time that the request spent at the backend server, zero if it wasn't sent there.
-    pub(crate) service_time: Span,
-    /// Incarnation of the gate's backend server.
-    pub(crate) incarnation: Boot,
-    /// Whether it has said that it is leaving.
-    pub(crate) leaving: bool,
-}
-
-impl Reply {
-    /// Whether the backend server has answered the request.
-    pub(crate) fn ran(&self) -> bool {
-        matches!(self.outcome, Outcome::Answer(_))
-    }
-}
-
 /// Request to open a session for an ingress.
 #[derive(Debug)]
 pub(crate) struct OpenSession {
     pub(crate) ingress: Boot,
 }
 
-/// Reply to [`OpenSession`].
-#[derive(Debug, Clone, Copy, kameo::Reply)]
-pub(crate) struct OpenedSession {
-    pub(crate) boot: Boot,
-    pub(crate) session: SessionId,
-    /// Time of the reply on the gate's clock.
-    pub(crate) gate_time: Moment,
-}
-
 /// Request to run an attempt.
 #[derive(Debug)]
 pub(crate) struct RunAttempt {
@@ -359,13 +326,3 @@
     }
     actions
 }
-
-/// Short name of an outcome, for logs and metrics.
-pub(crate) fn outcome_name(outcome: &Outcome) -> &'static str {
-    match outcome {
-        Outcome::Answer(_) => "answer",
-        Outcome::Unknown => "unknown",
-        Outcome::Expired => "expired",
-        Outcome::NotRun { refusal, .. } => refusal.name(),
-    }
-}
--- a/crates/node/src/gate_actor/state.rs
+++ b/crates/node/src/gate_actor/state.rs
@@ -16,11 +16,11 @@
 
 use super::{
     GateDump, OpenedSession, ProbeFinished, QueryAttempt, Refresh, Reply, RunFinished, apply_board,
-    evidence::Evidence, outcome_name,
+    evidence::Evidence,
 };
 use crate::{
-    backend::{Backend, RequestResult, ServerRequest, Target},
-    fingerprint::RequestIdentity,
+    attempt::{RequestIdentity, ServerRequest, outcome_name},
+    backend::{Backend, RequestResult, Target},
     metrics::Metrics,
     timer::WakeTimer,
 };
--- a/crates/node/src/gate_actor/tests/actor.rs
+++ b/crates/node/src/gate_actor/tests/actor.rs
@@ -16,13 +16,10 @@
 
 use super::{attempt, request, server, server_request, view};
 use crate::{
-    backend::{Backend, ProbeError, RequestResult, ServerRequest, Target},
-    fingerprint::RequestIdentity,
+    attempt::{OpenedSession, Reply, RequestIdentity, ServerRequest},
+    backend::{Backend, ProbeError, RequestResult, Target},
     fixtures::board,
-    gate_actor::{
-        BodyLost, DeliverBody, GateActor, OfferBody, OpenedSession, ProbeFinished, Reply,
-        RunAttempt,
-    },
+    gate_actor::{BodyLost, DeliverBody, GateActor, OfferBody, ProbeFinished, RunAttempt},
     metrics::Metrics,
 };
 
--- a/crates/node/src/gate_actor/tests/evidence.rs
+++ b/crates/node/src/gate_actor/tests/evidence.rs
@@ -8,7 +8,7 @@
 use types::{Header, Moment, Refusal, Span};
 
 use super::{attempt, request, server, server_request};
-use crate::{fingerprint::RequestIdentity, fixtures::board, gate_actor::evidence::Evidence};
+use crate::{attempt::RequestIdentity, fixtures::board, gate_actor::evidence::Evidence};
 
 /// A gate's evidence at a moment.
 struct Gate {
--- a/crates/node/src/gate_actor/tests/malformed.rs
+++ b/crates/node/src/gate_actor/tests/malformed.rs
@@ -20,11 +20,11 @@
 
 use super::{listed_server, server, server_request, state};
 use crate::{
-    backend::{Backend, ProbeError, RequestResult, ServerRequest, Target},
+    attempt::{KnownLimit, Reply, ServerRequest},
+    backend::{Backend, ProbeError, RequestResult, Target},
     fixtures::board,
-    gate_actor::{GateActor, ProbeFinished, QueryAttempt, Reply, RunAttempt},
+    gate_actor::{GateActor, ProbeFinished, QueryAttempt, RunAttempt},
     metrics::Metrics,
-    peers::KnownLimit,
 };
 
 const QUERIES: [Query; 3] = [Query::Outcome, Query::Withdraw, Query::Cancel];
--- a/crates/node/src/gate_actor/tests/mod.rs
+++ b/crates/node/src/gate_actor/tests/mod.rs
@@ -13,7 +13,7 @@
 use types::{AttemptId, Boot, Rate, Revision, Seq, ServerId, SessionId, Slots};
 
 use super::state::effective_service;
-use crate::{backend::ServerRequest, fingerprint::RequestIdentity};
+use crate::attempt::{RequestIdentity, ServerRequest};
 
 fn rate(value: f64) -> Rate {
     Rate::new(value).expect("a valid rate")
--- a/crates/node/src/ingress/driver.rs
+++ b/crates/node/src/ingress/driver.rs
@@ -31,7 +31,7 @@
     suspects::find_trial,
 };
 use crate::{
-    gate_actor::Reply,
+    attempt::Reply,
     peers::{Handover, Peer, TransportError},
     view_sync::PeerReport,
 };
--- a/crates/node/src/ingress/driver/logs.rs
+++ b/crates/node/src/ingress/driver/logs.rs
@@ -6,7 +6,7 @@
 
 use super::CallDriver;
 use crate::{
-    gate_actor::{Reply, outcome_name},
+    attempt::{Reply, outcome_name},
     peers::TransportError,
 };
 
--- a/crates/node/src/ingress/outgoing.rs
+++ b/crates/node/src/ingress/outgoing.rs
@@ -9,9 +9,8 @@
 
 use super::Ingress;
 use crate::{
-    backend::ServerRequest,
-    gate_actor::Reply,
-    peers::{Attempt, Handover, KnownLimit, Peer, TransportError},
+    attempt::{KnownLimit, Reply, ServerRequest},
+    peers::{Attempt, Handover, Peer, TransportError},
 };
 
 /// An attempt that has no id yet.
--- a/crates/node/src/ingress/routing.rs
+++ b/crates/node/src/ingress/routing.rs
@@ -12,7 +12,7 @@
 use types::{CallId, Fingerprint, Header, Moment, ServiceId, Size, Span, TeamId};
 
 use super::Ingress;
-use crate::backend::{ServerRequest, end_to_end_headers};
+use crate::{attempt::ServerRequest, backend::end_to_end_headers};
 
 /// Longest timeout of a call without a route.
 const MAX_TIMEOUT: Span = Span::from_millis(3_600_000);
--- a/crates/node/src/ingress/services.rs
+++ b/crates/node/src/ingress/services.rs
@@ -16,7 +16,10 @@
 use types::{Boot, Fingerprint, Moment, Outcome, Rate, ServerId, ServiceId, Span, ZoneId};
 
 use super::zones::{Crossing, ZoneShares};
-use crate::{gate_actor::Reply, metrics::Metrics, peers::KnownLimit};
+use crate::{
+    attempt::{KnownLimit, Reply},
+    metrics::Metrics,
+};
 
 /// State of one service.
 struct ServiceState {
--- a/crates/node/src/ingress/suspects.rs
+++ b/crates/node/src/ingress/suspects.rs
@@ -14,7 +14,7 @@
     routing::RoutedCall,
     services::Trial,
 };
-use crate::{backend::ServerRequest, fingerprint::RequestIdentity};
+use crate::attempt::{RequestIdentity, ServerRequest};
 
 /// Time between two checks whether the trial of an equal request has ended.
 const TRIAL_POLL_INTERVAL: Span = Span::from_millis(25);
--- a/crates/node/src/ingress/tests/bodies.rs
+++ b/crates/node/src/ingress/tests/bodies.rs
@@ -43,7 +43,10 @@
     fixtures::{ingress, now, publish, remote_view, route, routed, start_node, view},
     reroute,
 };
-use crate::backend::{Backend, ProbeError, RequestResult, ServerRequest, Target};
+use crate::{
+    attempt::ServerRequest,
+    backend::{Backend, ProbeError, RequestResult, Target},
+};
 
 /// Size of the bodies: the largest of the callers on slow links.
 const BODY_BYTES: usize = 360_000;
--- a/crates/node/src/ingress/tests/fixtures.rs
+++ b/crates/node/src/ingress/tests/fixtures.rs
@@ -23,7 +23,8 @@
 };
 use crate::{
     allowances::{Allowances, TonicCourier},
-    backend::{Backend, ProbeError, RequestResult, ServerRequest, Target},
+    attempt::ServerRequest,
+    backend::{Backend, ProbeError, RequestResult, Target},
     body_budget::BodyBudget,
     fixtures::board,
     gate_actor,
--- a/crates/node/src/lib.rs
+++ b/crates/node/src/lib.rs
@@ -24,9 +24,9 @@
 
 mod admin;
 mod allowances;
+mod attempt;
 mod backend;
 mod body_budget;
-mod fingerprint;
 mod gate_actor;
 mod ingress;
 pub mod lifecycle;
--- a/crates/node/src/peers/bodies.rs
+++ b/crates/node/src/peers/bodies.rs
@@ -22,7 +22,7 @@
 use wire::peer::{BodyChunk, DeliverReply, peer_client::PeerClient};
 
 use super::{LocalGate, TransportError, convert, remote::classify_error};
-use crate::gate_actor::Reply;
+use crate::attempt::Reply;
 
 /// Size of a chunk: 13 ms of a link of 10 Mbit/s.
 const CHUNK_BYTES: usize = 16 << 10;
--- a/crates/node/src/peers/convert.rs
+++ b/crates/node/src/peers/convert.rs
@@ -9,11 +9,8 @@
 };
 use wire::peer;
 
-use super::{Attempt, KnownLimit};
-use crate::{
-    backend::ServerRequest,
-    gate_actor::{OpenedSession, Reply},
-};
+use super::Attempt;
+use crate::attempt::{KnownLimit, OpenedSession, Reply, ServerRequest};
 
 /// Why a message from another node is invalid.
 #[derive(Debug)]
--- a/crates/node/src/peers/local.rs
+++ b/crates/node/src/peers/local.rs
@@ -8,9 +8,12 @@
 use types::{AttemptId, Boot, Size};
 
 use super::{Attempt, GateClient, TransportError};
-use crate::gate_actor::{
-    BodyLost, BodyPart, DeliverBody, GateActor, OfferBody, OpenSession, OpenedSession,
-    QueryAttempt, Reply, RunAttempt, WaiterDropped,
+use crate::{
+    attempt::{OpenedSession, Reply},
+    gate_actor::{
+        BodyLost, BodyPart, DeliverBody, GateActor, OfferBody, OpenSession, QueryAttempt,
+        RunAttempt, WaiterDropped,
+    },
 };
 
 /// Client of the gate in the same process.
--- a/crates/node/src/peers/mod.rs
+++ b/crates/node/src/peers/mod.rs
@@ -27,11 +27,11 @@
 use kameo::actor::ActorRef;
 use smol_str::SmolStr;
 use tokio::time::timeout;
-use types::{AttemptId, Boot, Moment, Outcome, Rate, Refusal, Revision, ServerId};
+use types::{AttemptId, Boot, Moment, Outcome, Refusal, Revision, ServerId};
 
 use crate::{
-    backend::ServerRequest,
-    gate_actor::{GateActor, OpenedSession, Reply},
+    attempt::{KnownLimit, OpenedSession, Reply, ServerRequest},
+    gate_actor::GateActor,
 };
 
 pub(crate) use bodies::Handover;
@@ -67,15 +67,6 @@
     }
 }
 
-/// The limit that an ingress knows of a backend server. A gate that has just started learns it from
-/// the requests that it gets.
-#[derive(Debug, Clone, Copy, PartialEq)]
-pub(crate) struct KnownLimit {
-    pub(crate) rate: Rate,
-    /// Incarnation of the backend server that named it.
-    pub(crate) incarnation: Boot,
-}
-
 /// An attempt to be sent to a gate.
 #[derive(Debug, Clone)]
 pub(crate) struct Attempt {
--- a/crates/node/src/peers/remote.rs
+++ b/crates/node/src/peers/remote.rs
@@ -24,10 +24,7 @@
 use wire::peer::{AskRequest, OfferRequest, OpenRequest, peer_client::PeerClient};
 
 use super::{Attempt, GateClient, Handover, TransportError, bodies, convert};
-use crate::{
-    backend::ServerRequest,
-    gate_actor::{OpenedSession, Reply},
-};
+use crate::attempt::{OpenedSession, Reply, ServerRequest};
 
 /// Timeout for establishing a connection. It is shorter than the users' shortest objective, so that
 /// a request whose first node is down can still be answered in time by another one.
--- a/crates/node/src/peers/server.rs
+++ b/crates/node/src/peers/server.rs
@@ -19,7 +19,8 @@
 use super::{Attempt, LocalGate, TransportError, bodies, convert, evidence};
 use crate::{
     allowances::Allowances,
-    gate_actor::{GateActor, Reply},
+    attempt::Reply,
+    gate_actor::GateActor,
     view_sync::{PeerReport, UpdateRequest, ViewSync, checked_stamp},
 };
 
--- a/crates/node/src/peers/tests.rs
+++ b/crates/node/src/peers/tests.rs
@@ -20,8 +20,8 @@
     evidence::{changed_suspects, merge_evidence, suspects_for},
 };
 use crate::{
+    attempt::{OpenedSession, Reply},
     fixtures::board,
-    gate_actor::{OpenedSession, Reply},
 };
 
 /// A gate that opens sessions with increasing numbers and answers nothing else.
