ingress: the trials of suspects have a module of their own

driver used suspects to find a trial, and suspects uses driver to run a call. The trial is found in trials.rs, which uses neither.

--- a/crates/node/src/ingress/driver.rs
+++ b/crates/node/src/ingress/driver.rs
@@ -28,7 +28,7 @@
     outgoing::OutgoingAttempt,
     routing::RoutedCall,
     services::{RetryBudget, Selector, Trial},
-    suspects::find_trial,
+    trials::find_trial,
 };
 use crate::{
     attempt::Reply,
--- a/crates/node/src/ingress/mod.rs
+++ b/crates/node/src/ingress/mod.rs
@@ -19,6 +19,7 @@
 mod routing;
 mod services;
 mod suspects;
+mod trials;
 mod zones;
 
 use std::{
--- a/crates/node/src/ingress/suspects.rs
+++ b/crates/node/src/ingress/suspects.rs
@@ -2,9 +2,8 @@
 
 use std::sync::Arc;
 
-use board::Board;
 use call::CallOutcome;
-use fleet::{Evidence, Verdict};
+use fleet::Verdict;
 use tokio::time::sleep;
 use types::{Refusal, Span};
 
@@ -12,9 +11,9 @@
     Ingress,
     driver::{self, CallEnd},
     routing::RoutedCall,
-    services::Trial,
+    trials::prepare_trial,
 };
-use crate::attempt::{RequestIdentity, ServerRequest};
+use crate::attempt::RequestIdentity;
 
 /// Time between two checks whether the trial of an equal request has ended.
 const TRIAL_POLL_INTERVAL: Span = Span::from_millis(25);
@@ -54,28 +53,6 @@
     }
 }
 
-/// The trial of a request that isn't clear.
-pub(super) fn find_trial(board: &Board, request: &ServerRequest) -> Option<Trial> {
-    let identity = RequestIdentity::new(request);
-    match identity.verdict(board, board.clock.now()) {
-        Verdict::Clear => None,
-        Verdict::Suspect | Verdict::Held(_) | Verdict::Blocked => {
-            Some(prepare_trial(board, &identity))
-        }
-    }
-}
-
-fn prepare_trial(board: &Board, identity: &RequestIdentity) -> Trial {
-    let request = identity.fingerprint();
-    let quarantine = board.quarantine.borrow();
-    let evidence = quarantine.evidence(request);
-    let ends = evidence.into_iter().flat_map(Evidence::uncleared);
-    Trial {
-        request,
-        ended: ends.map(|end| end.server.clone()).collect(),
-    }
-}
-
 /// Rejects a call whose request is held back, since backend servers have ended under it.
 fn hold_back(
     ingress: &Ingress,
