node: peers no longer stand between the view and the gate

view_sync and allowances used peers for the endpoint of a node and for the evidence that travels with comparisons of views, and the service in peers uses both. The endpoint has a module of its own, the evidence is part of view_sync, which sends and merges it. Its two tests move with it (view_sync/tests/evidence.rs).

--- a/crates/node/src/allowances/courier.rs
+++ b/crates/node/src/allowances/courier.rs
@@ -10,7 +10,7 @@
 use tonic::transport::Channel;
 use wire::peer::{DrawReply, DrawRequest, peer_client::PeerClient};
 
-use crate::peers::endpoint;
+use crate::endpoint::endpoint;
 
 /// A client of other nodes.
 pub(crate) trait Courier: Send + Sync {
--- a/crates/node/src/lib.rs
+++ b/crates/node/src/lib.rs
@@ -27,6 +27,7 @@
 mod attempt;
 mod backend;
 mod body_budget;
+mod endpoint;
 mod gate_actor;
 mod ingress;
 pub mod lifecycle;
--- a/crates/node/src/peers/mod.rs
+++ b/crates/node/src/peers/mod.rs
@@ -8,7 +8,6 @@
 
 mod bodies;
 mod convert;
-mod evidence;
 mod local;
 mod remote;
 pub(crate) mod server;
@@ -35,9 +34,8 @@
 };
 
 pub(crate) use bodies::Handover;
-pub(crate) use evidence::{changed_suspects, leaving_servers, merge_evidence};
 pub(crate) use local::LocalGate;
-pub(crate) use remote::{RemoteGate, endpoint};
+pub(crate) use remote::RemoteGate;
 
 /// Time for a gate to reply to a cancellation, many times the usual one.
 const CANCEL_TIMEOUT: Duration = Duration::from_millis(150);
--- a/crates/node/src/peers/remote.rs
+++ b/crates/node/src/peers/remote.rs
@@ -16,38 +16,21 @@
 use bytes::Bytes;
 use futures::{FutureExt, future::BoxFuture};
 use gate::Query;
-use tonic::{
-    Code, ConnectError, Status,
-    transport::{Channel, Endpoint},
-};
+use tonic::{Code, ConnectError, Status, transport::Channel};
 use types::{AttemptId, Boot};
 use wire::peer::{AskRequest, OfferRequest, OpenRequest, peer_client::PeerClient};
 
 use super::{Attempt, GateClient, Handover, TransportError, bodies, convert};
-use crate::attempt::{OpenedSession, Reply, ServerRequest};
+use crate::{
+    attempt::{OpenedSession, Reply, ServerRequest},
+    endpoint::endpoint,
+};
 
-/// Timeout for establishing a connection. It is shorter than the users' shortest objective, so that
-/// a request whose first node is down can still be answered in time by another one.
-const CONNECT_TIMEOUT: Duration = Duration::from_millis(150);
 /// Timeout for opening a session.
 const OPEN_TIMEOUT: Duration = Duration::from_millis(1_000);
-/// Time without traffic after which an HTTP/2 ping is sent on a connection with open requests.
-const KEEPALIVE_INTERVAL: Duration = Duration::from_millis(1_000);
-/// Time without a reply to the ping after which the connection is closed.
-const KEEPALIVE_TIMEOUT: Duration = Duration::from_millis(1_000);
 /// Largest message: the largest body that callers may send, plus headers.
 const MAX_MESSAGE_BYTES: usize = 68 << 20;
 
-/// Returns the configured endpoint of the node at `address`.
-pub(crate) fn endpoint(address: SocketAddr) -> Endpoint {
-    Endpoint::from_shared(format!("http://{address}"))
-        .expect("a socket address yields a valid URI")
-        .connect_timeout(CONNECT_TIMEOUT)
-        .tcp_nodelay(true)
-        .http2_keep_alive_interval(KEEPALIVE_INTERVAL)
-        .keep_alive_timeout(KEEPALIVE_TIMEOUT)
-}
-
 /// Client of a gate in another process.
 pub(crate) struct RemoteGate {
     address: SocketAddr,
--- a/crates/node/src/peers/server.rs
+++ b/crates/node/src/peers/server.rs
@@ -16,12 +16,15 @@
     RunRequest, View, peer_server::Peer,
 };
 
-use super::{Attempt, LocalGate, TransportError, bodies, convert, evidence};
+use super::{Attempt, LocalGate, TransportError, bodies, convert};
 use crate::{
     allowances::Allowances,
     attempt::Reply,
     gate_actor::GateActor,
-    view_sync::{PeerReport, UpdateRequest, ViewSync, checked_stamp},
+    view_sync::{
+        PeerReport, UpdateRequest, ViewSync, checked_stamp, leaving_servers, merge_evidence,
+        suspects_for,
+    },
 };
 
 /// Serves requests of peers.
@@ -58,8 +61,8 @@
             ready: self.board.phase() != Phase::Joining,
             checked_era: checked.era.0,
             checked_revision: checked.revision.0,
-            leaving: evidence::leaving_servers(&self.board),
-            suspects: evidence::suspects_for(&self.board, peer),
+            leaving: leaving_servers(&self.board),
+            suspects: suspects_for(&self.board, peer),
             suspects_digest: self.board.quarantine.borrow().digest(),
             proof,
             ..View::default()
@@ -149,7 +152,7 @@
 
     async fn compare(&self, request: Request<View>) -> Result<Response<View>, Status> {
         let peer_view = request.into_inner();
-        evidence::merge_evidence(&self.board, &peer_view);
+        merge_evidence(&self.board, &peer_view);
         match peer_view.node.parse() {
             Ok(peer) => {
                 let report = PeerReport {
--- a/crates/node/src/peers/tests.rs
+++ b/crates/node/src/peers/tests.rs
@@ -5,19 +5,14 @@
     atomic::{AtomicBool, AtomicU64, Ordering},
 };
 
-use board::Board;
-use fleet::ServerEnd;
 use futures::{FutureExt, future::BoxFuture};
 use gate::Load;
 use tokio::time::{Duration, timeout};
-use types::{AttemptId, Boot, Fingerprint, Moment, Outcome, Refusal, Revision, SessionId, Span};
-use wire::peer::{self, View};
+use types::{AttemptId, Boot, Moment, Outcome, Refusal, Revision, SessionId, Span};
+use wire::peer;
 
 use super::{
-    Attempt, GateClient, Peer, TransportError,
-    bodies::without_body,
-    convert::from_outcome,
-    evidence::{changed_suspects, merge_evidence, suspects_for},
+    Attempt, GateClient, Peer, TransportError, bodies::without_body, convert::from_outcome,
 };
 use crate::{
     attempt::{OpenedSession, Reply},
@@ -145,64 +140,6 @@
     assert!(!is_found_silent(false).await);
 }
 
-/// A board with evidence about this number of requests.
-fn board_with_suspects(count: u64) -> Arc<Board> {
-    let board = board();
-    board.quarantine.send_modify(|quarantine| {
-        for id in 0..count {
-            let end = ServerEnd {
-                id,
-                server: "server".parse().expect("a valid id"),
-                at: Moment(1),
-                trial: false,
-                cleared: false,
-            };
-            // Spread over the whole range, as hashes are.
-            let request = Fingerprint(u128::MAX / u128::from(count) * u128::from(id));
-            quarantine.record_end(request, end);
-        }
-    });
-    board
-}
-
-/// A node compares its evidence with that of another one, which replies.
-fn compare(from: &Board, to: &Board, ready: bool) -> usize {
-    let request = View {
-        ready,
-        suspects: changed_suspects(from),
-        suspects_digest: from.quarantine.borrow().digest(),
-        ..View::default()
-    };
-    merge_evidence(to, &request);
-    let reply = View {
-        suspects: suspects_for(to, &request),
-        ..View::default()
-    };
-    merge_evidence(from, &reply);
-    reply.suspects.len()
-}
-
-#[test]
-fn a_node_that_joins_hears_of_all_suspects_at_once() {
-    let (joining, known) = (board(), board_with_suspects(300));
-    assert_eq!(compare(&joining, &known, false), 300);
-    let digest = |board: &Board| board.quarantine.borrow().digest();
-    assert_eq!(digest(&joining), digest(&known));
-}
-
-#[test]
-fn nodes_tell_each_other_of_suspects_until_they_know_the_same() {
-    let (first, second) = (board(), board_with_suspects(300));
-    let mut told = 0;
-    while compare(&first, &second, true) > 0 {
-        told += 1;
-        assert!(told < 1_000, "they still differ");
-    }
-    assert!(told > 1, "a message doesn't name them all");
-    let known = first.quarantine.borrow().latest().len();
-    assert_eq!(known, 300);
-}
-
 #[test]
 fn an_answer_with_an_impossible_status_is_no_answer() {
     // The first one has the bits of 200 in its lower half.
--- a/crates/node/src/view_sync/exchange.rs
+++ b/crates/node/src/view_sync/exchange.rs
@@ -15,8 +15,12 @@
 use types::{Era, Moment, Revision, Stamp};
 use wire::peer::{PullRequest, View, peer_client::PeerClient};
 
-use super::{PeerReport, Source, ViewSync, tell};
-use crate::peers;
+use super::{
+    PeerReport, Source, ViewSync,
+    evidence::{changed_suspects, leaving_servers, merge_evidence},
+    tell,
+};
+use crate::endpoint::endpoint;
 
 /// Timeout of a comparison.
 const COMPARE_TIMEOUT: Duration = Duration::from_millis(500);
@@ -78,7 +82,7 @@
         let neighbours = self.gossip.neighbours();
         self.channels
             .retain(|address, _| neighbours.contains(address));
-        let connect = || peers::endpoint(peer).connect_lazy();
+        let connect = || endpoint(peer).connect_lazy();
         match neighbours.contains(&peer) {
             true => self.channels.entry(peer).or_insert_with(connect).clone(),
             false => connect(),
@@ -102,8 +106,8 @@
             read_hops,
             checked_era: checked.era.0,
             checked_revision: checked.revision.0,
-            leaving: peers::leaving_servers(&self.board),
-            suspects: peers::changed_suspects(&self.board),
+            leaving: leaving_servers(&self.board),
+            suspects: changed_suspects(&self.board),
             suspects_digest: self.board.quarantine.borrow().digest(),
             // A question's way may take any time, so the age in one would prove nothing.
             proof: None,
@@ -171,7 +175,7 @@
     }
 
     fn apply_comparison(&mut self, peer: SocketAddr, sent_at: Moment, peer_view: &View) {
-        peers::merge_evidence(&self.board, peer_view);
+        merge_evidence(&self.board, peer_view);
         let own = self.source.view();
         let revision = Revision(peer_view.revision);
         let digest = view_digest(peer_view);
--- a/crates/node/src/view_sync/mod.rs
+++ b/crates/node/src/view_sync/mod.rs
@@ -11,6 +11,7 @@
 #[cfg(test)]
 mod tests;
 
+mod evidence;
 mod exchange;
 mod keys;
 mod notes;
@@ -36,6 +37,7 @@
 use self::keys::KeySync;
 use crate::{metrics::Metrics, timer::WakeTimer};
 
+pub(crate) use evidence::{leaving_servers, merge_evidence, suspects_for};
 pub(crate) use exchange::checked_stamp;
 pub(crate) use source::{RegistryDump, Source, SyncOptions};
 
--- a/crates/node/src/view_sync/tests.rs
+++ b/crates/node/src/view_sync/tests.rs
@@ -1,5 +1,6 @@
 //! Tests of the read budget with a faulty platform, and of a view that takes long to receive.
 
+mod evidence;
 mod keys;
 mod silent_watch;
 
