node: metrics use no component

metrics used ingress for the attempt that leaves a zone, and ingress uses metrics. The type stands beside the metric that counts it.

A move, no change of behaviour.

--- a/crates/node/src/ingress/mod.rs
+++ b/crates/node/src/ingress/mod.rs
@@ -57,7 +57,6 @@
 
 use routing::RoutedCall;
 pub(crate) use services::{RetryPolicy, ServerDump, Services, ZoneDump};
-pub(crate) use zones::Crossing;
 
 /// Time that a new connection gets for its first request while the node stops. Callers send the
 /// request at once, so it arrives within a few round trips of 20 ms.
--- a/crates/node/src/ingress/services.rs
+++ b/crates/node/src/ingress/services.rs
@@ -15,10 +15,10 @@
 use smol_str::SmolStr;
 use types::{Boot, Fingerprint, Moment, Outcome, Rate, ServerId, ServiceId, Span, ZoneId};
 
-use super::zones::{Crossing, ZoneShares};
+use super::zones::ZoneShares;
 use crate::{
     attempt::{KnownLimit, Reply},
-    metrics::Metrics,
+    metrics::{Crossing, Metrics},
 };
 
 /// State of one service.
--- a/crates/node/src/ingress/zones.rs
+++ b/crates/node/src/ingress/zones.rs
@@ -5,23 +5,12 @@
     sync::{Mutex, MutexGuard},
 };
 
-use route::{ByteCost, Links, Reason, Spill};
-use types::{ServerId, ServiceId, Size, Span, ZoneId};
+use route::{ByteCost, Links, Spill};
+use types::{ServerId, ServiceId, Span, ZoneId};
 
 /// Change of a service's share that is logged.
 const LOGGED_CHANGE: f64 = 0.1;
 
-/// An attempt that leaves the zone.
-#[derive(Debug)]
-pub(crate) struct Crossing<'a> {
-    pub(crate) service: &'a ServiceId,
-    pub(crate) from: &'a ZoneId,
-    pub(crate) to: &'a ZoneId,
-    pub(crate) reason: Reason,
-    /// Size of the request's body.
-    pub(crate) bytes: Size,
-}
-
 /// The zone of an ingress that computes shares, and its links to the others.
 #[derive(Debug)]
 pub(crate) struct ZoneShares {
--- a/crates/node/src/metrics.rs
+++ b/crates/node/src/metrics.rs
@@ -6,10 +6,9 @@
 };
 use opentelemetry_sdk::metrics::SdkMeterProvider;
 use prometheus::{Encoder, Registry, TextEncoder};
+use route::Reason;
 use smol_str::SmolStr;
-use types::{ServiceId, Span};
-
-use crate::ingress::Crossing;
+use types::{ServiceId, Size, Span, ZoneId};
 
 /// Bucket bounds of the histograms in seconds, from the latency of one hop to the longest timeout
 /// of callers.
@@ -21,6 +20,17 @@
     span.0 as f64 / 1e6
 }
 
+/// An attempt that leaves the zone.
+#[derive(Debug)]
+pub(crate) struct Crossing<'a> {
+    pub(crate) service: &'a ServiceId,
+    pub(crate) from: &'a ZoneId,
+    pub(crate) to: &'a ZoneId,
+    pub(crate) reason: Reason,
+    /// Size of the request's body.
+    pub(crate) bytes: Size,
+}
+
 /// Metric instruments and the registry that exports them.
 #[derive(Debug)]
 pub(crate) struct Metrics {
