view_sync: the progress of reads has a module of its own

source used registry for it, registry used keys, and keys uses source. The progress is in progress.rs, which uses none of them.

A move, no change of behaviour.

--- a/crates/node/src/view_sync/mod.rs
+++ b/crates/node/src/view_sync/mod.rs
@@ -15,6 +15,7 @@
 mod exchange;
 mod keys;
 mod notes;
+mod progress;
 mod registry;
 mod source;
 
--- a/crates/node/src/view_sync/registry.rs
+++ b/crates/node/src/view_sync/registry.rs
@@ -2,7 +2,7 @@
 
 use std::sync::Arc;
 
-use fleet::{Parts, WatchStart};
+use fleet::Parts;
 use kameo::message::{Context, Message};
 use note::OperatorConfig;
 use platform::{ConfigRead, PlatformError, RefusedVersion, RegistryEntries, UnusableItem};
@@ -15,40 +15,6 @@
 /// Maximum number of faults of a configuration that one line of the log shows.
 const MAX_LOGGED_FAULTS: usize = 20;
 
-/// State of reading the registry since startup.
-#[derive(Debug, Default)]
-pub(crate) struct ReadProgress {
-    /// Whether a read is in progress. A second one would only compete with it for the link.
-    reading: bool,
-    /// Whether the registry was read completely at least once.
-    complete: bool,
-    /// Whether the last read failed.
-    failing: bool,
-    /// Items that could not be used in the last read.
-    unusable: Vec<UnusableItem>,
-    /// Where the next read of the configuration's changes starts.
-    watch: WatchStart,
-    /// Version of the configuration that was refused last.
-    refused: Option<RefusedVersion>,
-    /// Error of the last read of the configuration, as logged.
-    config_error: Option<String>,
-}
-
-impl ReadProgress {
-    pub(super) fn unusable_items(&self) -> usize {
-        self.unusable.len()
-    }
-
-    /// Stamp after which changes of the configuration are read at `now`.
-    pub(super) fn known_config(&self, now: Moment) -> Option<Stamp> {
-        self.watch.at(now)
-    }
-
-    pub(super) fn refused(&self) -> Option<&RefusedVersion> {
-        self.refused.as_ref()
-    }
-}
-
 /// The first part of a read has ended.
 #[derive(Debug)]
 struct EntriesRead {
--- a/crates/node/src/view_sync/source.rs
+++ b/crates/node/src/view_sync/source.rs
@@ -7,7 +7,7 @@
 use serde::Serialize;
 use types::{Moment, Rate, Span, Stamp};
 
-use super::registry::ReadProgress;
+use super::progress::ReadProgress;
 
 /// A platform, and the data read from it that the view is computed from.
 pub(crate) enum Source {
