peers: transport errors have a module of their own

bodies and remote used each other, as both classify errors. No circle of files is left between modules of the node; what a module file and the files in its own folder use of each other remains.

--- a/crates/node/src/peers/bodies.rs
+++ b/crates/node/src/peers/bodies.rs
@@ -21,7 +21,7 @@
 use types::{AttemptId, Outcome, Refusal};
 use wire::peer::{BodyChunk, DeliverReply, peer_client::PeerClient};
 
-use super::{LocalGate, TransportError, convert, remote::classify_error};
+use super::{LocalGate, TransportError, convert, fault::classify_error};
 use crate::attempt::Reply;
 
 /// Size of a chunk: 13 ms of a link of 10 Mbit/s.
--- a/crates/node/src/peers/mod.rs
+++ b/crates/node/src/peers/mod.rs
@@ -8,6 +8,7 @@
 
 mod bodies;
 mod convert;
+mod fault;
 mod local;
 mod remote;
 pub(crate) mod server;
@@ -34,37 +35,13 @@
 };
 
 pub(crate) use bodies::Handover;
+pub(crate) use fault::TransportError;
 pub(crate) use local::LocalGate;
 pub(crate) use remote::RemoteGate;
 
 /// Time for a gate to reply to a cancellation, many times the usual one.
 const CANCEL_TIMEOUT: Duration = Duration::from_millis(150);
 
-/// Why no reply came from a gate.
-#[derive(Debug, Clone, Copy, PartialEq, Eq)]
-pub(crate) enum TransportError {
-    /// The connection was refused. Nothing was sent.
-    ConnectionRefused,
-    /// No connection could be established in time. Nothing was sent.
-    Unreachable,
-    /// The connection was lost. The request may have arrived.
-    ConnectionLost,
-    /// The connection was lost before the whole body was handed over, so the gate starts nothing.
-    BodyCut,
-}
-
-impl TransportError {
-    /// Returns the name of the error for logs.
-    pub(crate) fn name(self) -> &'static str {
-        match self {
-            Self::ConnectionRefused => "refused",
-            Self::Unreachable => "unreached",
-            Self::ConnectionLost => "broken",
-            Self::BodyCut => "body_cut",
-        }
-    }
-}
-
 /// An attempt to be sent to a gate.
 #[derive(Debug, Clone)]
 pub(crate) struct Attempt {
--- a/crates/node/src/peers/remote.rs
+++ b/crates/node/src/peers/remote.rs
@@ -6,8 +6,6 @@
 //! may have arrived.
 
 use std::{
-    error::Error,
-    io, iter,
     net::SocketAddr,
     sync::{Mutex, MutexGuard},
     time::Duration,
@@ -16,11 +14,14 @@
 use bytes::Bytes;
 use futures::{FutureExt, future::BoxFuture};
 use gate::Query;
-use tonic::{Code, ConnectError, Status, transport::Channel};
+use tonic::{Code, transport::Channel};
 use types::{AttemptId, Boot};
 use wire::peer::{AskRequest, OfferRequest, OpenRequest, peer_client::PeerClient};
 
-use super::{Attempt, GateClient, Handover, TransportError, bodies, convert};
+use super::{
+    Attempt, GateClient, Handover, TransportError, bodies, convert,
+    fault::{as_not_sent, classify_error},
+};
 use crate::{
     attempt::{OpenedSession, Reply, ServerRequest},
     endpoint::endpoint,
@@ -189,29 +190,3 @@
         .max_decoding_message_size(MAX_MESSAGE_BYTES)
         .max_encoding_message_size(MAX_MESSAGE_BYTES)
 }
-
-/// Maps a lost connection to one that was never established: if a session can't be opened, no
-/// attempt was sent.
-fn as_not_sent(error: TransportError) -> TransportError {
-    match error {
-        TransportError::ConnectionLost => TransportError::Unreachable,
-        other => other,
-    }
-}
-
-/// Determines from the chain of causes whether a request was sent.
-pub(crate) fn classify_error(error: &(dyn Error + 'static)) -> TransportError {
-    let causes = || iter::successors(Some(error), |e: &&(dyn Error + 'static)| (*e).source());
-    match causes().any(|e| e.is::<ConnectError>()) {
-        true if causes().any(is_connection_refused) => TransportError::ConnectionRefused,
-        true => TransportError::Unreachable,
-        false if error.is::<Status>() => TransportError::ConnectionLost,
-        // Errors other than a status come from establishing a connection.
-        false => TransportError::Unreachable,
-    }
-}
-
-fn is_connection_refused(error: &(dyn Error + 'static)) -> bool {
-    let io = error.downcast_ref::<io::Error>();
-    io.is_some_and(|io| io.kind() == io::ErrorKind::ConnectionRefused)
-}
