node: leaves as crates: support, metrics, attempt

Connections, memory for bodies and timers are the crate `support`, the metrics and what ingress and gate say of an attempt crates of their own, so that components can be crates too. The board that tests start from is the crate `fixtures`, which only tests use.

The log wrote all levels of the crate `node` and warnings of others, so records of a component would have fallen silent by its move. It names the crates of the components now, and a test compares them with the crates that the node depends on and that log.

A move otherwise; what other crates use became public.

--- a/crates/node/src/attempt/identity.rs
+++ b/crates/attempt/src/identity.rs
@@ -16,7 +16,7 @@
 /// query and body. The service that runs the request doesn't count, as a route may have several and may
 /// change. Nor do the call id and other headers, as they differ each time.
 #[derive(Debug, Clone, PartialEq, Eq, Hash)]
-pub(crate) struct RequestIdentity {
+pub struct RequestIdentity {
     caller: Option<ServiceId>,
     method: SmolStr,
     /// Host name that the caller asked for. Empty if it used the address of a node.
@@ -27,7 +27,8 @@
 }
 
 impl RequestIdentity {
-    pub(crate) fn new(request: &ServerRequest) -> Self {
+    /// Returns the identity of a request.
+    pub fn new(request: &ServerRequest) -> Self {
         Self {
             caller: request.caller_service.clone(),
             method: request.method.clone(),
@@ -39,7 +40,7 @@
 
     /// What may be done with the request. The body is only hashed if another request that differs at most
     /// in its body has evidence.
-    pub(crate) fn verdict(&self, board: &Board, now: Moment) -> Verdict {
+    pub fn verdict(&self, board: &Board, now: Moment) -> Verdict {
         let quarantine = board.quarantine.borrow();
         match quarantine.is_empty() || !quarantine.has_head(first(self.head_hash())) {
             true => Verdict::Clear,
@@ -60,7 +61,7 @@
     }
 
     /// Computes the fingerprint.
-    pub(crate) fn fingerprint(&self) -> Fingerprint {
+    pub fn fingerprint(&self) -> Fingerprint {
         let head = self.head_hash();
         let whole = add(head.clone(), &self.body);
         Fingerprint::new(first(head), first(whole))
--- a/crates/node/src/attempt/reply.rs
+++ b/crates/attempt/src/reply.rs
@@ -6,47 +6,54 @@
 /// The limit that an ingress knows of a backend server. A gate that has just started learns it from
 /// the requests that it gets.
 #[derive(Debug, Clone, Copy, PartialEq)]
-pub(crate) struct KnownLimit {
-    pub(crate) rate: Rate,
+pub struct KnownLimit {
+    /// Requests that the backend server takes from all nodes together.
+    pub rate: Rate,
     /// Incarnation of the backend server that named it.
-    pub(crate) incarnation: Boot,
+    pub incarnation: Boot,
 }
 
 /// A gate's reply about an attempt: its outcome, and the state of the gate at that time.
 #[derive(Debug, Clone)]
-pub(crate) struct Reply {
-    pub(crate) outcome: Outcome,
-    pub(crate) load: Load,
-    pub(crate) revision: Revision,
-    pub(crate) boot: Boot,
+pub struct Reply {
+    /// What became of the attempt.
+    pub outcome: Outcome,
+    /// Load of the gate.
+    pub load: Load,
+    /// Revision of the gate's view.
+    pub revision: Revision,
+    /// Incarnation of the gate.
+    pub boot: Boot,
     /// Time of the reply on the gate's clock.
-    pub(crate) gate_time: Moment,
+    pub gate_time: Moment,
     /// Time that the request spent at the backend server, zero if it wasn't sent there.
-    pub(crate) service_time: Span,
+    pub service_time: Span,
     /// Incarnation of the gate's backend server.
-    pub(crate) incarnation: Boot,
+    pub incarnation: Boot,
     /// Whether it has said that it is leaving.
-    pub(crate) leaving: bool,
+    pub leaving: bool,
 }
 
 impl Reply {
     /// Whether the backend server has answered the request.
-    pub(crate) fn ran(&self) -> bool {
+    pub fn ran(&self) -> bool {
         matches!(self.outcome, Outcome::Answer(_))
     }
 }
 
 /// A session that a gate has opened for an ingress.
 #[derive(Debug, Clone, Copy, kameo::Reply)]
-pub(crate) struct OpenedSession {
-    pub(crate) boot: Boot,
-    pub(crate) session: SessionId,
+pub struct OpenedSession {
+    /// Incarnation of the gate.
+    pub boot: Boot,
+    /// Number of the session, unique within the incarnation.
+    pub session: SessionId,
     /// Time of the reply on the gate's clock.
-    pub(crate) gate_time: Moment,
+    pub gate_time: Moment,
 }
 
 /// Short name of an outcome, for logs and metrics.
-pub(crate) fn outcome_name(outcome: &Outcome) -> &'static str {
+pub fn outcome_name(outcome: &Outcome) -> &'static str {
     match outcome {
         Outcome::Answer(_) => "answer",
         Outcome::Unknown => "unknown",
--- a/crates/node/src/metrics.rs
+++ b/crates/metrics/src/lib.rs
@@ -22,18 +22,22 @@
 
 /// An attempt that leaves the zone.
 #[derive(Debug)]
-pub(crate) struct Crossing<'a> {
-    pub(crate) service: &'a ServiceId,
-    pub(crate) from: &'a ZoneId,
-    pub(crate) to: &'a ZoneId,
-    pub(crate) reason: Reason,
+pub struct Crossing<'a> {
+    /// Service that gets it.
+    pub service: &'a ServiceId,
+    /// Zone of the ingress.
+    pub from: &'a ZoneId,
+    /// Zone of the backend server.
+    pub to: &'a ZoneId,
+    /// Why it goes there.
+    pub reason: Reason,
     /// Size of the request's body.
-    pub(crate) bytes: Size,
+    pub bytes: Size,
 }
 
 /// Metric instruments and the registry that exports them.
 #[derive(Debug)]
-pub(crate) struct Metrics {
+pub struct Metrics {
     registry: Registry,
     calls: Counter<u64>,
     attempts: Counter<u64>,
@@ -53,8 +57,15 @@
     _provider: SdkMeterProvider,
 }
 
+impl Default for Metrics {
+    fn default() -> Self {
+        Self::new()
+    }
+}
+
 impl Metrics {
-    pub(crate) fn new() -> Self {
+    /// Creates the instruments, and a registry of their own for them.
+    pub fn new() -> Self {
         let registry = Registry::new();
         let exporter = opentelemetry_prometheus::exporter()
             .with_registry(registry.clone())
@@ -129,14 +140,14 @@
     }
 
     /// Records the result and the duration of a call.
-    pub(crate) fn record_call(&self, result: &'static str, took: Span) {
+    pub fn record_call(&self, result: &'static str, took: Span) {
         self.calls.add(1, &[KeyValue::new("ending", result)]);
         let labels = [KeyValue::new("ending", result)];
         self.call_seconds.record(seconds(took), &labels);
     }
 
     /// Records an answered attempt: the total time, and the part spent at the backend server.
-    pub(crate) fn record_answer(&self, service: &ServiceId, took: Span, service_time: Span) {
+    pub fn record_answer(&self, service: &ServiceId, took: Span, service_time: Span) {
         for (stage, duration) in [("whole", took), ("backend", service_time)] {
             let service = KeyValue::new("service", service.to_string());
             let stage = KeyValue::new("stage", stage);
@@ -146,18 +157,18 @@
     }
 
     /// Records the outcome of an attempt.
-    pub(crate) fn record_attempt(&self, outcome: &'static str) {
+    pub fn record_attempt(&self, outcome: &'static str) {
         self.attempts.add(1, &[KeyValue::new("outcome", outcome)]);
     }
 
     /// Counts an event of an attempt that is offered before its body: `admitted`, `refused`, or `lost`, as
     /// the body broke off.
-    pub(crate) fn record_offer(&self, event: &'static str) {
+    pub fn record_offer(&self, event: &'static str) {
         self.offers.add(1, &[KeyValue::new("event", event)]);
     }
 
     /// Counts an attempt that leaves the zone, and the bytes of its body.
-    pub(crate) fn record_crossing(&self, crossing: &Crossing<'_>) {
+    pub fn record_crossing(&self, crossing: &Crossing<'_>) {
         let mut labels = vec![
             KeyValue::new("service", crossing.service.to_string()),
             KeyValue::new("from", crossing.from.to_string()),
@@ -169,13 +180,13 @@
     }
 
     /// Counts a response that names a limit that isn't a rate.
-    pub(crate) fn record_malformed_limit(&self) {
+    pub fn record_malformed_limit(&self) {
         self.malformed_limits.add(1, &[]);
     }
 
     /// Counts an event of requests under which backend servers end: `end` of a server under one, `trial`,
     /// `held` back or blocked, `cleared`.
-    pub(crate) fn record_suspects(&self, event: &'static str, count: usize) {
+    pub fn record_suspects(&self, event: &'static str, count: usize) {
         if count > 0 {
             let labels = [KeyValue::new("event", event)];
             self.suspects.add(count as u64, &labels);
@@ -183,7 +194,7 @@
     }
 
     /// Counts a request of a team with an allowance.
-    pub(crate) fn record_team(&self, team: SmolStr, outcome: &'static str) {
+    pub fn record_team(&self, team: SmolStr, outcome: &'static str) {
         let team = KeyValue::new("team", team.to_string());
         let labels = [team, KeyValue::new("outcome", outcome)];
         self.teams.add(1, &labels);
@@ -191,30 +202,30 @@
 
     /// Counts a version of the operators' configuration that is invalid. The number is 0 if it can't be
     /// read.
-    pub(crate) fn record_refused_config(&self, version: u64) {
+    pub fn record_refused_config(&self, version: u64) {
         self.refused_configs.add(1, &[]);
         let labels = [KeyValue::new("state", "refused")];
         self.config_version.record(version, &labels);
     }
 
     /// Records the version of the operators' configuration in force.
-    pub(crate) fn record_config_version(&self, version: u64) {
+    pub fn record_config_version(&self, version: u64) {
         let labels = [KeyValue::new("state", "in_force")];
         self.config_version.record(version, &labels);
     }
 
     /// Records the number of the registry's items that can't be read or used.
-    pub(crate) fn record_unusable_items(&self, count: usize) {
+    pub fn record_unusable_items(&self, count: usize) {
         self.unusable_items.record(count as u64, &[]);
     }
 
     /// Counts a control message that this node sends.
-    pub(crate) fn record_control_message(&self, kind: &'static str) {
+    pub fn record_control_message(&self, kind: &'static str) {
         self.control.add(1, &[KeyValue::new("kind", kind)]);
     }
 
     /// Returns all metrics in the Prometheus text format.
-    pub(crate) fn prometheus_text(&self) -> String {
+    pub fn prometheus_text(&self) -> String {
         let mut text = Vec::new();
         let families = self.registry.gather();
         if let Err(error) = TextEncoder::new().encode(&families, &mut text) {
--- a/crates/node/src/allowances/courier.rs
+++ b/crates/node/src/allowances/courier.rs
@@ -7,11 +7,10 @@
 };
 
 use futures::{FutureExt, future::BoxFuture};
+use support::endpoint::endpoint;
 use tonic::transport::Channel;
 use wire::peer::{DrawReply, DrawRequest, peer_client::PeerClient};
 
-use crate::endpoint::endpoint;
-
 /// A client of other nodes.
 pub(crate) trait Courier: Send + Sync {
     /// Sends a question to a node. `None` if there is no answer.
--- a/crates/node/src/allowances/mod.rs
+++ b/crates/node/src/allowances/mod.rs
@@ -20,6 +20,7 @@
 use allowance::{Drawn, Member, Owner, Purse, Question, Reach, Take, Terms, candidates, owners};
 use board::Board;
 use dialect::Rejection;
+use metrics::Metrics;
 use note::View;
 use tokio::{
     sync::Notify,
@@ -28,8 +29,6 @@
 use types::{Moment, Span, TeamId};
 use wire::peer::DrawRequest;
 
-use crate::metrics::Metrics;
-
 pub(crate) use courier::{Courier, TonicCourier};
 pub(crate) use watch::AllowanceDump;
 use watch::Watch;
--- a/crates/node/src/allowances/tests.rs
+++ b/crates/node/src/allowances/tests.rs
@@ -11,6 +11,7 @@
 use board::{Board, Identity};
 use dialect::Rejection;
 use futures::{FutureExt, future::BoxFuture};
+use metrics::Metrics;
 use note::{
     Allowance, Limits, ListedServer, Listing, OperatorConfig, Server, ServerStatus, Service, State,
     Team, View,
@@ -20,7 +21,6 @@
 use wire::peer::{DrawReply, DrawRequest};
 
 use super::{Allowances, Courier, members_of};
-use crate::metrics::Metrics;
 
 const NODES: usize = 6;
 const ZONES: usize = 3;
--- a/crates/node/src/backend/mod.rs
+++ b/crates/node/src/backend/mod.rs
@@ -23,6 +23,7 @@
 
 use std::{net::SocketAddr, sync::Arc, time::Duration};
 
+use attempt::ServerRequest;
 use axum::http::{HeaderMap, HeaderName, HeaderValue, Method, Request, Response, StatusCode, Uri};
 use board::Clock;
 use bytes::Bytes;
@@ -32,16 +33,12 @@
 use http_body_util::{BodyExt, Full, Limited};
 use hyper::body::Incoming;
 use smol_str::SmolStr;
+use support::body_budget::{BodyBudget, BodyError, BodyReservation};
 use tokio::time::{Instant, timeout, timeout_at};
 use types::{Answer, CallId, Header, ServerId, Span};
 
 use pool::{Pool, SendError, Sent};
 
-use crate::{
-    attempt::ServerRequest,
-    body_budget::{BodyBudget, BodyError, BodyReservation},
-};
-
 /// Timeout of a probe: the interval between probes at the usual rate of four a second.
 const PROBE_TIMEOUT: Duration = Duration::from_millis(250);
 
--- a/crates/node/src/backend/pool.rs
+++ b/crates/node/src/backend/pool.rs
@@ -17,11 +17,10 @@
     client::conn::http1::{Builder, SendRequest},
 };
 use hyper_util::rt::TokioIo;
+use support::socket;
 use tokio::{net::TcpStream, task::AbortHandle, time::timeout};
 use types::{CallId, Moment, Span};
 
-use crate::socket;
-
 /// Timeout of connecting to the backend server on the same host, which usually takes about 1 ms.
 const CONNECT_TIMEOUT: Duration = Duration::from_millis(500);
 /// Keep-alive time of a connection if the backend server names none. It is below five seconds, the
--- a/crates/node/src/backend/tests.rs
+++ b/crates/node/src/backend/tests.rs
@@ -14,10 +14,12 @@
 };
 
 use adapter::SiteDialect;
+use attempt::ServerRequest;
 use board::Clock;
 use bytes::Bytes;
 use futures::future::join_all;
 use gate::Completion;
+use support::body_budget::BodyBudget;
 use tokio::{
     io::{AsyncReadExt, AsyncWriteExt},
     net::TcpListener,
@@ -27,7 +29,6 @@
 use types::Header;
 
 use super::{Backend, HttpBackend, Target};
-use crate::{attempt::ServerRequest, body_budget::BodyBudget};
 use polls::{Watched, thread_time};
 
 /// Answers the requests of each connection in turn with the texts in `answers`, each given 20 ms
--- a/crates/node/src/backend/tests/statements.rs
+++ b/crates/node/src/backend/tests/statements.rs
@@ -15,6 +15,7 @@
     RequestMetadata, ResponseMetadata, parse_named_call,
 };
 use gate::Completion;
+use support::body_budget::BodyBudget;
 use tokio::{
     io::{AsyncReadExt, AsyncWriteExt},
     net::{TcpListener, TcpStream},
@@ -23,10 +24,7 @@
 use types::{CallId, NamedLimit};
 
 use super::{Backend, answer, request, serve};
-use crate::{
-    backend::{HttpBackend, RequestResult, Target},
-    body_budget::BodyBudget,
-};
+use crate::backend::{HttpBackend, RequestResult, Target};
 
 /// The native dialect, with backend servers that name the call id in all answers to requests.
 #[derive(Debug)]
--- a/crates/node/src/gate_actor/arrivals.rs
+++ b/crates/node/src/gate_actor/arrivals.rs
@@ -1,10 +1,10 @@
 //! Attempts that arrive at the gate, whole or with their body to follow.
 
+use attempt::{RequestIdentity, ServerRequest};
 use gate::{Offer, Query};
 use types::{AttemptId, Moment, Refusal, ServerId, Size};
 
 use super::{BodyLost, DeliverBody, GateActor, OfferBody, RunAttempt, state::PendingAttempt};
-use crate::attempt::{RequestIdentity, ServerRequest};
 
 impl GateActor {
     pub(super) fn run(&mut self, msg: RunAttempt) {
--- a/crates/node/src/gate_actor/evidence.rs
+++ b/crates/node/src/gate_actor/evidence.rs
@@ -10,12 +10,11 @@
     hash::{BuildHasher, RandomState},
 };
 
+use attempt::RequestIdentity;
 use board::Board;
 use fleet::{ServerEnd, Verdict};
 use types::{AttemptId, Fingerprint, Moment, Refusal, ServerId, Span};
 
-use crate::attempt::RequestIdentity;
-
 /// Time after requests broke within which a refused connection or a new incarnation shows that the backend
 /// server ended under them.
 const CONFIRM_TIME: Span = Span::from_millis(2_000);
--- a/crates/node/src/gate_actor/mod.rs
+++ b/crates/node/src/gate_actor/mod.rs
@@ -19,6 +19,7 @@
 
 use std::sync::Arc;
 
+use attempt::{KnownLimit, OpenedSession, Reply, ServerRequest};
 use board::{Board, Phase};
 use bytes::Bytes;
 use dialect::ResponseMetadata;
@@ -29,16 +30,13 @@
     mailbox,
     message::{Context, Message},
 };
+use metrics::Metrics;
 use serde::Serialize;
 use smol_str::SmolStr;
 use tokio::sync::oneshot;
 use types::{AttemptId, Boot, Moment, ServerId, Size};
 
-use crate::{
-    attempt::{KnownLimit, OpenedSession, Reply, ServerRequest},
-    backend::{Backend, ProbeError, RequestResult},
-    metrics::Metrics,
-};
+use crate::backend::{Backend, ProbeError, RequestResult};
 
 pub(crate) use state::GateActor;
 
--- a/crates/node/src/gate_actor/state.rs
+++ b/crates/node/src/gate_actor/state.rs
@@ -5,12 +5,15 @@
     sync::Arc,
 };
 
+use attempt::{RequestIdentity, ServerRequest, outcome_name};
 use board::Board;
 use futures::future::BoxFuture;
 use gate::{Action, Completion, Gate, Query, Rank, RetentionLimits, RouteProfiles};
 use kameo::actor::WeakActorRef;
+use metrics::Metrics;
 use note::{Limits, Server, Service, State};
 use smol_str::SmolStr;
+use support::timer::WakeTimer;
 use tokio::sync::oneshot;
 use types::{AttemptId, Boot, CallId, Moment, Outcome, Revision, ServerId, ServiceId, Span};
 
@@ -18,12 +21,7 @@
     GateDump, OpenedSession, ProbeFinished, QueryAttempt, Refresh, Reply, RunFinished, apply_board,
     evidence::Evidence,
 };
-use crate::{
-    attempt::{RequestIdentity, ServerRequest, outcome_name},
-    backend::{Backend, RequestResult, Target},
-    metrics::Metrics,
-    timer::WakeTimer,
-};
+use crate::backend::{Backend, RequestResult, Target};
 
 /// An attempt that waits or runs, or whose outcome an ingress queries.
 pub(super) struct PendingAttempt {
--- a/crates/node/src/gate_actor/tests/actor.rs
+++ b/crates/node/src/gate_actor/tests/actor.rs
@@ -2,25 +2,25 @@
 
 use std::sync::Arc;
 
+use attempt::{OpenedSession, Reply, RequestIdentity, ServerRequest};
 use bytes::Bytes;
 use dialect::ResponseMetadata;
+use fixtures::board;
 use fleet::{Lease, ServerEnd, Verdict};
 use futures::{
     FutureExt,
     future::{BoxFuture, pending},
 };
 use gate::{Completion, Offer, Rank};
+use metrics::Metrics;
 use smol_str::SmolStr;
 use tokio::{sync::oneshot, time::Instant};
 use types::{AttemptId, Boot, Outcome, Refusal, Seq, ServerId, Size, Span};
 
 use super::{attempt, request, server, server_request, view};
 use crate::{
-    attempt::{OpenedSession, Reply, RequestIdentity, ServerRequest},
     backend::{Backend, ProbeError, RequestResult, Target},
-    fixtures::board,
     gate_actor::{BodyLost, DeliverBody, GateActor, OfferBody, ProbeFinished, RunAttempt},
-    metrics::Metrics,
 };
 
 /// A backend server whose requests run until the test ends them.
--- a/crates/node/src/gate_actor/tests/evidence.rs
+++ b/crates/node/src/gate_actor/tests/evidence.rs
@@ -2,13 +2,15 @@
 
 use std::sync::Arc;
 
+use attempt::RequestIdentity;
 use board::Board;
 use bytes::Bytes;
+use fixtures::board;
 use fleet::Verdict;
 use types::{Header, Moment, Refusal, Span};
 
 use super::{attempt, request, server, server_request};
-use crate::{attempt::RequestIdentity, fixtures::board, gate_actor::evidence::Evidence};
+use crate::gate_actor::evidence::Evidence;
 
 /// A gate's evidence at a moment.
 struct Gate {
--- a/crates/node/src/gate_actor/tests/malformed.rs
+++ b/crates/node/src/gate_actor/tests/malformed.rs
@@ -5,13 +5,16 @@
     sync::{Arc, Mutex, MutexGuard},
 };
 
+use attempt::{KnownLimit, Reply, ServerRequest};
 use dialect::{ResponseMetadata, ServerLoad};
+use fixtures::board;
 use fleet::Lease;
 use futures::{
     FutureExt,
     future::{BoxFuture, pending},
 };
 use gate::{Completion, Offer, Query, Rank};
+use metrics::Metrics;
 use note::{Limits, View};
 use proptest::{prelude::*, sample::select};
 use smol_str::SmolStr;
@@ -20,11 +23,8 @@
 
 use super::{listed_server, server, server_request, state};
 use crate::{
-    attempt::{KnownLimit, Reply, ServerRequest},
     backend::{Backend, ProbeError, RequestResult, Target},
-    fixtures::board,
     gate_actor::{GateActor, ProbeFinished, QueryAttempt, RunAttempt},
-    metrics::Metrics,
 };
 
 const QUERIES: [Query; 3] = [Query::Outcome, Query::Withdraw, Query::Cancel];
--- a/crates/node/src/gate_actor/tests/mod.rs
+++ b/crates/node/src/gate_actor/tests/mod.rs
@@ -6,6 +6,7 @@
 
 use std::sync::Arc;
 
+use attempt::{RequestIdentity, ServerRequest};
 use bytes::Bytes;
 use note::{
     Limits, ListedServer, Listing, OperatorConfig, Server, ServerStatus, Service, State, View,
@@ -13,7 +14,6 @@
 use types::{AttemptId, Boot, Rate, Revision, Seq, ServerId, SessionId, Slots};
 
 use super::state::effective_service;
-use crate::attempt::{RequestIdentity, ServerRequest};
 
 fn rate(value: f64) -> Rate {
     Rate::new(value).expect("a valid rate")
--- a/crates/node/src/ingress/driver.rs
+++ b/crates/node/src/ingress/driver.rs
@@ -12,6 +12,7 @@
     sync::{Arc, OnceLock},
 };
 
+use attempt::Reply;
 use board::Phase;
 use call::{Action, AttemptIndex, Call, CallOutcome, CallRequest, SessionAttempt};
 use futures::{
@@ -31,7 +32,6 @@
     trials::find_trial,
 };
 use crate::{
-    attempt::Reply,
     peers::{Handover, Peer, TransportError},
     view_sync::PeerReport,
 };
--- a/crates/node/src/ingress/driver/logs.rs
+++ b/crates/node/src/ingress/driver/logs.rs
@@ -1,14 +1,12 @@
 //! What a call's driver logs of each attempt.
 
+use attempt::{Reply, outcome_name};
 use call::AttemptIndex;
 use route::ServerState;
 use types::{Moment, ServerId, Span};
 
 use super::CallDriver;
-use crate::{
-    attempt::{Reply, outcome_name},
-    peers::TransportError,
-};
+use crate::peers::TransportError;
 
 impl CallDriver {
     pub(super) fn log_sent(
--- a/crates/node/src/ingress/http1.rs
+++ b/crates/node/src/ingress/http1.rs
@@ -21,6 +21,7 @@
 use dialect::Rejection;
 use futures::{FutureExt, StreamExt, future::BoxFuture, stream::FuturesOrdered};
 use note::CallerLimits;
+use support::body_budget::BodyReservation;
 use tokio::{
     io::{AsyncReadExt, AsyncWriteExt},
     net::TcpStream,
@@ -35,7 +36,6 @@
     response,
     routing::{self, RoutedCall},
 };
-use crate::body_budget::BodyReservation;
 
 /// Maximum requests in flight on one connection: more than callers pipeline in practice.
 const MAX_IN_FLIGHT: usize = 32;
--- a/crates/node/src/ingress/http2.rs
+++ b/crates/node/src/ingress/http2.rs
@@ -12,6 +12,7 @@
 use hyper::{body::Incoming, server::conn::http2, service::service_fn};
 use hyper_util::rt::{TokioExecutor, TokioIo};
 use smol_str::SmolStr;
+use support::body_budget::{BodyError, BodyReservation};
 use tokio::{net::TcpStream, sync::watch, time::timeout_at};
 
 use super::{
@@ -19,7 +20,6 @@
     framing::SizeLimits,
     routing::{self, RequestHead},
 };
-use crate::body_budget::{BodyError, BodyReservation};
 
 /// Serves a connection until either side closes it.
 pub(super) async fn serve(
--- a/crates/node/src/ingress/mod.rs
+++ b/crates/node/src/ingress/mod.rs
@@ -36,8 +36,10 @@
 use dialect::{Dialect, Rejection};
 use futures::FutureExt;
 use kameo::actor::ActorRef;
+use metrics::Metrics;
 use note::View;
 use route::RouteTable;
+use support::{body_budget::BodyBudget, socket};
 use tokio::{
     net::{TcpListener, TcpStream},
     sync::watch,
@@ -48,10 +50,7 @@
 
 use crate::{
     allowances::Allowances,
-    body_budget::BodyBudget,
-    metrics::Metrics,
     peers::{Peer, Peers},
-    socket,
     view_sync::ViewSync,
 };
 
--- a/crates/node/src/ingress/services.rs
+++ b/crates/node/src/ingress/services.rs
@@ -6,8 +6,10 @@
     sync::{Mutex, MutexGuard},
 };
 
+use attempt::{KnownLimit, Reply};
 use board::Board;
 use call::{Budget, LatencyEstimate, Selection, ServerSelector, TokenBucket};
+use metrics::{Crossing, Metrics};
 use note::State;
 use rand::{SeedableRng, rngs::SmallRng};
 use route::{Balancer, ByteCost, LoadReport, Member, PolicyKind, ServerState, Spill, Trip};
@@ -16,10 +18,6 @@
 use types::{Boot, Fingerprint, Moment, Outcome, Rate, ServerId, ServiceId, Span, ZoneId};
 
 use super::zones::ZoneShares;
-use crate::{
-    attempt::{KnownLimit, Reply},
-    metrics::{Crossing, Metrics},
-};
 
 /// State of one service.
 struct ServiceState {
--- a/crates/node/src/ingress/suspects.rs
+++ b/crates/node/src/ingress/suspects.rs
@@ -2,6 +2,7 @@
 
 use std::sync::Arc;
 
+use attempt::RequestIdentity;
 use call::CallOutcome;
 use fleet::Verdict;
 use tokio::time::sleep;
@@ -13,7 +14,6 @@
     routing::RoutedCall,
     trials::prepare_trial,
 };
-use crate::attempt::RequestIdentity;
 
 /// Time between two checks whether the trial of an equal request has ended.
 const TRIAL_POLL_INTERVAL: Span = Span::from_millis(25);
--- a/crates/node/src/ingress/tests.rs
+++ b/crates/node/src/ingress/tests.rs
@@ -9,9 +9,9 @@
 use bytes::BytesMut;
 use dialect::Rejection;
 use proptest::prelude::*;
+use support::body_budget::{BodyBudget, BodyReservation};
 
 use super::framing::{HeadDecoder, Message, SizeLimits};
-use crate::body_budget::{BodyBudget, BodyReservation};
 
 const MAX_BODY_BYTES: u64 = 1_024;
 const LIMITS: SizeLimits = SizeLimits {
--- a/crates/node/src/ingress/tests/bodies.rs
+++ b/crates/node/src/ingress/tests/bodies.rs
@@ -9,6 +9,7 @@
     time::{Duration, Instant},
 };
 
+use attempt::ServerRequest;
 use axum::http::Response;
 use board::Phase;
 use bytes::Bytes;
@@ -43,10 +44,7 @@
     fixtures::{ingress, now, publish, remote_view, route, routed, start_node, view},
     reroute,
 };
-use crate::{
-    attempt::ServerRequest,
-    backend::{Backend, ProbeError, RequestResult, Target},
-};
+use crate::backend::{Backend, ProbeError, RequestResult, Target};
 
 /// Size of the bodies: the largest of the callers on slow links.
 const BODY_BYTES: usize = 360_000;
--- a/crates/node/src/ingress/tests/fixtures.rs
+++ b/crates/node/src/ingress/tests/fixtures.rs
@@ -3,17 +3,21 @@
 use std::{net::SocketAddr, sync::Arc};
 
 use adapter::SiteDialect;
+use attempt::ServerRequest;
 use axum::http::{HeaderMap, HeaderValue};
 use board::{Board, Identity, Phase};
 use dialect::{Rejection, ResponseMetadata};
+use fixtures::board;
 use fleet::Lease;
 use futures::{FutureExt, future::BoxFuture};
 use gate::Completion;
+use metrics::Metrics;
 use note::{
     CallerLimits, HostRoute, Limits, ListedServer, Listing, OperatorConfig, Server, ServerStatus,
     Service, State, View, WeightedService,
 };
 use platform::{HostList, NotePage, Platform, PlatformError};
+use support::body_budget::BodyBudget;
 use tokio::time::Instant;
 use types::{Answer, Boot, Moment, Rate, Revision, Size, Span};
 
@@ -23,12 +27,8 @@
 };
 use crate::{
     allowances::{Allowances, TonicCourier},
-    attempt::ServerRequest,
     backend::{Backend, ProbeError, RequestResult, Target},
-    body_budget::BodyBudget,
-    fixtures::board,
     gate_actor,
-    metrics::Metrics,
     peers::{Peers, server::PeerService},
     view_sync::{self, Source, SyncOptions},
 };
--- a/crates/node/src/ingress/trials.rs
+++ b/crates/node/src/ingress/trials.rs
@@ -1,10 +1,10 @@
 //! Trials of requests that are suspected of ending backend servers.
 
+use attempt::{RequestIdentity, ServerRequest};
 use board::Board;
 use fleet::{Evidence, Verdict};
 
 use super::services::Trial;
-use crate::attempt::{RequestIdentity, ServerRequest};
 
 /// The trial of a request that isn't clear.
 pub(super) fn find_trial(board: &Board, request: &ServerRequest) -> Option<Trial> {
--- a/crates/node/src/lib.rs
+++ b/crates/node/src/lib.rs
@@ -19,24 +19,15 @@
 //!
 //! [`lifecycle::run`] starts these components and shuts them down in order.
 
-#[cfg(test)]
-mod fixtures;
-
 mod admin;
 mod allowances;
-mod attempt;
 mod backend;
-mod body_budget;
-mod endpoint;
 mod gate_actor;
 mod ingress;
 pub mod lifecycle;
 pub mod logs;
-mod metrics;
 mod peers;
 mod reload;
 pub mod settings;
-mod socket;
 pub mod stop;
-mod timer;
 mod view_sync;
--- a/crates/node/src/lifecycle.rs
+++ b/crates/node/src/lifecycle.rs
@@ -14,7 +14,9 @@
 use board::{Board, Identity, Phase};
 use dialect::{Dialect, NativeDialect};
 use kameo::actor::ActorRef;
+use metrics::Metrics;
 use platform::{HttpClient, HttpPlatform, PlatformError};
+use support::body_budget::BodyBudget;
 use tokio::{
     net::TcpListener,
     runtime::Builder,
@@ -31,10 +33,8 @@
     admin::{self, Admin},
     allowances::{Allowances, TonicCourier},
     backend::HttpBackend,
-    body_budget::BodyBudget,
     gate_actor::{self, GateActor},
     ingress::{self, Ingress, RetryPolicy, Services},
-    metrics::Metrics,
     peers::{Peers, server::PeerService},
     reload::Reload,
     settings::{Conventions, Readiness, Settings},
--- a/crates/node/src/logs.rs
+++ b/crates/node/src/logs.rs
@@ -39,15 +39,21 @@
 /// Window over which lines are counted for the rate limit.
 const RATE_WINDOW: Duration = Duration::from_secs(1);
 
+/// Crates whose records are written at all levels: the node and those of its components that log.
+pub const COMPONENTS: [&str; 2] = ["metrics", "node"];
+
 /// Starts writing log records of this process, at `level` and above, to standard output.
 ///
 /// The returned guard writes out the buffered lines when it is dropped.
 pub fn init(level: LevelFilter) -> FlushGuard {
     let buffer = LogBuffer::default();
     let input = buffer.clone();
-    Builder::new()
-        .filter_level(LevelFilter::Warn)
-        .filter_module("node", LevelFilter::Trace)
+    let mut builder = Builder::new();
+    builder.filter_level(LevelFilter::Warn);
+    for component in COMPONENTS {
+        builder.filter_module(component, LevelFilter::Trace);
+    }
+    builder
         .target(Target::Pipe(Box::new(io::sink())))
         .format(move |_, record| {
             input.push(record);
--- a/crates/node/src/peers/bodies.rs
+++ b/crates/node/src/peers/bodies.rs
@@ -11,6 +11,7 @@
     },
 };
 
+use attempt::Reply;
 use bytes::{Bytes, BytesMut};
 use futures::{
     StreamExt,
@@ -22,7 +23,6 @@
 use wire::peer::{BodyChunk, DeliverReply, peer_client::PeerClient};
 
 use super::{LocalGate, TransportError, convert, fault::classify_error};
-use crate::attempt::Reply;
 
 /// Size of a chunk: 13 ms of a link of 10 Mbit/s.
 const CHUNK_BYTES: usize = 16 << 10;
--- a/crates/node/src/peers/convert.rs
+++ b/crates/node/src/peers/convert.rs
@@ -2,6 +2,7 @@
 
 use std::{fmt, net::SocketAddr, sync::Arc};
 
+use attempt::{KnownLimit, OpenedSession, Reply, ServerRequest};
 use call::SessionAttempt;
 use gate::{Load, Rank};
 use types::{
@@ -10,7 +11,6 @@
 use wire::peer;
 
 use super::Attempt;
-use crate::attempt::{KnownLimit, OpenedSession, Reply, ServerRequest};
 
 /// Why a message from another node is invalid.
 #[derive(Debug)]
--- a/crates/node/src/peers/local.rs
+++ b/crates/node/src/peers/local.rs
@@ -1,5 +1,6 @@
 //! Client of the gate in the same process.
 
+use attempt::{OpenedSession, Reply};
 use bytes::Bytes;
 use futures::{FutureExt, future::BoxFuture};
 use gate::Query;
@@ -8,12 +9,9 @@
 use types::{AttemptId, Boot, Size};
 
 use super::{Attempt, GateClient, TransportError};
-use crate::{
-    attempt::{OpenedSession, Reply},
-    gate_actor::{
-        BodyLost, BodyPart, DeliverBody, GateActor, OfferBody, OpenSession, QueryAttempt,
-        RunAttempt, WaiterDropped,
-    },
+use crate::gate_actor::{
+    BodyLost, BodyPart, DeliverBody, GateActor, OfferBody, OpenSession, QueryAttempt, RunAttempt,
+    WaiterDropped,
 };
 
 /// Client of the gate in the same process.
--- a/crates/node/src/peers/mod.rs
+++ b/crates/node/src/peers/mod.rs
@@ -20,6 +20,7 @@
     time::Duration,
 };
 
+use attempt::{KnownLimit, OpenedSession, Reply, ServerRequest};
 use board::Board;
 use call::{GateSession, SessionAttempt};
 use futures::future::BoxFuture;
@@ -29,10 +30,7 @@
 use tokio::time::timeout;
 use types::{AttemptId, Boot, Moment, Outcome, Refusal, Revision, ServerId};
 
-use crate::{
-    attempt::{KnownLimit, OpenedSession, Reply, ServerRequest},
-    gate_actor::GateActor,
-};
+use crate::gate_actor::GateActor;
 
 pub(crate) use bodies::Handover;
 pub(crate) use fault::TransportError;
--- a/crates/node/src/peers/remote.rs
+++ b/crates/node/src/peers/remote.rs
@@ -11,9 +11,11 @@
     time::Duration,
 };
 
+use attempt::{OpenedSession, Reply, ServerRequest};
 use bytes::Bytes;
 use futures::{FutureExt, future::BoxFuture};
 use gate::Query;
+use support::endpoint::endpoint;
 use tonic::{Code, transport::Channel};
 use types::{AttemptId, Boot};
 use wire::peer::{AskRequest, OfferRequest, OpenRequest, peer_client::PeerClient};
@@ -22,10 +24,6 @@
     Attempt, GateClient, Handover, TransportError, bodies, convert,
     fault::{as_not_sent, classify_error},
 };
-use crate::{
-    attempt::{OpenedSession, Reply, ServerRequest},
-    endpoint::endpoint,
-};
 
 /// Timeout for opening a session.
 const OPEN_TIMEOUT: Duration = Duration::from_millis(1_000);
--- a/crates/node/src/peers/server.rs
+++ b/crates/node/src/peers/server.rs
@@ -2,6 +2,7 @@
 
 use std::sync::Arc;
 
+use attempt::Reply;
 use board::{Board, Phase};
 use fleet::Digests;
 use futures::stream::BoxStream;
@@ -19,7 +20,6 @@
 use super::{Attempt, LocalGate, TransportError, bodies, convert};
 use crate::{
     allowances::Allowances,
-    attempt::Reply,
     gate_actor::GateActor,
     view_sync::{
         PeerReport, UpdateRequest, ViewSync, checked_stamp, leaving_servers, merge_evidence,
--- a/crates/node/src/peers/tests.rs
+++ b/crates/node/src/peers/tests.rs
@@ -5,6 +5,8 @@
     atomic::{AtomicBool, AtomicU64, Ordering},
 };
 
+use attempt::{OpenedSession, Reply};
+use fixtures::board;
 use futures::{FutureExt, future::BoxFuture};
 use gate::Load;
 use tokio::time::{Duration, timeout};
@@ -14,10 +16,6 @@
 use super::{
     Attempt, GateClient, Peer, TransportError, bodies::without_body, convert::from_outcome,
 };
-use crate::{
-    attempt::{OpenedSession, Reply},
-    fixtures::board,
-};
 
 /// A gate that opens sessions with increasing numbers and answers nothing else.
 #[derive(Default)]
--- a/crates/node/src/view_sync/exchange.rs
+++ b/crates/node/src/view_sync/exchange.rs
@@ -10,6 +10,7 @@
 use fleet::{Action, Digests, HistoryError, ViewUpdate};
 use kameo::message::{Context, Message};
 use note::Digest;
+use support::endpoint::endpoint;
 use tokio::time::timeout;
 use tonic::{codec::CompressionEncoding, transport::Channel};
 use types::{Era, Moment, Revision, Stamp};
@@ -20,7 +21,6 @@
     evidence::{changed_suspects, leaving_servers, merge_evidence},
     tell,
 };
-use crate::endpoint::endpoint;
 
 /// Timeout of a comparison.
 const COMPARE_TIMEOUT: Duration = Duration::from_millis(500);
--- a/crates/node/src/view_sync/mod.rs
+++ b/crates/node/src/view_sync/mod.rs
@@ -29,14 +29,15 @@
     mailbox,
     message::{Context, Message},
 };
+use metrics::Metrics;
 use note::Digest;
 use rand::{SeedableRng, rngs::SmallRng};
 use serde::Serialize;
+use support::timer::WakeTimer;
 use tonic::transport::Channel;
 use types::{Moment, Revision, Span, Stamp};
 
 use self::keys::KeySync;
-use crate::{metrics::Metrics, timer::WakeTimer};
 
 pub(crate) use evidence::{leaving_servers, merge_evidence, suspects_for};
 pub(crate) use exchange::checked_stamp;
--- a/crates/node/src/view_sync/tests.rs
+++ b/crates/node/src/view_sync/tests.rs
@@ -14,8 +14,10 @@
 };
 
 use board::Phase;
+use fixtures::board;
 use fleet::{Snapshot, ViewUpdate};
 use futures::{FutureExt, future::BoxFuture, stream::BoxStream};
+use metrics::Metrics;
 use note::{Listing, OperatorConfig};
 use platform::{
     ConfigRead, HostList, NotePage, Platform, PlatformError, RefusedRead, RefusedVersion, Registry,
@@ -35,7 +37,6 @@
 };
 
 use super::{Dump, Source, SyncOptions, spawn};
-use crate::{fixtures::board, metrics::Metrics};
 
 /// Number of reads after which the fake stops answering, so that a loop of reads ends.
 const MAX_READS: u64 = 1_000;
--- a/crates/node/src/view_sync/tests/evidence.rs
+++ b/crates/node/src/view_sync/tests/evidence.rs
@@ -3,12 +3,12 @@
 use std::sync::Arc;
 
 use board::Board;
+use fixtures::board;
 use fleet::ServerEnd;
 use types::{Fingerprint, Moment};
 use wire::peer::View;
 
 use super::super::evidence::{changed_suspects, merge_evidence, suspects_for};
-use crate::fixtures::board;
 
 /// A board with evidence about this number of requests.
 fn board_with_suspects(count: u64) -> Arc<Board> {
--- a/crates/node/tests/logs.rs
+++ b/crates/node/tests/logs.rs
@@ -1,9 +1,13 @@
 //! Tests of the log buffer's limits when many lines are logged and nothing reads them.
 
-use std::time::{Duration, Instant};
+use std::{
+    fs,
+    path::Path,
+    time::{Duration, Instant},
+};
 
 use log::{Level, Record};
-use node::logs::LogBuffer;
+use node::logs::{COMPONENTS, LogBuffer};
 
 const LINES: usize = 100_000;
 /// Longest time in which the lines must be logged without a reader: a hundredth of what it would
@@ -57,3 +61,18 @@
     );
     assert_eq!(flush(&buffer), "", "flushed lines are not written again");
 }
+
+/// A crate that is left out of [`COMPONENTS`] would log nothing below `warn`.
+#[test]
+fn each_crate_that_the_node_consists_of_is_logged_at_all_levels() {
+    let crates = Path::new(env!("CARGO_MANIFEST_DIR")).join("..");
+    let manifest = |name: &str| fs::read_to_string(crates.join(name).join("Cargo.toml"));
+    let node = manifest("node").expect("the manifest of the node");
+    let dependencies = node
+        .lines()
+        .filter_map(|line| line.split_once(".workspace"));
+    let logs = |name: &str| manifest(name).is_ok_and(|m| m.contains("\nlog.workspace"));
+    for (name, _) in dependencies.filter(|(name, _)| logs(name)) {
+        assert!(COMPONENTS.contains(&name), "{name} is left out");
+    }
+}
--- a/crates/node/src/body_budget.rs
+++ b/crates/support/src/body_budget.rs
@@ -26,20 +26,20 @@
 
 /// The memory that bodies may use in this process.
 #[derive(Debug, Clone)]
-pub(crate) struct BodyBudget {
+pub struct BodyBudget {
     available: Arc<Semaphore>,
 }
 
 /// Memory reserved for one body, released on drop.
 #[derive(Debug, Default)]
-pub(crate) struct BodyReservation {
+pub struct BodyReservation {
     permit: Option<OwnedSemaphorePermit>,
     units: u64,
 }
 
 /// Why a body was not read to its end.
 #[derive(Debug)]
-pub(crate) enum BodyError {
+pub enum BodyError {
     /// It exceeds the size limit.
     TooLarge,
     /// Other bodies use the memory that it needs.
@@ -65,11 +65,7 @@
     /// # Errors
     ///
     /// [`Rejection::NoBufferSpace`] if other reservations leave too little, or the body is larger.
-    pub(crate) fn reserve(
-        &self,
-        bytes: u64,
-        reservation: &mut BodyReservation,
-    ) -> Result<(), Rejection> {
+    pub fn reserve(&self, bytes: u64, reservation: &mut BodyReservation) -> Result<(), Rejection> {
         if bytes <= MAX_UNRESERVED_BYTES {
             return Ok(());
         }
@@ -96,7 +92,7 @@
     /// # Errors
     ///
     /// Why it was not read to its end.
-    pub(crate) async fn collect(
+    pub async fn collect(
         &self,
         mut body: Incoming,
         limit: u64,
--- a/crates/node/src/endpoint.rs
+++ b/crates/support/src/endpoint.rs
@@ -13,7 +13,7 @@
 const KEEPALIVE_TIMEOUT: Duration = Duration::from_millis(1_000);
 
 /// Returns the configured endpoint of the node at `address`.
-pub(crate) fn endpoint(address: SocketAddr) -> Endpoint {
+pub fn endpoint(address: SocketAddr) -> Endpoint {
     Endpoint::from_shared(format!("http://{address}"))
         .expect("a socket address yields a valid URI")
         .connect_timeout(CONNECT_TIMEOUT)
--- a/crates/node/src/socket.rs
+++ b/crates/support/src/socket.rs
@@ -19,7 +19,7 @@
 /// # Errors
 ///
 /// The error of the socket option that couldn't be set.
-pub(crate) fn configure(stream: &TcpStream) -> io::Result<()> {
+pub fn configure(stream: &TcpStream) -> io::Result<()> {
     stream.set_nodelay(true)?;
     let keepalive = TcpKeepalive::new()
         .with_time(KEEPALIVE_INTERVAL)
--- a/crates/node/src/timer.rs
+++ b/crates/support/src/timer.rs
@@ -9,13 +9,13 @@
 /// If the actor's next deadline moves to a later moment, the actor is woken once too early and sets
 /// the timer again. This is cheaper than a new task for each change.
 #[derive(Debug, Default)]
-pub(crate) struct WakeTimer {
+pub struct WakeTimer {
     pending: Option<(Moment, JoinHandle<()>)>,
 }
 
 impl WakeTimer {
     /// Runs `wake` at `at`. Does nothing if the timer is already set to an earlier moment.
-    pub(crate) fn set(
+    pub fn set(
         &mut self,
         at: Moment,
         clock: Clock,
@@ -38,7 +38,7 @@
     }
 
     /// Clears the timer if it is due at `now`.
-    pub(crate) fn clear_expired(&mut self, now: Moment) {
+    pub fn clear_expired(&mut self, now: Moment) {
         self.pending.take_if(|(at, _)| *at <= now);
     }
 }
