--- a/crates/node/src/backend/mod.rs
+++ b/crates/backend/src/lib.rs
@@ -47,28 +47,30 @@
 
 /// Maximum headers of a message that is forwarded: half of what a header map holds, which leaves room
 /// for those that the node adds.
-pub(crate) const MAX_FORWARDED_HEADERS: usize = 16_384;
+pub const MAX_FORWARDED_HEADERS: usize = 16_384;
 
 /// A message has too many headers to be forwarded.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
-pub(crate) struct TooManyHeaders;
+pub struct TooManyHeaders;
 
 /// Where a request is sent, and how its answer is read.
 #[derive(Debug, Clone)]
-pub(crate) struct Target {
-    pub(crate) server: ServerId,
-    pub(crate) address: SocketAddr,
+pub struct Target {
+    /// Backend server that the view lists.
+    pub server: ServerId,
+    /// Its address for requests.
+    pub address: SocketAddr,
     /// Path of the health endpoint. If it is empty, the dialect's default is used.
-    pub(crate) health_path: SmolStr,
+    pub health_path: SmolStr,
     /// Statuses by which the backend server states that it didn't run the request.
-    pub(crate) shed_statuses: Vec<u16>,
+    pub shed_statuses: Vec<u16>,
     /// Maximum size of an answer body in bytes.
-    pub(crate) answer_limit: u64,
+    pub answer_limit: u64,
 }
 
 /// Why a probe has no result.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
-pub(crate) enum ProbeError {
+pub enum ProbeError {
     /// The connection was refused: nobody listens at the address.
     Refused,
     /// No complete answer arrived.
@@ -77,11 +79,13 @@
 
 /// How a request ended, and the metadata of its answer.
 #[derive(Debug)]
-pub(crate) struct RequestResult {
-    pub(crate) completion: Completion,
-    pub(crate) metadata: ResponseMetadata,
+pub struct RequestResult {
+    /// How the request ended.
+    pub completion: Completion,
+    /// What its answer says of the backend server.
+    pub metadata: ResponseMetadata,
     /// Whether the connection was refused.
-    pub(crate) refused: bool,
+    pub refused: bool,
 }
 
 impl From<Completion> for RequestResult {
@@ -95,7 +99,7 @@
 }
 
 /// Operations on the backend server that a gate needs.
-pub(crate) trait Backend: Send + Sync {
+pub trait Backend: Send + Sync {
     /// Sends a request at most once and reads the whole answer, until `deadline`.
     ///
     /// Dropping the future cancels the request at the backend server.
@@ -112,7 +116,7 @@
 
 /// A backend server that is reached over HTTP/1.1.
 #[derive(Debug, Clone)]
-pub(crate) struct HttpBackend {
+pub struct HttpBackend {
     dialect: Arc<dyn Dialect>,
     /// Connections for requests.
     requests: Arc<Pool>,
@@ -123,7 +127,7 @@
 
 impl HttpBackend {
     /// Creates a client without connections.
-    pub(crate) fn new(dialect: Arc<dyn Dialect>, clock: Clock, body_budget: BodyBudget) -> Self {
+    pub fn new(dialect: Arc<dyn Dialect>, clock: Clock, body_budget: BodyBudget) -> Self {
         Self {
             dialect,
             requests: Arc::new(Pool::new(clock)),
@@ -352,7 +356,7 @@
 /// # Errors
 ///
 /// [`TooManyHeaders`] if they don't fit into a header map.
-pub(crate) fn copy_headers(from: &[Header], to: &mut HeaderMap) -> Result<(), TooManyHeaders> {
+pub fn copy_headers(from: &[Header], to: &mut HeaderMap) -> Result<(), TooManyHeaders> {
     if from.len() > MAX_FORWARDED_HEADERS {
         return Err(TooManyHeaders);
     }
@@ -391,7 +395,7 @@
 
 /// The headers of a message that are forwarded: neither hop-by-hop headers nor the length, which is
 /// set again for each hop.
-pub(crate) fn end_to_end_headers(headers: &HeaderMap) -> Vec<Header> {
+pub fn end_to_end_headers(headers: &HeaderMap) -> Vec<Header> {
     let listed: Vec<&str> = headers
         .get_all("connection")
         .iter()
--- a/crates/node/src/backend/tests/statements.rs
+++ b/crates/backend/src/tests/statements.rs
@@ -24,7 +24,7 @@
 use types::{CallId, NamedLimit};
 
 use super::{Backend, answer, request, serve};
-use crate::backend::{HttpBackend, RequestResult, Target};
+use crate::{HttpBackend, RequestResult, Target};
 
 /// The native dialect, with backend servers that name the call id in all answers to requests.
 #[derive(Debug)]
--- a/crates/node/src/gate_actor/mod.rs
+++ b/crates/gate_actor/src/lib.rs
@@ -20,6 +20,7 @@
 use std::sync::Arc;
 
 use attempt::{KnownLimit, OpenedSession, Reply, ServerRequest};
+use backend::{Backend, ProbeError, RequestResult};
 use board::{Board, Phase};
 use bytes::Bytes;
 use dialect::ResponseMetadata;
@@ -36,77 +37,91 @@
 use tokio::sync::oneshot;
 use types::{AttemptId, Boot, Moment, ServerId, Size};
 
-use crate::backend::{Backend, ProbeError, RequestResult};
-
-pub(crate) use state::GateActor;
+pub use state::GateActor;
 
 /// Capacity of the actor's mailbox, in messages.
 const MAILBOX_MESSAGES: usize = 8_192;
 
 /// Request to open a session for an ingress.
 #[derive(Debug)]
-pub(crate) struct OpenSession {
-    pub(crate) ingress: Boot,
+pub struct OpenSession {
+    /// Incarnation of the ingress.
+    pub ingress: Boot,
 }
 
 /// Request to run an attempt.
 #[derive(Debug)]
-pub(crate) struct RunAttempt {
-    pub(crate) offer: Offer,
+pub struct RunAttempt {
+    /// Id, deadline and rank of the attempt, on the clock of the gate.
+    pub offer: Offer,
     /// Backend server that the attempt is meant for.
-    pub(crate) server: ServerId,
+    pub server: ServerId,
     /// Name of the route, or of the service if there is no route. Empty if unknown.
-    pub(crate) route: SmolStr,
-    pub(crate) idempotent: bool,
-    pub(crate) known_limit: Option<KnownLimit>,
-    pub(crate) trial: bool,
-    pub(crate) request: ServerRequest,
-    pub(crate) reply: oneshot::Sender<Reply>,
+    pub route: SmolStr,
+    /// Whether the request may run more than once.
+    pub idempotent: bool,
+    /// Limit that the ingress knows of the backend server.
+    pub known_limit: Option<KnownLimit>,
+    /// Whether the request may end its backend server, see [`fleet::Quarantine`].
+    pub trial: bool,
+    /// Request for the backend server.
+    pub request: ServerRequest,
+    /// Gets the reply once the outcome is known.
+    pub reply: oneshot::Sender<Reply>,
 }
 
 /// Request to admit an attempt whose body follows.
 #[derive(Debug)]
-pub(crate) struct OfferBody {
+pub struct OfferBody {
     /// The attempt, with an empty body. Its outcome is sent if it isn't admitted.
-    pub(crate) attempt: RunAttempt,
+    pub attempt: RunAttempt,
     /// Size of the body.
-    pub(crate) body: Size,
+    pub body: Size,
     /// Notified if the attempt is admitted.
-    pub(crate) admitted: oneshot::Sender<()>,
+    pub admitted: oneshot::Sender<()>,
 }
 
 /// Notice that a part of a body has arrived. Replies whether the rest is still wanted.
 #[derive(Debug)]
-pub(crate) struct BodyPart {
-    pub(crate) id: AttemptId,
+pub struct BodyPart {
+    /// Id of the attempt.
+    pub id: AttemptId,
 }
 
 /// Notice that no more of a body arrives, although it isn't whole.
 #[derive(Debug)]
-pub(crate) struct BodyLost {
-    pub(crate) id: AttemptId,
+pub struct BodyLost {
+    /// Id of the attempt.
+    pub id: AttemptId,
 }
 
 /// Request to run an attempt whose body is whole.
 #[derive(Debug)]
-pub(crate) struct DeliverBody {
-    pub(crate) id: AttemptId,
-    pub(crate) body: Bytes,
-    pub(crate) reply: oneshot::Sender<Reply>,
+pub struct DeliverBody {
+    /// Id of the attempt.
+    pub id: AttemptId,
+    /// The whole body.
+    pub body: Bytes,
+    /// Gets the reply once the outcome is known.
+    pub reply: oneshot::Sender<Reply>,
 }
 
 /// Request for the outcome of an attempt.
 #[derive(Debug)]
-pub(crate) struct QueryAttempt {
-    pub(crate) id: AttemptId,
-    pub(crate) query: Query,
-    pub(crate) reply: oneshot::Sender<Reply>,
+pub struct QueryAttempt {
+    /// Id of the attempt.
+    pub id: AttemptId,
+    /// What is asked, and whether the attempt is to go on.
+    pub query: Query,
+    /// Gets the reply once the outcome is known.
+    pub reply: oneshot::Sender<Reply>,
 }
 
 /// Notice that an ingress no longer waits for the reply to an attempt.
 #[derive(Debug)]
-pub(crate) struct WaiterDropped {
-    pub(crate) id: AttemptId,
+pub struct WaiterDropped {
+    /// Id of the attempt.
+    pub id: AttemptId,
 }
 
 /// Notice that a started request ended.
@@ -132,11 +147,11 @@
 
 /// Request for a dump of the gate's state.
 #[derive(Debug)]
-pub(crate) struct Dump;
+pub struct Dump;
 
 /// The gate's part of the state dump.
 #[derive(Debug, Clone, Serialize, kameo::Reply)]
-pub(crate) struct GateDump {
+pub struct GateDump {
     server: Option<ServerId>,
     load: Load,
     /// Limit that the backend server has named, and the room left under it.
@@ -155,14 +170,14 @@
     ingresses: Vec<Boot>,
     probes: u64,
     /// Whether no attempt waits or runs.
-    pub(crate) idle: bool,
+    pub idle: bool,
     /// Whether the gate accepts new attempts.
     open: bool,
 }
 
 /// Starts the actor and the task that notifies it of changes on the board. The rate that a service
 /// sets for a cold backend server is multiplied by `cold_factor`.
-pub(crate) fn spawn(
+pub fn spawn(
     board: &Arc<Board>,
     backend: Arc<dyn Backend>,
     metrics: &Arc<Metrics>,
--- a/crates/node/src/gate_actor/observations.rs
+++ b/crates/gate_actor/src/observations.rs
@@ -1,11 +1,11 @@
 //! What the gate actor learns of its backend server from responses, probes and broken connections.
 
+use backend::ProbeError;
 use dialect::ResponseMetadata;
 use gate::{Completion, LimitSource, LimitState};
 use types::{AttemptId, Moment, NamedLimit, Rate, ServerId, Span};
 
 use super::{GateActor, ProbeFinished, apply_board};
-use crate::backend::ProbeError;
 
 impl GateActor {
     pub(super) fn probe_finished(&mut self, probe: ProbeFinished) {
--- a/crates/node/src/gate_actor/state.rs
+++ b/crates/gate_actor/src/state.rs
@@ -6,6 +6,7 @@
 };
 
 use attempt::{RequestIdentity, ServerRequest, outcome_name};
+use backend::{Backend, RequestResult, Target};
 use board::Board;
 use futures::future::BoxFuture;
 use gate::{Action, Completion, Gate, Query, Rank, RetentionLimits, RouteProfiles};
@@ -21,7 +22,6 @@
     GateDump, OpenedSession, ProbeFinished, QueryAttempt, Refresh, Reply, RunFinished, apply_board,
     evidence::Evidence,
 };
-use crate::backend::{Backend, RequestResult, Target};
 
 /// An attempt that waits or runs, or whose outcome an ingress queries.
 pub(super) struct PendingAttempt {
@@ -61,7 +61,7 @@
 }
 
 /// The actor that runs one gate.
-pub(crate) struct GateActor {
+pub struct GateActor {
     pub(super) board: Arc<Board>,
     backend: Arc<dyn Backend>,
     pub(super) metrics: Arc<Metrics>,
--- a/crates/node/src/gate_actor/tests/actor.rs
+++ b/crates/gate_actor/src/tests/actor.rs
@@ -3,6 +3,7 @@
 use std::sync::Arc;
 
 use attempt::{OpenedSession, Reply, RequestIdentity, ServerRequest};
+use backend::{Backend, ProbeError, RequestResult, Target};
 use bytes::Bytes;
 use dialect::ResponseMetadata;
 use fixtures::board;
@@ -18,10 +19,7 @@
 use types::{AttemptId, Boot, Outcome, Refusal, Seq, ServerId, Size, Span};
 
 use super::{attempt, request, server, server_request, view};
-use crate::{
-    backend::{Backend, ProbeError, RequestResult, Target},
-    gate_actor::{BodyLost, DeliverBody, GateActor, OfferBody, ProbeFinished, RunAttempt},
-};
+use crate::{BodyLost, DeliverBody, GateActor, OfferBody, ProbeFinished, RunAttempt};
 
 /// A backend server whose requests run until the test ends them.
 struct PendingBackend;
--- a/crates/node/src/gate_actor/tests/evidence.rs
+++ b/crates/gate_actor/src/tests/evidence.rs
@@ -10,7 +10,7 @@
 use types::{Header, Moment, Refusal, Span};
 
 use super::{attempt, request, server, server_request};
-use crate::gate_actor::evidence::Evidence;
+use crate::evidence::Evidence;
 
 /// A gate's evidence at a moment.
 struct Gate {
--- a/crates/node/src/gate_actor/tests/malformed.rs
+++ b/crates/gate_actor/src/tests/malformed.rs
@@ -6,6 +6,7 @@
 };
 
 use attempt::{KnownLimit, Reply, ServerRequest};
+use backend::{Backend, ProbeError, RequestResult, Target};
 use dialect::{ResponseMetadata, ServerLoad};
 use fixtures::board;
 use fleet::Lease;
@@ -22,10 +23,7 @@
 use types::{AttemptId, Boot, Moment, NamedLimit, Rate, Revision, Seq, SessionId, Slots, Span};
 
 use super::{listed_server, server, server_request, state};
-use crate::{
-    backend::{Backend, ProbeError, RequestResult, Target},
-    gate_actor::{GateActor, ProbeFinished, QueryAttempt, RunAttempt},
-};
+use crate::{GateActor, ProbeFinished, QueryAttempt, RunAttempt};
 
 const QUERIES: [Query; 3] = [Query::Outcome, Query::Withdraw, Query::Cancel];
 
--- a/crates/node/src/admin.rs
+++ b/crates/node/src/admin.rs
@@ -10,6 +10,7 @@
 };
 use board::{Board, Identity, Phase};
 use fleet::{Evidence, ServerEnd, Verdict};
+use gate_actor::GateActor;
 use kameo::actor::ActorRef;
 use note::View;
 use serde::Serialize;
@@ -17,7 +18,6 @@
 
 use crate::{
     allowances::AllowanceDump,
-    gate_actor::{self, GateActor},
     ingress::{Ingress, ServerDump, ZoneDump},
     view_sync::{self, ViewSync},
 };
--- a/crates/node/src/ingress/framing.rs
+++ b/crates/node/src/ingress/framing.rs
@@ -4,6 +4,7 @@
 //! request with an ambiguous length is malformed, which prevents request smuggling.
 
 use axum::http::{HeaderMap, HeaderName, HeaderValue, Uri};
+use backend::MAX_FORWARDED_HEADERS;
 use bytes::{Buf, BufMut, Bytes, BytesMut, buf::Limit};
 use dialect::Rejection;
 use httparse::Status;
@@ -11,7 +12,6 @@
 use smol_str::{SmolStr, format_smolstr};
 
 use super::routing::RequestHead;
-use crate::backend::MAX_FORWARDED_HEADERS;
 
 /// Smallest limit for a request line (RFC 9112, section 3).
 const MIN_LINE_LIMIT: u64 = 8_000;
--- a/crates/node/src/ingress/response.rs
+++ b/crates/node/src/ingress/response.rs
@@ -4,6 +4,7 @@
 mod tests;
 
 use axum::http::{Response, StatusCode};
+use backend::{TooManyHeaders, copy_headers};
 use bytes::{Buf, BufMut, Bytes, BytesMut};
 use call::CallOutcome;
 use dialect::{CallFailure, Dialect, Rejection};
@@ -11,8 +12,6 @@
 use rand::RngExt;
 use types::{Answer, CallId, Span};
 
-use crate::backend::{TooManyHeaders, copy_headers};
-
 /// Bounds of the time after which a caller is told to retry, before jitter.
 const MIN_RETRY_AFTER: Span = Span::from_millis(50);
 const MAX_RETRY_AFTER: Span = Span::from_millis(30_000);
--- a/crates/node/src/ingress/routing.rs
+++ b/crates/node/src/ingress/routing.rs
@@ -4,6 +4,7 @@
 
 use attempt::ServerRequest;
 use axum::http::HeaderMap;
+use backend::end_to_end_headers;
 use board::Phase;
 use bytes::Bytes;
 use dialect::{Dialect, Rejection, RequestMetadata};
@@ -13,7 +14,6 @@
 use types::{CallId, Fingerprint, Header, Moment, ServiceId, Size, Span, TeamId};
 
 use super::Ingress;
-use crate::backend::end_to_end_headers;
 
 /// Longest timeout of a call without a route.
 const MAX_TIMEOUT: Span = Span::from_millis(3_600_000);
--- a/crates/node/src/ingress/tests/bodies.rs
+++ b/crates/node/src/ingress/tests/bodies.rs
@@ -11,6 +11,7 @@
 
 use attempt::ServerRequest;
 use axum::http::Response;
+use backend::{Backend, ProbeError, RequestResult, Target};
 use board::Phase;
 use bytes::Bytes;
 use dialect::ResponseMetadata;
@@ -44,7 +45,6 @@
     fixtures::{ingress, now, publish, remote_view, route, routed, start_node, view},
     reroute,
 };
-use crate::backend::{Backend, ProbeError, RequestResult, Target};
 
 /// Size of the bodies: the largest of the callers on slow links.
 const BODY_BYTES: usize = 360_000;
--- a/crates/node/src/ingress/tests/fixtures.rs
+++ b/crates/node/src/ingress/tests/fixtures.rs
@@ -5,6 +5,7 @@
 use adapter::SiteDialect;
 use attempt::ServerRequest;
 use axum::http::{HeaderMap, HeaderValue};
+use backend::{Backend, ProbeError, RequestResult, Target};
 use board::{Board, Identity, Phase};
 use dialect::{Rejection, ResponseMetadata};
 use fixtures::board;
@@ -27,8 +28,6 @@
 };
 use crate::{
     allowances::{Allowances, TonicCourier},
-    backend::{Backend, ProbeError, RequestResult, Target},
-    gate_actor,
     peers::{Peers, server::PeerService},
     view_sync::{self, Source, SyncOptions},
 };
--- a/crates/node/src/lib.rs
+++ b/crates/node/src/lib.rs
@@ -21,8 +21,6 @@
 
 mod admin;
 mod allowances;
-mod backend;
-mod gate_actor;
 mod ingress;
 pub mod lifecycle;
 pub mod logs;
--- a/crates/node/src/lifecycle.rs
+++ b/crates/node/src/lifecycle.rs
@@ -11,8 +11,10 @@
 
 use adapter::{SiteDialect, SiteRegistry};
 use axum::{Router, http::StatusCode, routing::get};
+use backend::HttpBackend;
 use board::{Board, Identity, Phase};
 use dialect::{Dialect, NativeDialect};
+use gate_actor::GateActor;
 use kameo::actor::ActorRef;
 use metrics::Metrics;
 use platform::{HttpClient, HttpPlatform, PlatformError};
@@ -32,8 +34,6 @@
 use crate::{
     admin::{self, Admin},
     allowances::{Allowances, TonicCourier},
-    backend::HttpBackend,
-    gate_actor::{self, GateActor},
     ingress::{self, Ingress, RetryPolicy, Services},
     peers::{Peers, server::PeerService},
     reload::Reload,
--- a/crates/node/src/peers/local.rs
+++ b/crates/node/src/peers/local.rs
@@ -4,15 +4,15 @@
 use bytes::Bytes;
 use futures::{FutureExt, future::BoxFuture};
 use gate::Query;
+use gate_actor::{
+    BodyLost, BodyPart, DeliverBody, GateActor, OfferBody, OpenSession, QueryAttempt, RunAttempt,
+    WaiterDropped,
+};
 use kameo::{actor::ActorRef, message::Message};
 use tokio::sync::oneshot;
 use types::{AttemptId, Boot, Size};
 
 use super::{Attempt, GateClient, TransportError};
-use crate::gate_actor::{
-    BodyLost, BodyPart, DeliverBody, GateActor, OfferBody, OpenSession, QueryAttempt, RunAttempt,
-    WaiterDropped,
-};
 
 /// Client of the gate in the same process.
 #[derive(Clone)]
--- a/crates/node/src/peers/mod.rs
+++ b/crates/node/src/peers/mod.rs
@@ -25,13 +25,12 @@
 use call::{GateSession, SessionAttempt};
 use futures::future::BoxFuture;
 use gate::Rank;
+use gate_actor::GateActor;
 use kameo::actor::ActorRef;
 use smol_str::SmolStr;
 use tokio::time::timeout;
 use types::{AttemptId, Boot, Moment, Outcome, Refusal, Revision, ServerId};
 
-use crate::gate_actor::GateActor;
-
 pub(crate) use bodies::Handover;
 pub(crate) use fault::TransportError;
 pub(crate) use local::LocalGate;
--- a/crates/node/src/peers/server.rs
+++ b/crates/node/src/peers/server.rs
@@ -7,6 +7,7 @@
 use fleet::Digests;
 use futures::stream::BoxStream;
 use gate::Query;
+use gate_actor::GateActor;
 use kameo::actor::ActorRef;
 use note::Digest;
 use tonic::{Request, Response, Status, Streaming};
@@ -20,7 +21,6 @@
 use super::{Attempt, LocalGate, TransportError, bodies, convert};
 use crate::{
     allowances::Allowances,
-    gate_actor::GateActor,
     view_sync::{
         PeerReport, UpdateRequest, ViewSync, checked_stamp, leaving_servers, merge_evidence,
         suspects_for,
