--- a/crates/node/src/allowances/answer.rs
+++ b/crates/allowances/src/answer.rs
@@ -11,7 +11,7 @@
 
 impl Allowances {
     /// Answers a question of another node, `None` if it is malformed.
-    pub(crate) async fn serve(self: &Arc<Self>, request: DrawRequest) -> Option<DrawReply> {
+    pub async fn serve(self: &Arc<Self>, request: DrawRequest) -> Option<DrawReply> {
         let node: Option<SocketAddr> = match request.node.as_str() {
             "" => None,
             node => Some(node.parse().ok()?),
--- a/crates/node/src/allowances/courier.rs
+++ b/crates/allowances/src/courier.rs
@@ -12,7 +12,7 @@
 use wire::peer::{DrawReply, DrawRequest, peer_client::PeerClient};
 
 /// A client of other nodes.
-pub(crate) trait Courier: Send + Sync {
+pub trait Courier: Send + Sync {
     /// Sends a question to a node. `None` if there is no answer.
     fn draw(&self, to: SocketAddr, request: DrawRequest) -> BoxFuture<'_, Option<DrawReply>>;
 
@@ -22,7 +22,7 @@
 
 /// A client with connections of its own, so that questions don't wait behind large bodies.
 #[derive(Default)]
-pub(crate) struct TonicCourier {
+pub struct TonicCourier {
     channels: Mutex<HashMap<SocketAddr, Channel>>,
 }
 
--- a/crates/node/src/allowances/mod.rs
+++ b/crates/allowances/src/lib.rs
@@ -1,6 +1,6 @@
 //! Allowances of teams: draws tokens for requests from the teams' owners, and answers as an owner.
 //!
-//! The crate `allowance` has the decisions. This module passes them the view, the time and the answers of other
+//! The crate `allowance` has the decisions. This crate passes them the view, the time and the answers of other
 //! nodes, which a [`Courier`] brings.
 
 #[cfg(test)]
@@ -29,8 +29,8 @@
 use types::{Moment, Span, TeamId};
 use wire::peer::DrawRequest;
 
-pub(crate) use courier::{Courier, TonicCourier};
-pub(crate) use watch::AllowanceDump;
+pub use courier::{Courier, TonicCourier};
+pub use watch::AllowanceDump;
 use watch::Watch;
 
 /// Time for an owner to answer: many times a round trip between zones.
@@ -48,7 +48,7 @@
 
 /// A token of a team's allowance.
 #[derive(Debug)]
-pub(crate) struct Token {
+pub struct Token {
     team: TeamId,
     expires: Moment,
 }
@@ -88,7 +88,7 @@
 }
 
 /// The allowances of teams, as this node knows and grants them.
-pub(crate) struct Allowances {
+pub struct Allowances {
     board: Arc<Board>,
     courier: Arc<dyn Courier>,
     metrics: Arc<Metrics>,
@@ -96,11 +96,8 @@
 }
 
 impl Allowances {
-    pub(crate) fn new(
-        board: Arc<Board>,
-        courier: Arc<dyn Courier>,
-        metrics: Arc<Metrics>,
-    ) -> Arc<Self> {
+    /// Creates the state of a node that holds no tokens, and asks other nodes through `courier`.
+    pub fn new(board: Arc<Board>, courier: Arc<dyn Courier>, metrics: Arc<Metrics>) -> Arc<Self> {
         let now = board.clock.now();
         let core = Core {
             owner: Owner::new(now),
@@ -126,7 +123,7 @@
     }
 
     /// Checks which part of the fleet is reached, while a team has an allowance, until the process ends.
-    pub(crate) async fn run(self: Arc<Self>) {
+    pub async fn run(self: Arc<Self>) {
         let mut ticks = interval(TICK);
         loop {
             ticks.tick().await;
@@ -166,7 +163,7 @@
     /// # Errors
     ///
     /// [`Rejection::OverAllowance`] if there is no room, [`Rejection::AllowanceUnknown`] if no owner answers.
-    pub(crate) async fn take(
+    pub async fn take(
         self: &Arc<Self>,
         team: &TeamId,
         deadline: Moment,
@@ -219,7 +216,7 @@
     }
 
     /// Returns the token of a request that was not run.
-    pub(crate) fn give_back(&self, token: Token) {
+    pub fn give_back(&self, token: Token) {
         let now = self.board.clock.now();
         self.core().purse.give_back(&token.team, token.expires, now);
     }
--- a/crates/node/src/allowances/watch.rs
+++ b/crates/allowances/src/watch.rs
@@ -33,7 +33,7 @@
 
 /// Allowances as `/state` returns them.
 #[derive(Debug, Serialize)]
-pub(crate) struct AllowanceDump {
+pub struct AllowanceDump {
     /// Share of the fleet that this node grants for.
     share: f64,
     /// Number of teams that this ingress holds tokens for.
@@ -95,7 +95,7 @@
 
 impl Allowances {
     /// Returns the state for operators.
-    pub(crate) fn dump(&self) -> AllowanceDump {
+    pub fn dump(&self) -> AllowanceDump {
         let core = self.core();
         let mut owned: Vec<_> = core.owner.uses().into_iter().map(owned_dump).collect();
         owned.sort_by(|a, b| a.team.cmp(&b.team));
--- a/crates/node/src/admin.rs
+++ b/crates/node/src/admin.rs
@@ -2,6 +2,7 @@
 
 use std::{collections::HashMap, net::SocketAddr, sync::Arc};
 
+use allowances::AllowanceDump;
 use axum::{
     Json, Router,
     extract::{Path, State},
@@ -15,12 +16,9 @@
 use note::View;
 use serde::Serialize;
 use types::{Fingerprint, Moment, Revision, ServerId, ServiceId};
+use view_sync::ViewSync;
 
-use crate::{
-    allowances::AllowanceDump,
-    ingress::{Ingress, ServerDump, ZoneDump},
-    view_sync::{self, ViewSync},
-};
+use crate::ingress::{Ingress, ServerDump, ZoneDump};
 
 /// Components that the admin API reads from.
 pub(crate) struct Admin {
--- a/crates/node/src/ingress/driver.rs
+++ b/crates/node/src/ingress/driver.rs
@@ -23,6 +23,7 @@
 use gate::Rank;
 use tokio::time::{Sleep, sleep_until};
 use types::{Moment, Outcome, Refusal, Revision, ServerId, Span};
+use view_sync::PeerReport;
 
 use super::{
     Ingress,
@@ -31,10 +32,7 @@
     services::{RetryBudget, Selector, Trial},
     trials::find_trial,
 };
-use crate::{
-    peers::{Handover, Peer, TransportError},
-    view_sync::PeerReport,
-};
+use crate::peers::{Handover, Peer, TransportError};
 
 /// How a call has ended.
 #[derive(Debug)]
--- a/crates/node/src/ingress/mod.rs
+++ b/crates/node/src/ingress/mod.rs
@@ -29,6 +29,7 @@
     time::Duration,
 };
 
+use allowances::Allowances;
 use axum::http::Response;
 use board::{Board, Phase};
 use bytes::Bytes;
@@ -47,12 +48,9 @@
     time::sleep,
 };
 use types::{CallId, Moment, Refusal, ServerId, ServiceId, Size, Span};
+use view_sync::ViewSync;
 
-use crate::{
-    allowances::Allowances,
-    peers::{Peer, Peers},
-    view_sync::ViewSync,
-};
+use crate::peers::{Peer, Peers};
 
 use routing::RoutedCall;
 pub(crate) use services::{RetryPolicy, ServerDump, Services, ZoneDump};
--- a/crates/node/src/ingress/tests/fixtures.rs
+++ b/crates/node/src/ingress/tests/fixtures.rs
@@ -3,6 +3,7 @@
 use std::{net::SocketAddr, sync::Arc};
 
 use adapter::SiteDialect;
+use allowances::{Allowances, TonicCourier};
 use attempt::ServerRequest;
 use axum::http::{HeaderMap, HeaderValue};
 use backend::{Backend, ProbeError, RequestResult, Target};
@@ -21,16 +22,13 @@
 use support::body_budget::BodyBudget;
 use tokio::time::Instant;
 use types::{Answer, Boot, Moment, Rate, Revision, Size, Span};
+use view_sync::{Source, SyncOptions};
 
 use super::super::{
     Ingress, RetryPolicy, Services,
     routing::{RequestHead, RoutedCall, route_call},
 };
-use crate::{
-    allowances::{Allowances, TonicCourier},
-    peers::{Peers, server::PeerService},
-    view_sync::{self, Source, SyncOptions},
-};
+use crate::peers::{Peers, server::PeerService};
 
 /// A backend server that answers each request with status 200.
 struct SoundBackend;
--- a/crates/node/src/lib.rs
+++ b/crates/node/src/lib.rs
@@ -20,7 +20,6 @@
 //! [`lifecycle::run`] starts these components and shuts them down in order.
 
 mod admin;
-mod allowances;
 mod ingress;
 pub mod lifecycle;
 pub mod logs;
@@ -28,4 +27,3 @@
 mod reload;
 pub mod settings;
 pub mod stop;
-mod view_sync;
--- a/crates/node/src/lifecycle.rs
+++ b/crates/node/src/lifecycle.rs
@@ -10,6 +10,7 @@
 };
 
 use adapter::{SiteDialect, SiteRegistry};
+use allowances::{Allowances, TonicCourier};
 use axum::{Router, http::StatusCode, routing::get};
 use backend::HttpBackend;
 use board::{Board, Identity, Phase};
@@ -29,17 +30,16 @@
 };
 use tonic::{codec::CompressionEncoding, transport::server::TcpIncoming};
 use types::{Boot, Span};
+use view_sync::{Source, SyncOptions};
 use wire::peer::peer_server::PeerServer;
 
 use crate::{
     admin::{self, Admin},
-    allowances::{Allowances, TonicCourier},
     ingress::{self, Ingress, RetryPolicy, Services},
     peers::{Peers, server::PeerService},
     reload::Reload,
     settings::{Conventions, Readiness, Settings},
     stop::{Grace, StopTimes},
-    view_sync::{self, Source, SyncOptions},
 };
 
 /// Time for which a stopping node keeps answering before it closes anything, so that peers and
--- a/crates/node/src/logs.rs
+++ b/crates/node/src/logs.rs
@@ -40,7 +40,14 @@
 const RATE_WINDOW: Duration = Duration::from_secs(1);
 
 /// Crates whose records are written at all levels: the node and those of its components that log.
-pub const COMPONENTS: [&str; 4] = ["backend", "gate_actor", "metrics", "node"];
+pub const COMPONENTS: [&str; 6] = [
+    "allowances",
+    "backend",
+    "gate_actor",
+    "metrics",
+    "node",
+    "view_sync",
+];
 
 /// Starts writing log records of this process, at `level` and above, to standard output.
 ///
--- a/crates/node/src/peers/server.rs
+++ b/crates/node/src/peers/server.rs
@@ -2,6 +2,7 @@
 
 use std::sync::Arc;
 
+use allowances::Allowances;
 use attempt::Reply;
 use board::{Board, Phase};
 use fleet::Digests;
@@ -12,6 +13,10 @@
 use note::Digest;
 use tonic::{Request, Response, Status, Streaming};
 use types::{Boot, Moment, Revision, Size};
+use view_sync::{
+    PeerReport, UpdateRequest, ViewSync, checked_stamp, leaving_servers, merge_evidence,
+    suspects_for,
+};
 use wire::peer::{
     AskRequest, BodyChunk, ConfigProof, DeliverReply, DrawReply, DrawRequest, OfferReply,
     OfferRequest, OpenReply, OpenRequest, Outcome as WireOutcome, PullReply, PullRequest,
@@ -19,13 +24,6 @@
 };
 
 use super::{Attempt, LocalGate, TransportError, bodies, convert};
-use crate::{
-    allowances::Allowances,
-    view_sync::{
-        PeerReport, UpdateRequest, ViewSync, checked_stamp, leaving_servers, merge_evidence,
-        suspects_for,
-    },
-};
 
 /// Serves requests of peers.
 pub(crate) struct PeerService {
--- a/crates/node/src/view_sync/evidence.rs
+++ b/crates/view_sync/src/evidence.rs
@@ -17,7 +17,7 @@
 const MAX_SUSPECTS: usize = 4_096;
 
 /// The backend servers in the view that have said that they are leaving.
-pub(crate) fn leaving_servers(board: &Board) -> Vec<LeavingServer> {
+pub fn leaving_servers(board: &Board) -> Vec<LeavingServer> {
     let view = board.view();
     let leaving = board.leaving.borrow();
     let listed = leaving
@@ -42,7 +42,7 @@
 
 /// The same for a peer that has sent its view. It gets others as well if its evidence differs, and all if it
 /// joins, since it must know them before it takes requests.
-pub(crate) fn suspects_for(board: &Board, peer: &View) -> Vec<SuspectRequest> {
+pub fn suspects_for(board: &Board, peer: &View) -> Vec<SuspectRequest> {
     let now = board.clock.now();
     let quarantine = board.quarantine.borrow();
     match peer.suspects_digest == quarantine.digest() {
@@ -78,7 +78,7 @@
 }
 
 /// Records what a peer knows.
-pub(crate) fn merge_evidence(board: &Board, view: &View) {
+pub fn merge_evidence(board: &Board, view: &View) {
     for message in view.leaving.iter().take(MAX_LEAVING) {
         let Ok(server) = message.server.parse() else {
             continue;
--- a/crates/node/src/view_sync/exchange.rs
+++ b/crates/view_sync/src/exchange.rs
@@ -270,7 +270,7 @@
 }
 
 /// The stamp up to which a peer's configuration has been compared with the registry.
-pub(crate) fn checked_stamp(view: &View) -> Stamp {
+pub fn checked_stamp(view: &View) -> Stamp {
     Stamp {
         era: Era(view.checked_era),
         revision: Revision(view.checked_revision),
--- a/crates/node/src/view_sync/mod.rs
+++ b/crates/view_sync/src/lib.rs
@@ -39,31 +39,34 @@
 
 use self::keys::KeySync;
 
-pub(crate) use evidence::{leaving_servers, merge_evidence, suspects_for};
-pub(crate) use exchange::checked_stamp;
-pub(crate) use source::{RegistryDump, Source, SyncOptions};
+pub use evidence::{leaving_servers, merge_evidence, suspects_for};
+pub use exchange::checked_stamp;
+pub use source::{RegistryDump, Source, SyncOptions};
 
 /// Capacity of the actor's mailbox, in messages.
 const MAILBOX_MESSAGES: usize = 4_096;
 
 /// A peer's report of its revision. It has a digest if it is part of a comparison of views.
 #[derive(Debug)]
-pub(crate) struct PeerReport {
-    pub(crate) peer: SocketAddr,
-    pub(crate) revision: Revision,
-    pub(crate) digest: Option<Digest>,
+pub struct PeerReport {
+    /// Address of the peer.
+    pub peer: SocketAddr,
+    /// Revision of the peer's view.
+    pub revision: Revision,
+    /// Digest of the peer's view.
+    pub digest: Option<Digest>,
     /// The fleet's time according to the peer. `None` if the peer didn't send it.
-    pub(crate) clock: Option<Moment>,
+    pub clock: Option<Moment>,
     /// Nonzero if the peer asks for a read of the platform: the number of nodes that the request
     /// may visit, this one included.
-    pub(crate) read_hops: u32,
+    pub read_hops: u32,
     /// Stamp up to which the peer's configuration has been compared with the registry.
-    pub(crate) checked: Stamp,
+    pub checked: Stamp,
 }
 
 impl PeerReport {
     /// Returns a report of a revision that a peer sent along with another message.
-    pub(crate) fn revision_only(peer: SocketAddr, revision: Revision) -> Self {
+    pub fn revision_only(peer: SocketAddr, revision: Revision) -> Self {
         Self {
             peer,
             revision,
@@ -77,20 +80,20 @@
 
 /// A peer's request for an update of its view.
 #[derive(Debug)]
-pub(crate) struct UpdateRequest {
+pub struct UpdateRequest {
     /// Revision of the peer's view.
-    pub(crate) after: Revision,
+    pub after: Revision,
     /// Digests of the peer's snapshot, if the platform stores only current values.
-    pub(crate) digests: Digests,
+    pub digests: Digests,
 }
 
 /// Request for the actor's state.
 #[derive(Debug)]
-pub(crate) struct Dump;
+pub struct Dump;
 
 /// State of the actor, as the admin API shows it.
 #[derive(Debug, Clone, Serialize, kameo::Reply)]
-pub(crate) struct SyncDump {
+pub struct SyncDump {
     neighbours: Vec<SocketAddr>,
     behind: bool,
     read_period: Span,
@@ -113,7 +116,7 @@
 struct EvidenceChanged;
 
 /// The actor that synchronizes the view.
-pub(crate) struct ViewSync {
+pub struct ViewSync {
     board: Arc<Board>,
     source: Source,
     metrics: Arc<Metrics>,
@@ -134,7 +137,7 @@
 }
 
 /// Starts the actor and its timer.
-pub(crate) fn spawn(
+pub fn spawn(
     board: &Arc<Board>,
     source: Source,
     metrics: &Arc<Metrics>,
--- a/crates/node/src/view_sync/progress.rs
+++ b/crates/view_sync/src/progress.rs
@@ -6,7 +6,7 @@
 
 /// State of reading the registry since startup.
 #[derive(Debug, Default)]
-pub(crate) struct ReadProgress {
+pub struct ReadProgress {
     /// Whether a read is in progress. A second one would only compete with it for the link.
     pub(super) reading: bool,
     /// Whether the registry was read completely at least once.
--- a/crates/node/src/view_sync/source.rs
+++ b/crates/view_sync/src/source.rs
@@ -10,7 +10,7 @@
 use super::progress::ReadProgress;
 
 /// A platform, and the data read from it that the view is computed from.
-pub(crate) enum Source {
+pub enum Source {
     /// A platform that publishes a history of release notes.
     Notes {
         /// Client of the platform.
@@ -31,7 +31,7 @@
 
 impl Source {
     /// Returns the empty source of a platform that publishes release notes.
-    pub(crate) fn notes(platform: Arc<dyn Platform>) -> Self {
+    pub fn notes(platform: Arc<dyn Platform>) -> Self {
         Self::Notes {
             platform,
             history: History::default(),
@@ -39,7 +39,7 @@
     }
 
     /// Returns the empty source of a platform that stores only current values.
-    pub(crate) fn registry(registry: Arc<dyn Registry>) -> Self {
+    pub fn registry(registry: Arc<dyn Registry>) -> Self {
         Self::Registry {
             registry,
             snapshot: Box::default(),
@@ -112,7 +112,7 @@
 
 /// What a node read of a registry, as the admin API shows it.
 #[derive(Debug, Clone, Serialize)]
-pub(crate) struct RegistryDump {
+pub struct RegistryDump {
     /// Version of the configuration in force, 0 if there is none yet.
     version: u64,
     /// Stamp up to which the configuration has been compared with the registry, by this node or a peer.
@@ -125,13 +125,13 @@
 
 /// Options of the synchronization.
 #[derive(Debug, Clone)]
-pub(crate) struct SyncOptions {
+pub struct SyncOptions {
     /// Peers to contact in addition to the nodes in the view, which is empty at startup.
-    pub(crate) seeds: Vec<SocketAddr>,
+    pub seeds: Vec<SocketAddr>,
     /// Reads of the platform per unit of time that all nodes together may make.
-    pub(crate) reads: Rate,
+    pub reads: Rate,
     /// Duration of the lease on a view after a successful comparison.
-    pub(crate) lease: Span,
+    pub lease: Span,
     /// Duration of the lease on the teams' keys, `None` if they are served while the view is.
-    pub(crate) key_lease: Option<Span>,
+    pub key_lease: Option<Span>,
 }
