--- a/crates/node/src/ingress/driver.rs
+++ b/crates/node/src/ingress/driver.rs
@@ -21,6 +21,7 @@
     stream::FuturesUnordered,
 };
 use gate::Rank;
+use peers::{Handover, Peer, TransportError};
 use tokio::time::{Sleep, sleep_until};
 use types::{Moment, Outcome, Refusal, Revision, ServerId, Span};
 use view_sync::PeerReport;
@@ -32,7 +33,6 @@
     services::{RetryBudget, Selector, Trial},
     trials::find_trial,
 };
-use crate::peers::{Handover, Peer, TransportError};
 
 /// How a call has ended.
 #[derive(Debug)]
--- a/crates/node/src/ingress/driver/logs.rs
+++ b/crates/node/src/ingress/driver/logs.rs
@@ -2,11 +2,11 @@
 
 use attempt::{Reply, outcome_name};
 use call::AttemptIndex;
+use peers::TransportError;
 use route::ServerState;
 use types::{Moment, ServerId, Span};
 
 use super::CallDriver;
-use crate::peers::TransportError;
 
 impl CallDriver {
     pub(super) fn log_sent(
--- a/crates/node/src/ingress/mod.rs
+++ b/crates/node/src/ingress/mod.rs
@@ -39,6 +39,7 @@
 use kameo::actor::ActorRef;
 use metrics::Metrics;
 use note::View;
+use peers::{Peer, Peers};
 use route::RouteTable;
 use support::{body_budget::BodyBudget, socket};
 use tokio::{
@@ -50,8 +51,6 @@
 use types::{CallId, Moment, Refusal, ServerId, ServiceId, Size, Span};
 use view_sync::ViewSync;
 
-use crate::peers::{Peer, Peers};
-
 use routing::RoutedCall;
 pub(crate) use services::{RetryPolicy, ServerDump, Services, ZoneDump};
 
--- a/crates/node/src/ingress/outgoing.rs
+++ b/crates/node/src/ingress/outgoing.rs
@@ -5,11 +5,11 @@
 use attempt::{KnownLimit, Reply, ServerRequest};
 use call::SessionAttempt;
 use gate::Rank;
+use peers::{Attempt, Handover, Peer, TransportError};
 use smol_str::SmolStr;
 use types::{Moment, ServerId};
 
 use super::Ingress;
-use crate::peers::{Attempt, Handover, Peer, TransportError};
 
 /// An attempt that has no id yet.
 pub(super) struct OutgoingAttempt {
--- a/crates/node/src/ingress/tests/fixtures.rs
+++ b/crates/node/src/ingress/tests/fixtures.rs
@@ -18,6 +18,7 @@
     CallerLimits, HostRoute, Limits, ListedServer, Listing, OperatorConfig, Server, ServerStatus,
     Service, State, View, WeightedService,
 };
+use peers::{Peers, server::PeerService};
 use platform::{HostList, NotePage, Platform, PlatformError};
 use support::body_budget::BodyBudget;
 use tokio::time::Instant;
@@ -28,7 +29,6 @@
     Ingress, RetryPolicy, Services,
     routing::{RequestHead, RoutedCall, route_call},
 };
-use crate::peers::{Peers, server::PeerService};
 
 /// A backend server that answers each request with status 200.
 struct SoundBackend;
--- a/crates/node/src/lib.rs
+++ b/crates/node/src/lib.rs
@@ -23,7 +23,6 @@
 mod ingress;
 pub mod lifecycle;
 pub mod logs;
-mod peers;
 mod reload;
 pub mod settings;
 pub mod stop;
--- a/crates/node/src/lifecycle.rs
+++ b/crates/node/src/lifecycle.rs
@@ -18,6 +18,7 @@
 use gate_actor::GateActor;
 use kameo::actor::ActorRef;
 use metrics::Metrics;
+use peers::{Peers, server::PeerService};
 use platform::{HttpClient, HttpPlatform, PlatformError};
 use support::body_budget::BodyBudget;
 use tokio::{
@@ -36,7 +37,6 @@
 use crate::{
     admin::{self, Admin},
     ingress::{self, Ingress, RetryPolicy, Services},
-    peers::{Peers, server::PeerService},
     reload::Reload,
     settings::{Conventions, Readiness, Settings},
     stop::{Grace, StopTimes},
--- a/crates/node/src/peers/bodies.rs
+++ b/crates/peers/src/bodies.rs
@@ -34,7 +34,7 @@
 
 /// Whether the body of an offered attempt has been handed over, shared between the attempt and its call.
 #[derive(Debug, Clone, Default)]
-pub(crate) struct Handover(Arc<AtomicBool>);
+pub struct Handover(Arc<AtomicBool>);
 
 impl Handover {
     /// Records that the last part of the body is about to be sent.
@@ -43,7 +43,7 @@
     }
 
     /// Whether the gate may have the whole body.
-    pub(crate) fn is_complete(&self) -> bool {
+    pub fn is_complete(&self) -> bool {
         self.0.load(Ordering::Acquire)
     }
 }
--- a/crates/node/src/peers/fault.rs
+++ b/crates/peers/src/fault.rs
@@ -6,7 +6,7 @@
 
 /// Why no reply came from a gate.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
-pub(crate) enum TransportError {
+pub enum TransportError {
     /// The connection was refused. Nothing was sent.
     ConnectionRefused,
     /// No connection could be established in time. Nothing was sent.
@@ -19,7 +19,7 @@
 
 impl TransportError {
     /// Returns the name of the error for logs.
-    pub(crate) fn name(self) -> &'static str {
+    pub fn name(self) -> &'static str {
         match self {
             Self::ConnectionRefused => "refused",
             Self::Unreachable => "unreached",
--- a/crates/node/src/peers/mod.rs
+++ b/crates/peers/src/lib.rs
@@ -11,7 +11,7 @@
 mod fault;
 mod local;
 mod remote;
-pub(crate) mod server;
+pub mod server;
 
 use std::{
     collections::{HashMap, HashSet},
@@ -31,8 +31,8 @@
 use tokio::time::timeout;
 use types::{AttemptId, Boot, Moment, Outcome, Refusal, Revision, ServerId};
 
-pub(crate) use bodies::Handover;
-pub(crate) use fault::TransportError;
+pub use bodies::Handover;
+pub use fault::TransportError;
 pub(crate) use local::LocalGate;
 pub(crate) use remote::RemoteGate;
 
@@ -41,30 +41,35 @@
 
 /// An attempt to be sent to a gate.
 #[derive(Debug, Clone)]
-pub(crate) struct Attempt {
+pub struct Attempt {
     /// Id and session floor of the attempt, and its deadline on the gate's clock.
-    pub(crate) registered: SessionAttempt,
-    pub(crate) server: ServerId,
-    pub(crate) idempotent: bool,
+    pub registered: SessionAttempt,
+    /// Backend server that the attempt is meant for.
+    pub server: ServerId,
+    /// Whether the request may run more than once.
+    pub idempotent: bool,
     /// Whether the gate refuses the attempt instead of queueing it or running it slowly.
-    pub(crate) fail_fast: bool,
+    pub fail_fast: bool,
     /// Queueing rank, with the objective on the gate's clock.
-    pub(crate) rank: Rank,
+    pub rank: Rank,
     /// Name of the route, or of the service if there is no route. Empty if unknown.
-    pub(crate) route: SmolStr,
-    pub(crate) known_limit: Option<KnownLimit>,
+    pub route: SmolStr,
+    /// Limit that the sender knows of the backend server.
+    pub known_limit: Option<KnownLimit>,
     /// Whether the request may end its backend server, see [`fleet::Quarantine`].
-    pub(crate) trial: bool,
+    pub trial: bool,
     /// Set if a gate in another process is to admit the attempt before it gets the body.
-    pub(crate) handover: Option<Handover>,
-    pub(crate) request: ServerRequest,
-    pub(crate) revision: Revision,
+    pub handover: Option<Handover>,
+    /// Request for the backend server.
+    pub request: ServerRequest,
+    /// Revision of the sender's view.
+    pub revision: Revision,
     /// Address of the node that sends the attempt.
-    pub(crate) node: SocketAddr,
+    pub node: SocketAddr,
 }
 
 /// A client of one gate.
-pub(crate) trait GateClient: Send + Sync {
+pub trait GateClient: Send + Sync {
     /// Opens a session for an ingress.
     fn open(&self, ingress: Boot) -> BoxFuture<'_, Result<OpenedSession, TransportError>>;
 
@@ -83,9 +88,11 @@
 }
 
 /// A gate and the session of this process with it.
-pub(crate) struct Peer {
-    pub(crate) address: SocketAddr,
-    pub(crate) client: Arc<dyn GateClient>,
+pub struct Peer {
+    /// Address of the node.
+    pub address: SocketAddr,
+    /// Sends it the requests of this process.
+    pub client: Arc<dyn GateClient>,
     session: Mutex<Option<GateSession>>,
     /// Held while a session is opened, so that concurrent attempts open a single one.
     opening: tokio::sync::Mutex<()>,
@@ -114,7 +121,7 @@
     }
 
     /// Assigns an id to a new attempt, and opens a session first if there is none.
-    pub(crate) async fn register_attempt(
+    pub async fn register_attempt(
         &self,
         board: &Board,
         deadline: Moment,
@@ -145,13 +152,7 @@
     ///
     /// If the gate refuses the session or doesn't know the outcome, it may have lost the session.
     /// The next attempt then opens a new one.
-    pub(crate) fn record_reply(
-        &self,
-        id: AttemptId,
-        reply: &Reply,
-        sent_at: Moment,
-        received_at: Moment,
-    ) {
+    pub fn record_reply(&self, id: AttemptId, reply: &Reply, sent_at: Moment, received_at: Moment) {
         let session_lost = matches!(
             reply.outcome,
             Outcome::NotRun {
@@ -173,7 +174,7 @@
 
     /// Cancels an attempt that is queued or running, and settles it. Calls `on_silent` if the gate
     /// doesn't reply in time, but goes on waiting, as the message must still arrive.
-    pub(crate) async fn cancel(&self, id: AttemptId, on_silent: impl FnOnce()) {
+    pub async fn cancel(&self, id: AttemptId, on_silent: impl FnOnce()) {
         let mut cancelling = self.client.cancel(id);
         match timeout(CANCEL_TIMEOUT, &mut cancelling).await {
             Ok(Ok(_)) => {}
@@ -187,27 +188,28 @@
     }
 
     /// Marks an attempt as settled: its outcome won't be queried any more.
-    pub(crate) fn settle(&self, id: AttemptId) {
+    pub fn settle(&self, id: AttemptId) {
         if let Some(session) = self.session().as_mut() {
             session.settle(id);
         }
     }
 
     /// Returns the number of attempts that aren't settled, `None` without a session.
-    pub(crate) fn open_attempts(&self) -> Option<usize> {
+    pub fn open_attempts(&self) -> Option<usize> {
         self.session().as_ref().map(GateSession::open_attempts)
     }
 }
 
 /// The peers that this process has a client for, by address.
-pub(crate) struct Peers {
+pub struct Peers {
     board: Arc<Board>,
     gate_actor: ActorRef<GateActor>,
     by_address: Mutex<HashMap<SocketAddr, Arc<Peer>>>,
 }
 
 impl Peers {
-    pub(crate) fn new(board: Arc<Board>, gate_actor: ActorRef<GateActor>) -> Self {
+    /// Creates the table without peers. `gate_actor` is the gate in this process.
+    pub fn new(board: Arc<Board>, gate_actor: ActorRef<GateActor>) -> Self {
         Self {
             board,
             gate_actor,
@@ -216,7 +218,7 @@
     }
 
     /// Returns the peer at an address, creating its client if there is none.
-    pub(crate) fn get(&self, address: SocketAddr) -> Arc<Peer> {
+    pub fn get(&self, address: SocketAddr) -> Arc<Peer> {
         let mut peers = self
             .by_address
             .lock()
@@ -232,7 +234,7 @@
     }
 
     /// Drops the peers that aren't among `members`.
-    pub(crate) fn retain(&self, members: &HashSet<SocketAddr>) {
+    pub fn retain(&self, members: &HashSet<SocketAddr>) {
         let mut peers = self
             .by_address
             .lock()
@@ -241,7 +243,7 @@
     }
 
     /// Returns all peers.
-    pub(crate) fn all(&self) -> Vec<Arc<Peer>> {
+    pub fn all(&self) -> Vec<Arc<Peer>> {
         self.by_address
             .lock()
             .expect("no thread panics while holding this lock")
--- a/crates/node/src/peers/server.rs
+++ b/crates/peers/src/server.rs
@@ -26,7 +26,7 @@
 use super::{Attempt, LocalGate, TransportError, bodies, convert};
 
 /// Serves requests of peers.
-pub(crate) struct PeerService {
+pub struct PeerService {
     board: Arc<Board>,
     gate: LocalGate,
     view_sync: ActorRef<ViewSync>,
@@ -34,7 +34,8 @@
 }
 
 impl PeerService {
-    pub(crate) fn new(
+    /// Creates the service of a node with these components.
+    pub fn new(
         board: Arc<Board>,
         gate_actor: ActorRef<GateActor>,
         view_sync: ActorRef<ViewSync>,
