--- a/crates/node/src/ingress/mod.rs
+++ b/crates/ingress/src/lib.rs
@@ -52,7 +52,7 @@
 use view_sync::ViewSync;
 
 use routing::RoutedCall;
-pub(crate) use services::{RetryPolicy, ServerDump, Services, ZoneDump};
+pub use services::{RetryPolicy, ServerDump, Services, ZoneDump};
 
 /// Time that a new connection gets for its first request while the node stops. Callers send the
 /// request at once, so it arrives within a few round trips of 20 ms.
@@ -71,33 +71,40 @@
 
 /// A view, and its routes.
 #[derive(Default)]
-pub(crate) struct ViewRoutes {
+pub struct ViewRoutes {
     view: Arc<View>,
     table: RouteTable,
 }
 
 /// State shared by all connections from callers.
-pub(crate) struct Ingress {
-    pub(crate) board: Arc<Board>,
-    pub(crate) dialect: Arc<dyn Dialect>,
+pub struct Ingress {
+    /// Blackboard of the node.
+    pub board: Arc<Board>,
+    /// Headers and statuses of callers and backend servers.
+    pub dialect: Arc<dyn Dialect>,
     /// Service of the backend server beside the node, if settings name it.
-    pub(crate) local_service: Option<ServiceId>,
-    pub(crate) peers: Peers,
-    pub(crate) services: Services,
+    pub local_service: Option<ServiceId>,
+    /// Gates that attempts are sent to.
+    pub peers: Peers,
+    /// State kept of each service.
+    pub services: Services,
     /// The routes of a view. Requests lock it with [`Ingress::with_routes`].
-    pub(crate) routes: Mutex<ViewRoutes>,
-    pub(crate) metrics: Arc<Metrics>,
-    pub(crate) view_sync: ActorRef<ViewSync>,
+    pub routes: Mutex<ViewRoutes>,
+    /// Metrics of the node.
+    pub metrics: Arc<Metrics>,
+    /// Hears of peers with a newer view.
+    pub view_sync: ActorRef<ViewSync>,
     /// Limits the memory that callers' bodies use.
-    pub(crate) body_budget: BodyBudget,
-    pub(crate) allowances: Arc<Allowances>,
+    pub body_budget: BodyBudget,
+    /// Teams' allowances, from which requests draw.
+    pub allowances: Arc<Allowances>,
     /// Size from which the body of a request on a bulk route is only sent to a gate that has admitted it.
-    pub(crate) offer_bytes: Size,
+    pub offer_bytes: Size,
 }
 
 impl Ingress {
     /// Applies each new view and each change of the hosts' or servers' status, until the board is dropped.
-    pub(crate) async fn watch_board(self: Arc<Self>) {
+    pub async fn watch_board(self: Arc<Self>) {
         let mut view = self.board.view.subscribe();
         let mut hosts = self.board.hosts.subscribe();
         let mut leaving = self.board.leaving.subscribe();
@@ -221,7 +228,7 @@
 
 /// Accepts connections from callers until `closing` is set. Returns when the last connection has
 /// ended.
-pub(crate) async fn serve(
+pub async fn serve(
     ingress: Arc<Ingress>,
     listener: TcpListener,
     mut closing: watch::Receiver<bool>,
--- a/crates/node/src/ingress/services.rs
+++ b/crates/ingress/src/services.rs
@@ -31,7 +31,7 @@
 
 /// A backend server in the state dump.
 #[derive(Debug, Serialize)]
-pub(crate) struct ServerDump {
+pub struct ServerDump {
     server: ServerId,
     local: bool,
     /// Open attempts of this ingress.
@@ -48,7 +48,7 @@
 
 /// Shares of other zones in the state dump.
 #[derive(Debug, Serialize)]
-pub(crate) struct ZoneDump {
+pub struct ZoneDump {
     /// Part of the requests that goes to each other zone, by service.
     shares: BTreeMap<ServiceId, BTreeMap<ZoneId, f64>>,
     /// Microseconds of a round trip to each zone.
@@ -57,10 +57,10 @@
 
 /// Limit on the retries that a node sends.
 #[derive(Debug, Clone, Copy, Default)]
-pub(crate) struct RetryPolicy {
+pub struct RetryPolicy {
     /// Retries of one service beyond the retry ratio that all nodes together may send. `None` gives
     /// each node a fixed allowance.
-    pub(crate) fleet_burst: Option<f64>,
+    pub fleet_burst: Option<f64>,
 }
 
 impl RetryPolicy {
@@ -73,7 +73,7 @@
 }
 
 /// State of all services.
-pub(crate) struct Services {
+pub struct Services {
     boot: Boot,
     policy: PolicyKind,
     retry_policy: RetryPolicy,
@@ -85,7 +85,8 @@
 }
 
 impl Services {
-    pub(crate) fn new(boot: Boot, policy: PolicyKind, retry_policy: RetryPolicy) -> Self {
+    /// Creates the state without services. `boot` is the incarnation of the node.
+    pub fn new(boot: Boot, policy: PolicyKind, retry_policy: RetryPolicy) -> Self {
         Self {
             boot,
             policy,
@@ -97,7 +98,7 @@
     }
 
     /// Has requests leave the zone `home` by computed shares.
-    pub(crate) fn with_shares(self, home: ZoneId, cost: ByteCost) -> Self {
+    pub fn with_shares(self, home: ZoneId, cost: ByteCost) -> Self {
         let shares = Some(ZoneShares::new(home, cost));
         Self { shares, ..self }
     }
@@ -284,7 +285,7 @@
     }
 
     /// What the state dump tells of the shares, `None` if none are computed.
-    pub(crate) fn dump_shares(&self) -> Option<ZoneDump> {
+    pub fn dump_shares(&self) -> Option<ZoneDump> {
         let shares = self.shares.as_ref()?;
         let states = self.states();
         let of_service = |(id, state): (&ServiceId, &ServiceState)| {
@@ -307,7 +308,7 @@
     }
 
     /// The backend servers that new attempts may be sent to, by service.
-    pub(crate) fn dump(&self, now: Moment) -> HashMap<ServiceId, Vec<ServerDump>> {
+    pub fn dump(&self, now: Moment) -> HashMap<ServiceId, Vec<ServerDump>> {
         let dump = |state: &ServiceState, s: &ServerState| ServerDump {
             server: s.member.id.clone(),
             local: s.member.local,
--- a/crates/node/src/admin.rs
+++ b/crates/node/src/admin.rs
@@ -12,14 +12,13 @@
 use board::{Board, Identity, Phase};
 use fleet::{Evidence, ServerEnd, Verdict};
 use gate_actor::GateActor;
+use ingress::{Ingress, ServerDump, ZoneDump};
 use kameo::actor::ActorRef;
 use note::View;
 use serde::Serialize;
 use types::{Fingerprint, Moment, Revision, ServerId, ServiceId};
 use view_sync::ViewSync;
 
-use crate::ingress::{Ingress, ServerDump, ZoneDump};
-
 /// Components that the admin API reads from.
 pub(crate) struct Admin {
     pub(crate) ingress: Arc<Ingress>,
--- a/crates/node/src/lib.rs
+++ b/crates/node/src/lib.rs
@@ -1,6 +1,7 @@
 //! The node: one process beside each backend server.
 //!
-//! This crate does the I/O for the state machines in `gate`, `call`, `route` and `fleet`: it passes
+//! This crate reads the settings, starts the components and stops them. Each component is a crate
+//! that does the I/O for state machines in `gate`, `call`, `route`, `fleet` and `allowance`: it passes
 //! them the time, random numbers and events, and executes the actions that they return. Any
 //! decision that needs no I/O is made in those crates.
 //!
@@ -20,7 +21,6 @@
 //! [`lifecycle::run`] starts these components and shuts them down in order.
 
 mod admin;
-mod ingress;
 pub mod lifecycle;
 pub mod logs;
 mod reload;
--- a/crates/node/src/lifecycle.rs
+++ b/crates/node/src/lifecycle.rs
@@ -16,6 +16,7 @@
 use board::{Board, Identity, Phase};
 use dialect::{Dialect, NativeDialect};
 use gate_actor::GateActor;
+use ingress::{Ingress, RetryPolicy, Services};
 use kameo::actor::ActorRef;
 use metrics::Metrics;
 use peers::{Peers, server::PeerService};
@@ -36,7 +37,6 @@
 
 use crate::{
     admin::{self, Admin},
-    ingress::{self, Ingress, RetryPolicy, Services},
     reload::Reload,
     settings::{Conventions, Readiness, Settings},
     stop::{Grace, StopTimes},
