--- a/crates/ingress/src/driver.rs
+++ b/crates/ingress/src/driver.rs
@@ -4,6 +4,7 @@
 //! future drops that too. The requests that cancel open attempts must complete even after the
 //! caller has its answer or has disconnected, so they run in separate tasks that own their data.
 
+mod attempts;
 mod logs;
 mod trip;
 
@@ -17,10 +18,9 @@
 use call::{Action, AttemptIndex, Call, CallOutcome, CallRequest, SessionAttempt};
 use futures::{
     FutureExt, StreamExt,
-    future::{AbortHandle, BoxFuture, abortable},
+    future::{AbortHandle, BoxFuture},
     stream::FuturesUnordered,
 };
-use gate::Rank;
 use peers::{Handover, Peer, TransportError};
 use tokio::time::{Sleep, sleep_until};
 use types::{Moment, Outcome, Refusal, Revision, ServerId, Span};
@@ -28,7 +28,6 @@
 
 use super::{
     Ingress,
-    outgoing::OutgoingAttempt,
     routing::RoutedCall,
     services::{RetryBudget, Selector, Trial},
     trials::find_trial,
@@ -329,203 +328,6 @@
             let _ = self.ingress.view_sync.tell(report).try_send();
         }
     }
-
-    /// Executes the call's actions. Returns the call's outcome if it has finished.
-    fn execute(&mut self, actions: Vec<Action>) -> Option<CallOutcome> {
-        let mut outcome = None;
-        let mut queue = std::collections::VecDeque::from(actions);
-        while let Some(action) = queue.pop_front() {
-            match action {
-                Action::Send {
-                    attempt,
-                    server,
-                    is_retry,
-                    fail_fast,
-                } => {
-                    queue.extend(self.send(attempt, server, is_retry, fail_fast));
-                }
-                Action::Query(attempt) => queue.extend(self.query(attempt)),
-                Action::Withdraw(attempt) => queue.extend(self.withdraw(attempt)),
-                Action::Cancel(attempt) => self.cancel(attempt),
-                Action::Settle(attempt) => self.settle(attempt),
-                Action::Finish(call_outcome) => outcome = Some(call_outcome),
-            }
-        }
-        outcome
-    }
-
-    fn send(
-        &mut self,
-        attempt: AttemptIndex,
-        server: ServerId,
-        is_retry: bool,
-        fail_fast: bool,
-    ) -> Vec<Action> {
-        let Some(peer) = self.ingress.peer(&server) else {
-            // The backend server left the view after it was chosen.
-            self.attempts.push(self.unsent_attempt(server));
-            let now = self.now();
-            return self.apply_refusal(attempt, Refusal::Misplaced, now);
-        };
-        let server_state = self
-            .ingress
-            .services
-            .record_sent(&self.routed.service, &server);
-        self.log_sent(attempt, &server, fail_fast, server_state.as_ref());
-        let registered = Arc::new(OnceLock::new());
-        let mut request = self.routed.request.clone();
-        request.is_retry |= is_retry;
-        let is_offered = self.routed.offers_body(self.ingress.offer_bytes);
-        let handover = is_offered.then(Handover::default);
-        if is_offered {
-            self.call.withhold_body(attempt);
-        }
-        let outgoing = OutgoingAttempt {
-            ingress: Arc::clone(&self.ingress),
-            peer: Arc::clone(&peer),
-            server: server.clone(),
-            idempotent: self.routed.idempotent,
-            fail_fast,
-            deadline: self.routed.deadline,
-            rank: Rank {
-                objective: self.routed.objective,
-                service_time: self.service_time,
-                priority: self.routed.priority,
-                nested: self.routed.nested,
-            },
-            route: self.routed.latency_key.clone(),
-            known_limit: self
-                .ingress
-                .services
-                .known_limit(&self.routed.service, &server),
-            trial: self.trial.is_some() || self.broken,
-            handover: handover.clone(),
-            request,
-            registered: Arc::clone(&registered),
-        };
-        let (running, abort_handle) = abortable(outgoing.run());
-        let event = running.map(move |done| match done {
-            Ok((result, sent_at)) => Event::RunEnded {
-                attempt,
-                result,
-                sent_at,
-            },
-            Err(_) => Event::Aborted,
-        });
-        self.events.push(event.boxed());
-        self.attempts.push(AttemptState {
-            server,
-            peer,
-            registered,
-            handover,
-            abort_handle,
-            closed: false,
-        });
-        Vec::new()
-    }
-
-    fn unsent_attempt(&self, server: ServerId) -> AttemptState {
-        let peer = self.ingress.peers.get(self.ingress.board.identity.node);
-        let (_, abort_handle) = abortable(std::future::ready(()));
-        AttemptState {
-            server,
-            peer,
-            registered: Arc::default(),
-            handover: None,
-            abort_handle,
-            closed: true,
-        }
-    }
-
-    fn query(&mut self, attempt: AttemptIndex) -> Vec<Action> {
-        let state = &self.attempts[attempt];
-        let Some(registered) = state.registered.get().copied() else {
-            // It has no id yet, so nothing was sent. Aborting ensures that nothing will be.
-            state.abort_handle.abort();
-            let now = self.now();
-            return self.apply_refusal(attempt, Refusal::Down, now);
-        };
-        let peer = Arc::clone(&state.peer);
-        let sent_at = self.now();
-        let query = async move {
-            let result = peer.client.query(registered.id).await;
-            Event::QueryEnded {
-                attempt,
-                result,
-                sent_at,
-            }
-        };
-        self.events.push(query.boxed());
-        Vec::new()
-    }
-
-    /// Has the gate refuse an attempt if it is queued. The attempt itself goes on waiting for its outcome.
-    fn withdraw(&mut self, attempt: AttemptIndex) -> Vec<Action> {
-        let state = &self.attempts[attempt];
-        let Some(registered) = state.registered.get().copied() else {
-            // Nothing was sent, see `query`.
-            state.abort_handle.abort();
-            let now = self.now();
-            return self.apply_refusal(attempt, Refusal::Down, now);
-        };
-        let peer = Arc::clone(&state.peer);
-        let sent_at = self.now();
-        let withdrawal = async move {
-            match peer.client.withdraw(registered.id).await {
-                Ok(reply) => Event::QueryEnded {
-                    attempt,
-                    result: Ok(reply),
-                    sent_at,
-                },
-                Err(_) => Event::Aborted,
-            }
-        };
-        self.events.push(withdrawal.boxed());
-        Vec::new()
-    }
-
-    /// Cancels an open attempt without waiting for the result. A gate that doesn't reply to that is
-    /// avoided: its host may be down, and nothing else shows it until the connection times out.
-    fn cancel(&mut self, attempt: AttemptIndex) {
-        let state = &mut self.attempts[attempt];
-        state.abort_handle.abort();
-        if std::mem::replace(&mut state.closed, true) {
-            return;
-        }
-        self.ingress
-            .services
-            .record_closed(&self.routed.service, &state.server);
-        let Some(registered) = state.registered.get().copied() else {
-            return;
-        };
-        let peer = Arc::clone(&state.peer);
-        let ingress = Arc::clone(&self.ingress);
-        let (service, server) = (self.routed.service.clone(), state.server.clone());
-        tokio::spawn(async move {
-            let on_silent = || {
-                let now = ingress.board.clock.now();
-                log::warn!(server:% = server; "gate_silent");
-                ingress.services.record_no_reply(&service, &server, now);
-            };
-            peer.cancel(registered.id, on_silent).await;
-        });
-    }
-
-    fn settle(&mut self, attempt: AttemptIndex) {
-        let state = &mut self.attempts[attempt];
-        if state.handover.is_some() {
-            state.abort_handle.abort();
-        }
-        if std::mem::replace(&mut state.closed, true) {
-            return;
-        }
-        self.ingress
-            .services
-            .record_closed(&self.routed.service, &state.server);
-        if let Some(registered) = state.registered.get() {
-            state.peer.settle(registered.id);
-        }
-    }
 }
 
 /// Cancels the open attempts if the call hasn't finished, which means that the caller disconnected.
