--- a/crates/node/src/gate_actor/state.rs
+++ b/crates/gate_actor/src/state.rs
@@ -5,24 +5,22 @@
     sync::Arc,
 };
 
+use attempt::{RequestIdentity, ServerRequest, outcome_name};
+use backend::{Backend, RequestResult, Target};
 use board::Board;
 use futures::future::BoxFuture;
 use gate::{Action, Completion, Gate, Query, Rank, RetentionLimits, RouteProfiles};
 use kameo::actor::WeakActorRef;
+use metrics::Metrics;
 use note::{Limits, Server, Service, State};
 use smol_str::SmolStr;
+use support::timer::WakeTimer;
 use tokio::sync::oneshot;
 use types::{AttemptId, Boot, CallId, Moment, Outcome, Revision, ServerId, ServiceId, Span};
 
 use super::{
     GateDump, OpenedSession, ProbeFinished, QueryAttempt, Refresh, Reply, RunFinished, apply_board,
-    evidence::Evidence, outcome_name,
-};
-use crate::{
-    backend::{Backend, RequestResult, ServerRequest, Target},
-    fingerprint::RequestIdentity,
-    metrics::Metrics,
-    timer::WakeTimer,
+    evidence::Evidence,
 };
 
 /// An attempt that waits or runs, or whose outcome an ingress queries.
@@ -63,7 +61,7 @@
 }
 
 /// The actor that runs one gate.
-pub(crate) struct GateActor {
+pub struct GateActor {
     pub(super) board: Arc<Board>,
     backend: Arc<dyn Backend>,
     pub(super) metrics: Arc<Metrics>,
--- a/crates/node/src/gate_actor/tests/actor.rs
+++ b/crates/gate_actor/src/tests/actor.rs
@@ -2,29 +2,24 @@
 
 use std::sync::Arc;
 
+use attempt::{OpenedSession, Reply, RequestIdentity, ServerRequest};
+use backend::{Backend, ProbeError, RequestResult, Target};
 use bytes::Bytes;
 use dialect::ResponseMetadata;
+use fixtures::board;
 use fleet::{Lease, ServerEnd, Verdict};
 use futures::{
     FutureExt,
     future::{BoxFuture, pending},
 };
 use gate::{Completion, Offer, Rank};
+use metrics::Metrics;
 use smol_str::SmolStr;
 use tokio::{sync::oneshot, time::Instant};
 use types::{AttemptId, Boot, Outcome, Refusal, Seq, ServerId, Size, Span};
 
 use super::{attempt, request, server, server_request, view};
-use crate::{
-    backend::{Backend, ProbeError, RequestResult, ServerRequest, Target},
-    fingerprint::RequestIdentity,
-    fixtures::board,
-    gate_actor::{
-        BodyLost, DeliverBody, GateActor, OfferBody, OpenedSession, ProbeFinished, Reply,
-        RunAttempt,
-    },
-    metrics::Metrics,
-};
+use crate::{BodyLost, DeliverBody, GateActor, OfferBody, ProbeFinished, RunAttempt};
 
 /// A backend server whose requests run until the test ends them.
 struct PendingBackend;
--- a/crates/node/src/gate_actor/tests/evidence.rs
+++ b/crates/gate_actor/src/tests/evidence.rs
@@ -2,13 +2,15 @@
 
 use std::sync::Arc;
 
+use attempt::RequestIdentity;
 use board::Board;
 use bytes::Bytes;
+use fixtures::board;
 use fleet::Verdict;
 use types::{Header, Moment, Refusal, Span};
 
 use super::{attempt, request, server, server_request};
-use crate::{fingerprint::RequestIdentity, fixtures::board, gate_actor::evidence::Evidence};
+use crate::evidence::Evidence;
 
 /// A gate's evidence at a moment.
 struct Gate {
--- a/crates/node/src/gate_actor/tests/malformed.rs
+++ b/crates/gate_actor/src/tests/malformed.rs
@@ -5,13 +5,17 @@
     sync::{Arc, Mutex, MutexGuard},
 };
 
+use attempt::{KnownLimit, Reply, ServerRequest};
+use backend::{Backend, ProbeError, RequestResult, Target};
 use dialect::{ResponseMetadata, ServerLoad};
+use fixtures::board;
 use fleet::Lease;
 use futures::{
     FutureExt,
     future::{BoxFuture, pending},
 };
 use gate::{Completion, Offer, Query, Rank};
+use metrics::Metrics;
 use note::{Limits, View};
 use proptest::{prelude::*, sample::select};
 use smol_str::SmolStr;
@@ -19,13 +23,7 @@
 use types::{AttemptId, Boot, Moment, NamedLimit, Rate, Revision, Seq, SessionId, Slots, Span};
 
 use super::{listed_server, server, server_request, state};
-use crate::{
-    backend::{Backend, ProbeError, RequestResult, ServerRequest, Target},
-    fixtures::board,
-    gate_actor::{GateActor, ProbeFinished, QueryAttempt, Reply, RunAttempt},
-    metrics::Metrics,
-    peers::KnownLimit,
-};
+use crate::{GateActor, ProbeFinished, QueryAttempt, RunAttempt};
 
 const QUERIES: [Query; 3] = [Query::Outcome, Query::Withdraw, Query::Cancel];
 
--- a/crates/node/src/ingress/outgoing.rs
+++ b/crates/ingress/src/outgoing.rs
@@ -2,17 +2,14 @@
 
 use std::sync::{Arc, OnceLock};
 
+use attempt::{KnownLimit, Reply, ServerRequest};
 use call::SessionAttempt;
 use gate::Rank;
+use peers::{Attempt, Handover, Peer, TransportError};
 use smol_str::SmolStr;
 use types::{Moment, ServerId};
 
 use super::Ingress;
-use crate::{
-    backend::ServerRequest,
-    gate_actor::Reply,
-    peers::{Attempt, Handover, KnownLimit, Peer, TransportError},
-};
 
 /// An attempt that has no id yet.
 pub(super) struct OutgoingAttempt {
--- a/crates/node/src/ingress/tests/fixtures.rs
+++ b/crates/ingress/src/tests/fixtures.rs
@@ -3,34 +3,32 @@
 use std::{net::SocketAddr, sync::Arc};
 
 use adapter::SiteDialect;
+use allowances::{Allowances, TonicCourier};
+use attempt::ServerRequest;
 use axum::http::{HeaderMap, HeaderValue};
+use backend::{Backend, ProbeError, RequestResult, Target};
 use board::{Board, Identity, Phase};
 use dialect::{Rejection, ResponseMetadata};
+use fixtures::board;
 use fleet::Lease;
 use futures::{FutureExt, future::BoxFuture};
 use gate::Completion;
+use metrics::Metrics;
 use note::{
     CallerLimits, HostRoute, Limits, ListedServer, Listing, OperatorConfig, Server, ServerStatus,
     Service, State, View, WeightedService,
 };
+use peers::{Peers, server::PeerService};
 use platform::{HostList, NotePage, Platform, PlatformError};
+use support::body_budget::BodyBudget;
 use tokio::time::Instant;
 use types::{Answer, Boot, Moment, Rate, Revision, Size, Span};
+use view_sync::{Source, SyncOptions};
 
 use super::super::{
     Ingress, RetryPolicy, Services,
     routing::{RequestHead, RoutedCall, route_call},
 };
-use crate::{
-    allowances::{Allowances, TonicCourier},
-    backend::{Backend, ProbeError, RequestResult, ServerRequest, Target},
-    body_budget::BodyBudget,
-    fixtures::board,
-    gate_actor,
-    metrics::Metrics,
-    peers::{Peers, server::PeerService},
-    view_sync::{self, Source, SyncOptions},
-};
 
 /// A backend server that answers each request with status 200.
 struct SoundBackend;
--- a/crates/node/src/admin.rs
+++ b/crates/node/src/admin.rs
@@ -2,6 +2,7 @@
 
 use std::{collections::HashMap, net::SocketAddr, sync::Arc};
 
+use allowances::AllowanceDump;
 use axum::{
     Json, Router,
     extract::{Path, State},
@@ -10,17 +11,13 @@
 };
 use board::{Board, Identity, Phase};
 use fleet::{Evidence, ServerEnd, Verdict};
+use gate_actor::GateActor;
+use ingress::{Ingress, ServerDump, ZoneDump};
 use kameo::actor::ActorRef;
 use note::View;
 use serde::Serialize;
 use types::{Fingerprint, Moment, Revision, ServerId, ServiceId};
-
-use crate::{
-    allowances::AllowanceDump,
-    gate_actor::{self, GateActor},
-    ingress::{Ingress, ServerDump, ZoneDump},
-    view_sync::{self, ViewSync},
-};
+use view_sync::ViewSync;
 
 /// Components that the admin API reads from.
 pub(crate) struct Admin {
--- a/crates/node/src/lib.rs
+++ b/crates/node/src/lib.rs
@@ -1,6 +1,7 @@
 //! The node: one process beside each backend server.
 //!
-//! This crate does the I/O for the state machines in `gate`, `call`, `route` and `fleet`: it passes
+//! This crate reads the settings, starts the components and stops them. Each component is a crate
+//! that does the I/O for state machines in `gate`, `call`, `route`, `fleet` and `allowance`: it passes
 //! them the time, random numbers and events, and executes the actions that they return. Any
 //! decision that needs no I/O is made in those crates.
 //!
@@ -19,23 +20,9 @@
 //!
 //! [`lifecycle::run`] starts these components and shuts them down in order.
 
-#[cfg(test)]
-mod fixtures;
-
 mod admin;
-mod allowances;
-mod backend;
-mod body_budget;
-mod fingerprint;
-mod gate_actor;
-mod ingress;
 pub mod lifecycle;
 pub mod logs;
-mod metrics;
-mod peers;
 mod reload;
 pub mod settings;
-mod socket;
 pub mod stop;
-mod timer;
-mod view_sync;
--- a/crates/node/src/lifecycle.rs
+++ b/crates/node/src/lifecycle.rs
@@ -10,11 +10,18 @@
 };
 
 use adapter::{SiteDialect, SiteRegistry};
+use allowances::{Allowances, TonicCourier};
 use axum::{Router, http::StatusCode, routing::get};
+use backend::HttpBackend;
 use board::{Board, Identity, Phase};
 use dialect::{Dialect, NativeDialect};
+use gate_actor::GateActor;
+use ingress::{Ingress, RetryPolicy, Services};
 use kameo::actor::ActorRef;
+use metrics::Metrics;
+use peers::{Peers, server::PeerService};
 use platform::{HttpClient, HttpPlatform, PlatformError};
+use support::body_budget::BodyBudget;
 use tokio::{
     net::TcpListener,
     runtime::Builder,
@@ -25,21 +32,14 @@
 };
 use tonic::{codec::CompressionEncoding, transport::server::TcpIncoming};
 use types::{Boot, Span};
+use view_sync::{Source, SyncOptions};
 use wire::peer::peer_server::PeerServer;
 
 use crate::{
     admin::{self, Admin},
-    allowances::{Allowances, TonicCourier},
-    backend::HttpBackend,
-    body_budget::BodyBudget,
-    gate_actor::{self, GateActor},
-    ingress::{self, Ingress, RetryPolicy, Services},
-    metrics::Metrics,
-    peers::{Peers, server::PeerService},
     reload::Reload,
     settings::{Conventions, Readiness, Settings},
     stop::{Grace, StopTimes},
-    view_sync::{self, Source, SyncOptions},
 };
 
 /// Time for which a stopping node keeps answering before it closes anything, so that peers and
--- a/crates/node/src/peers/bodies.rs
+++ b/crates/peers/src/bodies.rs
@@ -11,6 +11,7 @@
     },
 };
 
+use attempt::Reply;
 use bytes::{Bytes, BytesMut};
 use futures::{
     StreamExt,
@@ -21,8 +22,7 @@
 use types::{AttemptId, Outcome, Refusal};
 use wire::peer::{BodyChunk, DeliverReply, peer_client::PeerClient};
 
-use super::{LocalGate, TransportError, convert, remote::classify_error};
-use crate::gate_actor::Reply;
+use super::{LocalGate, TransportError, convert, fault::classify_error};
 
 /// Size of a chunk: 13 ms of a link of 10 Mbit/s.
 const CHUNK_BYTES: usize = 16 << 10;
@@ -34,7 +34,7 @@
 
 /// Whether the body of an offered attempt has been handed over, shared between the attempt and its call.
 #[derive(Debug, Clone, Default)]
-pub(crate) struct Handover(Arc<AtomicBool>);
+pub struct Handover(Arc<AtomicBool>);
 
 impl Handover {
     /// Records that the last part of the body is about to be sent.
@@ -43,7 +43,7 @@
     }
 
     /// Whether the gate may have the whole body.
-    pub(crate) fn is_complete(&self) -> bool {
+    pub fn is_complete(&self) -> bool {
         self.0.load(Ordering::Acquire)
     }
 }
--- a/crates/node/src/peers/convert.rs
+++ b/crates/peers/src/convert.rs
@@ -2,6 +2,7 @@
 
 use std::{fmt, net::SocketAddr, sync::Arc};
 
+use attempt::{KnownLimit, OpenedSession, Reply, ServerRequest};
 use call::SessionAttempt;
 use gate::{Load, Rank};
 use types::{
@@ -9,11 +10,7 @@
 };
 use wire::peer;
 
-use super::{Attempt, KnownLimit};
-use crate::{
-    backend::ServerRequest,
-    gate_actor::{OpenedSession, Reply},
-};
+use super::Attempt;
 
 /// Why a message from another node is invalid.
 #[derive(Debug)]
--- a/crates/node/src/peers/remote.rs
+++ b/crates/peers/src/remote.rs
@@ -6,51 +6,30 @@
 //! may have arrived.
 
 use std::{
-    error::Error,
-    io, iter,
     net::SocketAddr,
     sync::{Mutex, MutexGuard},
     time::Duration,
 };
 
+use attempt::{OpenedSession, Reply, ServerRequest};
 use bytes::Bytes;
 use futures::{FutureExt, future::BoxFuture};
 use gate::Query;
-use tonic::{
-    Code, ConnectError, Status,
-    transport::{Channel, Endpoint},
-};
+use support::endpoint::endpoint;
+use tonic::{Code, transport::Channel};
 use types::{AttemptId, Boot};
 use wire::peer::{AskRequest, OfferRequest, OpenRequest, peer_client::PeerClient};
 
-use super::{Attempt, GateClient, Handover, TransportError, bodies, convert};
-use crate::{
-    backend::ServerRequest,
-    gate_actor::{OpenedSession, Reply},
+use super::{
+    Attempt, GateClient, Handover, TransportError, bodies, convert,
+    fault::{as_not_sent, classify_error},
 };
 
-/// Timeout for establishing a connection. It is shorter than the users' shortest objective, so that
-/// a request whose first node is down can still be answered in time by another one.
-const CONNECT_TIMEOUT: Duration = Duration::from_millis(150);
 /// Timeout for opening a session.
 const OPEN_TIMEOUT: Duration = Duration::from_millis(1_000);
-/// Time without traffic after which an HTTP/2 ping is sent on a connection with open requests.
-const KEEPALIVE_INTERVAL: Duration = Duration::from_millis(1_000);
-/// Time without a reply to the ping after which the connection is closed.
-const KEEPALIVE_TIMEOUT: Duration = Duration::from_millis(1_000);
 /// Largest message: the largest body that callers may send, plus headers.
 const MAX_MESSAGE_BYTES: usize = 68 << 20;
 
-/// Returns the configured endpoint of the node at `address`.
-pub(crate) fn endpoint(address: SocketAddr) -> Endpoint {
-    Endpoint::from_shared(format!("http://{address}"))
-        .expect("a socket address yields a valid URI")
-        .connect_timeout(CONNECT_TIMEOUT)
-        .tcp_nodelay(true)
-        .http2_keep_alive_interval(KEEPALIVE_INTERVAL)
-        .keep_alive_timeout(KEEPALIVE_TIMEOUT)
-}
-
 /// Client of a gate in another process.
 pub(crate) struct RemoteGate {
     address: SocketAddr,
@@ -209,29 +188,3 @@
         .max_decoding_message_size(MAX_MESSAGE_BYTES)
         .max_encoding_message_size(MAX_MESSAGE_BYTES)
 }
-
-/// Maps a lost connection to one that was never established: if a session can't be opened, no
-/// attempt was sent.
-fn as_not_sent(error: TransportError) -> TransportError {
-    match error {
-        TransportError::ConnectionLost => TransportError::Unreachable,
-        other => other,
-    }
-}
-
-/// Determines from the chain of causes whether a request was sent.
-pub(crate) fn classify_error(error: &(dyn Error + 'static)) -> TransportError {
-    let causes = || iter::successors(Some(error), |e: &&(dyn Error + 'static)| (*e).source());
-    match causes().any(|e| e.is::<ConnectError>()) {
-        true if causes().any(is_connection_refused) => TransportError::ConnectionRefused,
-        true => TransportError::Unreachable,
-        false if error.is::<Status>() => TransportError::ConnectionLost,
-        // Errors other than a status come from establishing a connection.
-        false => TransportError::Unreachable,
-    }
-}
-
-fn is_connection_refused(error: &(dyn Error + 'static)) -> bool {
-    let io = error.downcast_ref::<io::Error>();
-    io.is_some_and(|io| io.kind() == io::ErrorKind::ConnectionRefused)
-}
--- a/crates/node/src/peers/server.rs
+++ b/crates/peers/src/server.rs
@@ -2,29 +2,31 @@
 
 use std::sync::Arc;
 
+use allowances::Allowances;
+use attempt::Reply;
 use board::{Board, Phase};
 use fleet::Digests;
 use futures::stream::BoxStream;
 use gate::Query;
+use gate_actor::GateActor;
 use kameo::actor::ActorRef;
 use note::Digest;
 use tonic::{Request, Response, Status, Streaming};
 use types::{Boot, Moment, Revision, Size};
+use view_sync::{
+    PeerReport, UpdateRequest, ViewSync, checked_stamp, leaving_servers, merge_evidence,
+    suspects_for,
+};
 use wire::peer::{
     AskRequest, BodyChunk, ConfigProof, DeliverReply, DrawReply, DrawRequest, OfferReply,
     OfferRequest, OpenReply, OpenRequest, Outcome as WireOutcome, PullReply, PullRequest,
     RunRequest, View, peer_server::Peer,
 };
 
-use super::{Attempt, LocalGate, TransportError, bodies, convert, evidence};
-use crate::{
-    allowances::Allowances,
-    gate_actor::{GateActor, Reply},
-    view_sync::{PeerReport, UpdateRequest, ViewSync, checked_stamp},
-};
+use super::{Attempt, LocalGate, TransportError, bodies, convert};
 
 /// Serves requests of peers.
-pub(crate) struct PeerService {
+pub struct PeerService {
     board: Arc<Board>,
     gate: LocalGate,
     view_sync: ActorRef<ViewSync>,
@@ -32,7 +34,8 @@
 }
 
 impl PeerService {
-    pub(crate) fn new(
+    /// Creates the service of a node with these components.
+    pub fn new(
         board: Arc<Board>,
         gate_actor: ActorRef<GateActor>,
         view_sync: ActorRef<ViewSync>,
@@ -57,8 +60,8 @@
             ready: self.board.phase() != Phase::Joining,
             checked_era: checked.era.0,
             checked_revision: checked.revision.0,
-            leaving: evidence::leaving_servers(&self.board),
-            suspects: evidence::suspects_for(&self.board, peer),
+            leaving: leaving_servers(&self.board),
+            suspects: suspects_for(&self.board, peer),
             suspects_digest: self.board.quarantine.borrow().digest(),
             proof,
             ..View::default()
@@ -148,7 +151,7 @@
 
     async fn compare(&self, request: Request<View>) -> Result<Response<View>, Status> {
         let peer_view = request.into_inner();
-        evidence::merge_evidence(&self.board, &peer_view);
+        merge_evidence(&self.board, &peer_view);
         match peer_view.node.parse() {
             Ok(peer) => {
                 let report = PeerReport {
