--- a/crates/call/src/lib.rs
+++ b/crates/call/src/lib.rs
@@ -27,12 +27,14 @@
 
 mod budget;
 mod core;
+mod event;
 mod latency;
 mod session;
 
 pub use budget::{Budget, TokenBucket};
-pub use core::{
-    Action, AttemptIndex, Call, CallOutcome, CallRequest, Selection, ServerSelector, Timeouts,
+pub use core::Call;
+pub use event::{
+    Action, AttemptIndex, CallOutcome, CallRequest, Selection, ServerSelector, Timeouts,
 };
 pub use latency::LatencyEstimate;
 pub use session::{GateSession, SessionAttempt};
