rig: a proxy with the rate of a link

Uploads fill links of 10 Mbit/s, and the rig had no such links between nodes.

Connections through a proxy share a link with one queue in each direction, and the cluster's note has routes.

--- a/crates/rig/src/cluster.rs
+++ b/crates/rig/src/cluster.rs
@@ -34,7 +34,9 @@
     behavior: Behavior,
     policy: String,
     settings: Value,
+    routes: Value,
     proxied: bool,
+    link_rate: u64,
 }
 
 /// A running deployment. Its nodes are killed and its stubs aborted on drop.
@@ -63,7 +65,9 @@
         behavior: Behavior::default(),
         policy: "two-choices".to_owned(),
         settings: json!({}),
+        routes: json!([]),
         proxied: false,
+        link_rate: 0,
     }
 }
 
@@ -111,6 +115,20 @@
         self
     }
 
+    /// Puts a [`FaultProxy`] in front of each node's peer address, over a link of `rate` bytes a second.
+    pub fn with_links(self, rate: u64) -> Self {
+        Self {
+            link_rate: rate,
+            ..self.with_proxies()
+        }
+    }
+
+    /// Sets the routes, as in a release note. Requests name a host then, and not a service.
+    pub fn routes(mut self, routes: Value) -> Self {
+        self.routes = routes;
+        self
+    }
+
     /// Address `127.net.third_octet.(index + 1)`. The third octet is 0 for the platform, 1 for nodes and
     /// backend servers and 2 for proxies.
     fn address(&self, third_octet: u8, index: usize, port: u16) -> SocketAddr {
@@ -144,7 +162,7 @@
         }
     }
 
-    /// The release note that adds all zones, services and backend servers.
+    /// The release note that adds all zones, services, backend servers and routes.
     pub fn note(&self) -> Value {
         let zones: Vec<Value> = self
             .zones
@@ -167,7 +185,9 @@
             })
         };
         let servers: Vec<Value> = self.node_specs().iter().enumerate().map(server).collect();
-        let add = json!({ "zones": zones, "services": services, "servers": servers });
+        let add = json!({
+            "zones": zones, "services": services, "servers": servers, "routes": self.routes,
+        });
         json!({ "author": "rig", "after": 0, "add": add })
     }
 
@@ -224,7 +244,7 @@
                 .tasks
                 .push(tokio::spawn(async move { server.serve(spec.server).await }));
             if cluster.builder.proxied {
-                let proxy = FaultProxy::default();
+                let proxy = FaultProxy::with_rate(cluster.builder.link_rate);
                 cluster.proxies.push(proxy.clone());
                 let peer_address = cluster.builder.peer_address(index);
                 cluster
--- a/crates/rig/src/lib.rs
+++ b/crates/rig/src/lib.rs
@@ -7,6 +7,7 @@
 //! - [`server`]: stub of a backend server;
 //! - [`proxy`]: TCP proxy between two hosts that delays or drops traffic, closes new connections or
 //!   stalls open ones;
+//! - [`link`]: the limited rate of such a proxy;
 //! - [`load`]: open-loop load generator that acts as the callers;
 //! - [`process`]: starts, signals and ends node processes;
 //! - [`cluster`]: combines stubs, proxies and node processes into one small deployment;
@@ -22,6 +23,7 @@
 pub mod cluster;
 pub mod emulator;
 pub mod experiment;
+pub mod link;
 pub mod load;
 pub mod platform;
 pub mod plot;
--- a/crates/rig/src/proxy.rs
+++ b/crates/rig/src/proxy.rs
@@ -1,4 +1,4 @@
-//! A TCP proxy that injects faults into the connections between two hosts.
+//! A TCP proxy that injects faults into the connections between two hosts, and limits their rate.
 
 use std::{
     io,
@@ -17,7 +17,9 @@
     time::sleep,
 };
 
-/// Size of the buffer of each direction.
+use crate::link::Link;
+
+/// Size of the buffer of each direction, and largest part of a connection's bytes that are on the link at a time.
 const BUFFER_BYTES: usize = 64 << 10;
 
 /// Faults that the proxy injects.
@@ -41,19 +43,27 @@
     faults: Arc<watch::Sender<ProxyFaults>>,
     connection_count: Arc<watch::Sender<u64>>,
     relayed_bytes: Arc<AtomicU64>,
+    /// The link to the server side, and the one from there.
+    links: [Arc<Link>; 2],
 }
 
 impl Default for FaultProxy {
     fn default() -> Self {
+        Self::with_rate(0)
+    }
+}
+
+impl FaultProxy {
+    /// A proxy whose connections share a link of `rate` bytes a second in each direction, 0 for no limit.
+    pub fn with_rate(rate: u64) -> Self {
         Self {
             faults: Arc::new(watch::Sender::default()),
             connection_count: Arc::default(),
             relayed_bytes: Arc::default(),
+            links: [(); 2].map(|()| Arc::new(Link::new(rate))),
         }
     }
-}
 
-impl FaultProxy {
     /// Changes the faults. All but `close_new` also apply to open connections.
     pub fn configure(&self, change: impl FnOnce(&mut ProxyFaults)) {
         self.faults.send_modify(change);
@@ -100,10 +110,11 @@
         let _ = (client.set_nodelay(true), server.set_nodelay(true));
         let (client_read, client_write) = client.into_split();
         let (server_read, server_write) = server.into_split();
-        let inbound = self.copy(client_read, server_write, number, |faults| {
+        let [inbound_link, outbound_link] = &self.links;
+        let inbound = self.copy(client_read, server_write, inbound_link, number, |faults| {
             faults.drop_inbound
         });
-        let outbound = self.copy(server_read, client_write, number, |faults| {
+        let outbound = self.copy(server_read, client_write, outbound_link, number, |faults| {
             faults.drop_outbound
         });
         // The end of one direction closes both sides.
@@ -117,6 +128,7 @@
         &self,
         mut reader: impl AsyncRead + Unpin,
         mut writer: impl AsyncWrite + Unpin,
+        link: &Link,
         number: u64,
         drops: impl Fn(&ProxyFaults) -> bool,
     ) {
@@ -137,6 +149,7 @@
             if faults.delay_ms > 0 {
                 sleep(Duration::from_millis(faults.delay_ms)).await;
             }
+            link.pass(length).await;
             if writer.write_all(&buffer[..length]).await.is_err() {
                 return;
             }
