node: bodies to one host share a window that follows the link's delay

Each body had two chunks of 16 KiB on the way. With 16 uploads on a link of 10 Mbit/s, 512 KiB waited in front of it, and offers, replies and lookups waited behind them.

All bodies to one host now share one window, in which they take turns. It grows while its chunks meet little delay and shrinks to 8 KiB otherwise (call::BodyWindow, without I/O). Chunks have 4 to 32 KiB by the window's size.

--- a/crates/call/src/lib.rs
+++ b/crates/call/src/lib.rs
@@ -29,6 +29,7 @@
 mod core;
 mod latency;
 mod session;
+mod window;
 
 pub use budget::{Budget, TokenBucket};
 pub use core::{
@@ -36,3 +37,4 @@
 };
 pub use latency::LatencyEstimate;
 pub use session::{GateSession, SessionAttempt};
+pub use window::BodyWindow;
--- a/crates/node/src/peers/bodies.rs
+++ b/crates/node/src/peers/bodies.rs
@@ -1,37 +1,121 @@
 //! Transfer of a large body to the gate that has admitted its attempt.
 //!
-//! A body takes a slow link for longer than other messages may wait, so only a few of its chunks are on the way
-//! at a time. The gate acknowledges each one.
+//! A body takes a slow link for longer than other messages may wait, so only a few chunks are on the way to one
+//! host at a time, whichever bodies they are of. The gate acknowledges each one.
 
 use std::{
     collections::VecDeque,
     sync::{
-        Arc,
+        Arc, Mutex, MutexGuard,
         atomic::{AtomicBool, Ordering},
     },
+    time::Instant,
 };
 
 use bytes::{Bytes, BytesMut};
+use call::BodyWindow;
 use futures::{
-    StreamExt,
+    FutureExt, StreamExt,
     channel::mpsc,
+    future::{BoxFuture, OptionFuture},
     stream::{self, BoxStream},
 };
+use tokio::sync::Notify;
 use tonic::{Status, Streaming, transport::Channel};
-use types::{AttemptId, Outcome, Refusal};
+use types::{AttemptId, Moment, Outcome, Refusal, Size, Span};
 use wire::peer::{BodyChunk, DeliverReply, peer_client::PeerClient};
 
 use super::{LocalGate, TransportError, convert, remote::classify_error};
 use crate::gate_actor::Reply;
 
-/// Size of a chunk: 13 ms of a link of 10 Mbit/s.
-const CHUNK_BYTES: usize = 16 << 10;
-/// Chunks of one body that are on the way at a time, so that the link doesn't idle for a round trip after
-/// each.
-const WINDOW_CHUNKS: usize = 2;
 /// Largest body that is taken, as for other messages between nodes.
 const MAX_BODY_BYTES: u64 = 68 << 20;
 
+/// The window of all bodies that are sent to one host.
+#[derive(Debug)]
+pub(super) struct BodyLink {
+    window: Mutex<BodyWindow>,
+    created_at: Instant,
+    /// Held by the body whose chunk is next. Its fair order gives all bodies their turns.
+    turn: tokio::sync::Mutex<()>,
+    changed: Notify,
+}
+
+impl Default for BodyLink {
+    fn default() -> Self {
+        Self {
+            window: Mutex::default(),
+            created_at: Instant::now(),
+            turn: tokio::sync::Mutex::default(),
+            changed: Notify::new(),
+        }
+    }
+}
+
+impl BodyLink {
+    fn window(&self) -> MutexGuard<'_, BodyWindow> {
+        self.window
+            .lock()
+            .expect("no thread panics while holding this lock")
+    }
+
+    fn now(&self) -> Moment {
+        Moment(self.created_at.elapsed().as_micros() as u64)
+    }
+
+    /// Waits until a chunk of a body of which `rest` bytes are left may be sent.
+    async fn next_chunk(self: Arc<Self>, rest: usize) -> ChunkPermit {
+        let _turn = self.turn.lock().await;
+        loop {
+            let changed = self.changed.notified();
+            if let Some(permit) = self.try_next_chunk(rest) {
+                return permit;
+            }
+            changed.await;
+        }
+    }
+
+    fn try_next_chunk(self: &Arc<Self>, rest: usize) -> Option<ChunkPermit> {
+        let mut window = self.window();
+        let size = Size(window.next_chunk()?.0.min(rest as u64));
+        window.on_sent(size);
+        Some(ChunkPermit {
+            link: Arc::clone(self),
+            size,
+            sent_at: self.now(),
+            is_acknowledged: false,
+        })
+    }
+}
+
+/// A chunk that is on its way.
+struct ChunkPermit {
+    link: Arc<BodyLink>,
+    size: Size,
+    sent_at: Moment,
+    is_acknowledged: bool,
+}
+
+impl ChunkPermit {
+    fn acknowledge(mut self) {
+        self.is_acknowledged = true;
+    }
+}
+
+impl Drop for ChunkPermit {
+    fn drop(&mut self) {
+        let now = self.link.now();
+        let round_trip: Span = now.since(self.sent_at);
+        let mut window = self.link.window();
+        match self.is_acknowledged {
+            true => window.on_acknowledged(self.size, round_trip, now),
+            false => window.on_abandoned(self.size),
+        }
+        drop(window);
+        self.link.changed.notify_one();
+    }
+}
+
 /// Whether the body of an offered attempt has been handed over, shared between the attempt and its call.
 #[derive(Debug, Clone, Default)]
 pub(crate) struct Handover(Arc<AtomicBool>);
@@ -65,61 +149,100 @@
 /// [`TransportError::BodyCut`] if the last chunk wasn't sent, so that the gate starts nothing.
 pub(super) async fn deliver(
     mut client: PeerClient<Channel>,
+    link: Arc<BodyLink>,
     id: AttemptId,
     body: Bytes,
     handover: &Handover,
 ) -> Result<Reply, TransportError> {
-    let mut rest = chunks(id, body);
     let (sender, receiver) = mpsc::unbounded();
-    let send_next = |rest: &mut VecDeque<BodyChunk>| {
-        let Some(chunk) = rest.pop_front() else {
-            return;
-        };
-        if rest.is_empty() {
-            handover.complete();
-        }
-        // The receiver is gone if the connection is, which its reply tells.
-        let _ = sender.unbounded_send(chunk);
+    let mut sending = Sending {
+        link,
+        first: Some((id, body.len() as u64)),
+        rest: body,
+        on_the_way: VecDeque::new(),
+        sender,
     };
-    for _ in 0..WINDOW_CHUNKS {
-        send_next(&mut rest);
+    if let Some(permit) = sending.next_permit() {
+        sending.send(permit.await, handover);
     }
     let mut replies = match client.deliver(receiver).await {
         Ok(response) => response.into_inner(),
-        Err(status) => return Err(cut_or_lost(&status, &rest)),
+        Err(status) => return Err(sending.classify(&status)),
     };
+    let mut permit = sending.next_permit();
     loop {
-        match replies.message().await {
-            Ok(Some(reply)) => match reply.outcome {
-                Some(outcome) if rest.is_empty() => return Ok(convert::from_outcome(outcome)),
-                Some(outcome) => return Ok(without_body(convert::from_outcome(outcome))),
-                None => send_next(&mut rest),
+        let mut next = OptionFuture::from(permit.as_mut());
+        tokio::select! {
+            Some(ready) = &mut next => {
+                sending.send(ready, handover);
+                permit = sending.next_permit();
+            }
+            reply = replies.message() => match reply {
+                Ok(Some(reply)) => match reply.outcome {
+                    Some(outcome) if sending.rest.is_empty() => {
+                        return Ok(convert::from_outcome(outcome));
+                    }
+                    Some(outcome) => return Ok(without_body(convert::from_outcome(outcome))),
+                    None => sending.acknowledge(),
+                },
+                Ok(None) => return Err(sending.classify(&Status::cancelled("no outcome"))),
+                Err(status) => return Err(sending.classify(&status)),
             },
-            Ok(None) => return Err(cut_or_lost(&Status::cancelled("no outcome"), &rest)),
-            Err(status) => return Err(cut_or_lost(&status, &rest)),
         }
     }
 }
 
-fn chunks(id: AttemptId, mut body: Bytes) -> VecDeque<BodyChunk> {
-    let mut chunks = VecDeque::from([BodyChunk {
-        attempt: Some(id.into()),
-        body_bytes: body.len() as u64,
-        data: body.split_to(CHUNK_BYTES.min(body.len())),
-    }]);
-    while !body.is_empty() {
-        chunks.push_back(BodyChunk {
-            data: body.split_to(CHUNK_BYTES.min(body.len())),
-            ..BodyChunk::default()
-        });
-    }
-    chunks
+/// A body on its way from here.
+struct Sending {
+    link: Arc<BodyLink>,
+    /// The attempt and the size of the body, until the first chunk has named them.
+    first: Option<(AttemptId, u64)>,
+    /// What isn't sent yet.
+    rest: Bytes,
+    /// The chunks that aren't acknowledged, in order.
+    on_the_way: VecDeque<ChunkPermit>,
+    sender: mpsc::UnboundedSender<BodyChunk>,
 }
 
-fn cut_or_lost(status: &Status, rest: &VecDeque<BodyChunk>) -> TransportError {
-    match classify_error(status) {
-        TransportError::ConnectionLost if !rest.is_empty() => TransportError::BodyCut,
-        other => other,
+impl Sending {
+    /// Waits for the turn of the next chunk. `None` after the last one.
+    fn next_permit(&self) -> Option<BoxFuture<'static, ChunkPermit>> {
+        let link = Arc::clone(&self.link);
+        (!self.rest.is_empty()).then(|| link.next_chunk(self.rest.len()).boxed())
+    }
+
+    fn send(&mut self, permit: ChunkPermit, handover: &Handover) {
+        let data = self.rest.split_to(permit.size.0 as usize);
+        if self.rest.is_empty() {
+            handover.complete();
+        }
+        let chunk = match self.first.take() {
+            Some((id, body_bytes)) => BodyChunk {
+                attempt: Some(id.into()),
+                body_bytes,
+                data,
+            },
+            None => BodyChunk {
+                data,
+                ..BodyChunk::default()
+            },
+        };
+        self.on_the_way.push_back(permit);
+        // The receiver is gone if the connection is, which its reply tells.
+        let _ = self.sender.unbounded_send(chunk);
+    }
+
+    fn acknowledge(&mut self) {
+        if let Some(permit) = self.on_the_way.pop_front() {
+            permit.acknowledge();
+        }
+    }
+
+    fn classify(&self, status: &Status) -> TransportError {
+        match classify_error(status) {
+            TransportError::ConnectionLost if !self.rest.is_empty() => TransportError::BodyCut,
+            other => other,
+        }
     }
 }
 
@@ -169,25 +292,30 @@
 }
 
 impl IncomingBody {
-    /// Receives the next chunk, or takes the `first` one. Returns the reply to it, `None` after the outcome.
+    /// Receives the next chunk, or takes the `first` one, and acknowledges it. Hands over the body after the last
+    /// one. Returns the reply, `None` after the outcome.
     async fn advance(&mut self, first: Option<Bytes>) -> Option<Result<DeliverReply, Status>> {
         if !self.is_open {
             return None;
         }
-        let data = match first {
-            Some(data) => data,
-            None => match self.chunks.message().await {
-                Ok(Some(chunk)) => chunk.data,
-                Ok(None) => return Some(Err(self.fail("the body is truncated"))),
-                Err(status) => return Some(Err(self.fail(status.message()))),
-            },
-        };
-        self.received.extend_from_slice(&data);
-        if self.received.len() > self.size {
-            return Some(Err(self.fail("the body is too long")));
-        }
-        if self.received.len() < self.size && self.gate.extend(self.id).await == Ok(true) {
-            return Some(Ok(DeliverReply::default()));
+        if first.is_some() || self.received.len() < self.size {
+            let data = match first {
+                Some(data) => data,
+                None => match self.chunks.message().await {
+                    Ok(Some(chunk)) => chunk.data,
+                    Ok(None) => return Some(Err(self.fail("the body is truncated"))),
+                    Err(status) => return Some(Err(self.fail(status.message()))),
+                },
+            };
+            self.received.extend_from_slice(&data);
+            if self.received.len() > self.size {
+                return Some(Err(self.fail("the body is too long")));
+            }
+            // Also the last chunk is acknowledged, as other bodies wait for their turn while this one's request
+            // runs.
+            if self.gate.extend(self.id).await == Ok(true) {
+                return Some(Ok(DeliverReply::default()));
+            }
         }
         // The outcome of an attempt that the gate has refused meanwhile is known before its body is whole.
         self.is_open = false;
--- a/crates/node/src/peers/remote.rs
+++ b/crates/node/src/peers/remote.rs
@@ -9,7 +9,7 @@
     error::Error,
     io, iter,
     net::SocketAddr,
-    sync::{Mutex, MutexGuard},
+    sync::{Arc, Mutex, MutexGuard},
     time::Duration,
 };
 
@@ -23,7 +23,11 @@
 use types::{AttemptId, Boot};
 use wire::peer::{AskRequest, OfferRequest, OpenRequest, peer_client::PeerClient};
 
-use super::{Attempt, GateClient, Handover, TransportError, bodies, convert};
+use super::{
+    Attempt, GateClient, Handover, TransportError,
+    bodies::{self, BodyLink},
+    convert,
+};
 use crate::{
     backend::ServerRequest,
     gate_actor::{OpenedSession, Reply},
@@ -55,8 +59,9 @@
 pub(crate) struct RemoteGate {
     address: SocketAddr,
     channel: Mutex<Channel>,
-    /// Connection for large bodies, so that no other message waits behind them. Made for the first one.
-    body_channel: Mutex<Option<Channel>>,
+    /// Connection for large bodies, so that no other message waits behind them, with the window of the bodies on
+    /// it. Made for the first one.
+    body_channel: Mutex<Option<(Channel, Arc<BodyLink>)>>,
 }
 
 impl RemoteGate {
@@ -68,7 +73,7 @@
         }
     }
 
-    fn body_channel(&self) -> MutexGuard<'_, Option<Channel>> {
+    fn body_channel(&self) -> MutexGuard<'_, Option<(Channel, Arc<BodyLink>)>> {
         self.body_channel
             .lock()
             .expect("no thread panics while holding this lock")
@@ -116,7 +121,10 @@
         match self.client().offer(offer).await {
             Ok(reply) => match reply.into_inner().outcome {
                 Some(outcome) => Ok(bodies::without_body(convert::from_outcome(outcome))),
-                None => bodies::deliver(self.body_client(), id, body, handover).await,
+                None => {
+                    let (client, link) = self.body_client();
+                    bodies::deliver(client, link, id, body, handover).await
+                }
             },
             // A node of an earlier version, whose gate hasn't got the attempt.
             Err(status) if status.code() == Code::Unimplemented => {
@@ -130,10 +138,11 @@
         }
     }
 
-    fn body_client(&self) -> PeerClient<Channel> {
+    fn body_client(&self) -> (PeerClient<Channel>, Arc<BodyLink>) {
         let mut channel = self.body_channel();
-        let channel = channel.get_or_insert_with(|| endpoint(self.address).connect_lazy());
-        client(channel.clone())
+        let create = || (endpoint(self.address).connect_lazy(), Arc::default());
+        let (channel, link) = channel.get_or_insert_with(create);
+        (client(channel.clone()), Arc::clone(link))
     }
 
     async fn run_attempt(&self, attempt: Attempt) -> Result<Reply, TransportError> {
