call: a broken connection under an attempt without its body is a refusal

An idempotent call counted the break as an unknown outcome. After one other it gave up, and told its caller that the outcome is unknown, though the gate couldn't start the second attempt.

The call handles the break as it handles a gate that has forgotten such an attempt: not run, sent elsewhere. withhold and on_sent say what they are about: all that a gate needs to start an attempt, not only its body.

tests/unsent.rs plays random events on a call: it ends as unknown only if a gate could have started an attempt that wasn't refused, as not run only otherwise, and goes elsewhere while there are servers. It failed before with Send(0), Forget(0), Disconnect(1). The simulation of at_most_once.rs checks the first of these as well.

--- a/crates/call/src/core.rs
+++ b/crates/call/src/core.rs
@@ -133,7 +133,7 @@
     not_run: bool,
     /// Whether the backend server may be selected again, as the refusal says nothing against it.
     reusable: bool,
-    /// Whether the gate hasn't got the body to its end, without which it starts nothing.
+    /// Whether the gate hasn't got the attempt, or not its body to its end, without which it starts nothing.
     withheld: bool,
     /// Whether the request certainly never reached the backend server.
     undelivered: bool,
@@ -252,18 +252,20 @@
         actions
     }
 
-    /// Notes that an attempt is sent without its body, which follows once the gate has admitted it.
-    pub fn withhold_body(&mut self, attempt: AttemptIndex) {
+    /// Notes that the gate can't start an attempt yet: nothing is sent, or its body follows once the gate has
+    /// admitted it.
+    pub fn withhold(&mut self, attempt: AttemptIndex) {
         self.attempts[attempt].withheld = true;
     }
 
-    /// Notes that the last part of the body of an attempt is about to be sent.
-    pub fn on_body_sent(&mut self, attempt: AttemptIndex) {
+    /// Notes that the last part of what the gate needs to start an attempt is about to be sent.
+    pub fn on_sent(&mut self, attempt: AttemptIndex) {
         self.attempts[attempt].withheld = false;
     }
 
     /// Handles a broken connection under an attempt, or a node that can't be reached. An idempotent
-    /// request is retried; for any other, the gate is asked for the outcome.
+    /// request is retried; for any other, the gate is asked for the outcome. An attempt that the gate can't start
+    /// is known as not run.
     pub fn on_disconnect(
         &mut self,
         attempt: AttemptIndex,
@@ -272,6 +274,10 @@
         budget: &mut dyn Budget,
     ) -> Vec<Action> {
         match self.attempts[attempt].phase {
+            Phase::Sent(_) if self.attempts[attempt].withheld => {
+                let outcome = Outcome::refused(Refusal::Down);
+                self.on_outcome(attempt, outcome, now, selector, budget)
+            }
             Phase::Sent(_) if self.request.idempotent && !self.finished => {
                 let mut actions = self.settle(attempt);
                 actions.extend(self.handle_unknown(now, selector, budget));
@@ -519,8 +525,8 @@
         }]
     }
 
-    /// Finishes the call without an answer. An open attempt without its body never runs, as it is cancelled and
-    /// no more of the body is sent.
+    /// Finishes the call without an answer. An open attempt that the gate can't start yet never runs, as it is
+    /// cancelled and no more of it is sent.
     fn give_up(&mut self, late: bool) -> Vec<Action> {
         let none_ran = self.attempts.iter().all(|a| a.not_run || a.withheld);
         let (refusal, retry_after) = match self.last_refusal {
--- a/crates/call/tests/bodies.rs
+++ b/crates/call/tests/bodies.rs
@@ -35,7 +35,7 @@
     };
     let mut call = Call::new(request, timeouts);
     call.start(Moment(0), &mut InTurn);
-    call.withhold_body(0);
+    call.withhold(0);
     call
 }
 
@@ -49,7 +49,7 @@
     for (is_sent, is_known) in [(false, true), (true, false)] {
         let mut call = offered();
         if is_sent {
-            call.on_body_sent(0);
+            call.on_sent(0);
         }
         let actions = call.tick(DEADLINE, &mut InTurn, &mut TokenBucket::default());
         assert_eq!(is_not_run(&actions), is_known, "{actions:?}");
@@ -70,7 +70,7 @@
 #[test]
 fn an_unknown_outcome_after_the_end_of_the_body_is_final() {
     let mut call = offered();
-    call.on_body_sent(0);
+    call.on_sent(0);
     let budget = &mut TokenBucket::default();
     let actions = call.on_outcome(0, Outcome::Unknown, Moment(9), &mut InTurn, budget);
     let unknown = Action::Finish(CallOutcome::Unknown { late: false });
--- a/crates/call/tests/support/mod.rs
+++ b/crates/call/tests/support/mod.rs
@@ -175,6 +175,9 @@
                 [CallOutcome::NotRun { .. }] if runs > 0 => {
                     violations.push(format!("call {call} ran and was reported as not run"));
                 }
+                [CallOutcome::Unknown { .. }] if !caller.is_sent => {
+                    violations.push(format!("call {call} is unknown without its body"));
+                }
                 [CallOutcome::Answer(answer)] if answer.status as usize != call => {
                     violations.push(format!(
                         "call {call} got the answer of call {}",
@@ -239,6 +242,7 @@
             sent: BTreeMap::new(),
             is_large,
             bodies: BTreeSet::new(),
+            is_sent: !is_large,
             outcomes: Vec::new(),
             connected: true,
         });
@@ -293,7 +297,7 @@
         let boot = process.gate.boot();
         let call = index;
         if caller.is_large {
-            caller.call.withhold_body(attempt);
+            caller.call.withhold(attempt);
         }
         self.in_flight.push(match caller.is_large {
             true => Message::Offer {
@@ -323,7 +327,8 @@
         self.bodies += 1;
         let is_cut = self.bodies.is_multiple_of(CUT_BODIES);
         if !is_cut {
-            caller.call.on_body_sent(attempt);
+            caller.call.on_sent(attempt);
+            caller.is_sent = true;
         }
         self.in_flight.push(Message::Body {
             boot: sent.id.boot,
--- a/crates/call/tests/support/model.rs
+++ b/crates/call/tests/support/model.rs
@@ -125,6 +125,8 @@
     pub(super) is_large: bool,
     /// The attempts whose bodies were sent, as an ingress sends each once.
     pub(super) bodies: BTreeSet<AttemptIndex>,
+    /// Whether a gate may have got all of an attempt.
+    pub(super) is_sent: bool,
     pub(super) outcomes: Vec<CallOutcome>,
     pub(super) connected: bool,
 }
--- a/crates/node/src/ingress/driver.rs
+++ b/crates/node/src/ingress/driver.rs
@@ -171,7 +171,7 @@
     ) -> Vec<Action> {
         for (index, attempt) in self.attempts.iter().enumerate() {
             if attempt.handover.as_ref().is_some_and(Handover::is_complete) {
-                self.call.on_body_sent(index);
+                self.call.on_sent(index);
             }
         }
         let services = &self.ingress.services;
@@ -380,7 +380,7 @@
         let is_offered = self.routed.offers_body(self.ingress.offer_bytes);
         let handover = is_offered.then(Handover::default);
         if is_offered {
-            self.call.withhold_body(attempt);
+            self.call.withhold(attempt);
         }
         let outgoing = OutgoingAttempt {
             ingress: Arc::clone(&self.ingress),
