node: a request that was sent to no gate gets 503 at its deadline

A call whose attempt still waited for a session at the deadline was answered 504, as if a gate might run it. A session may take 1 s to open, and the gate is asked only after the reply timeout of 100 ms to 1 s.

The driver withholds each attempt from the call until it has its id, or the end of its body.

a_request_that_was_sent_to_no_gate_is_not_run_at_its_deadline got 504 before, and gets 503. What a broken connection may have taken along stays unknown.

--- a/crates/node/src/ingress/driver.rs
+++ b/crates/node/src/ingress/driver.rs
@@ -100,6 +100,16 @@
     closed: bool,
 }
 
+impl AttemptState {
+    /// Whether the gate may have all that it needs to start the attempt.
+    fn is_sent(&self) -> bool {
+        match &self.handover {
+            Some(handover) => handover.is_complete(),
+            None => self.registered.get().is_some(),
+        }
+    }
+}
+
 enum Event {
     RunEnded {
         attempt: AttemptIndex,
@@ -170,7 +180,7 @@
         step: impl FnOnce(&mut Call, &mut Selector<'_>, &mut RetryBudget<'_>) -> Vec<Action>,
     ) -> Vec<Action> {
         for (index, attempt) in self.attempts.iter().enumerate() {
-            if attempt.handover.as_ref().is_some_and(Handover::is_complete) {
+            if attempt.is_sent() {
                 self.call.on_sent(index);
             }
         }
@@ -379,9 +389,7 @@
         request.is_retry |= is_retry;
         let is_offered = self.routed.offers_body(self.ingress.offer_bytes);
         let handover = is_offered.then(Handover::default);
-        if is_offered {
-            self.call.withhold(attempt);
-        }
+        self.call.withhold(attempt);
         let outgoing = OutgoingAttempt {
             ingress: Arc::clone(&self.ingress),
             peer: Arc::clone(&peer),
--- a/crates/node/src/ingress/tests/bodies.rs
+++ b/crates/node/src/ingress/tests/bodies.rs
@@ -215,6 +215,25 @@
     assert_eq!(pair.backend.sizes(), Vec::<usize>::new());
 }
 
+/// The node accepts connections and says nothing, so no session with its gate can be opened. The deadline is before
+/// the time at which the gate is asked for the outcome.
+#[tokio::test]
+async fn a_request_that_was_sent_to_no_gate_is_not_run_at_its_deadline() {
+    let listener = TcpListener::bind("127.0.0.1:0").await.expect("a free port");
+    let silent = listener.local_addr().expect("a bound address");
+    let ingress = ingress();
+    let lookups = HostRoute {
+        timeout_ms: 100,
+        ..route("lookups", "/n/", "rinks")
+    };
+    publish(
+        &ingress.board,
+        remote_view(5, "rinks", vec![lookups], silent),
+    );
+    let response = send(&ingress, "/n/1", Bytes::new()).await;
+    assert_eq!(response.status(), 503);
+}
+
 #[tokio::test]
 async fn a_refusal_costs_no_body() {
     let pair = Pair::start(usize::MAX, Duration::ZERO).await;
