--- a/crates/node/src/ingress/tests/bodies.rs
+++ b/crates/node/src/ingress/tests/bodies.rs
@@ -180,7 +180,12 @@
         objective_ms: 5_000,
         ..route("uploads", "/m/", "rinks")
     };
-    vec![uploads, route("lookups", "/n/", "rinks")]
+    let hasty = HostRoute {
+        bulk: true,
+        timeout_ms: 400,
+        ..route("hasty", "/h/", "rinks")
+    };
+    vec![uploads, hasty, route("lookups", "/n/", "rinks")]
 }
 
 fn body() -> Bytes {
@@ -215,6 +220,20 @@
     assert_eq!(pair.backend.sizes(), Vec::<usize>::new());
 }
 
+#[tokio::test]
+async fn a_body_that_is_not_whole_at_the_deadline_is_not_run() {
+    // The body takes 1.8 s.
+    let pair = Pair::start(usize::MAX, Duration::from_millis(5)).await;
+    // Opens the session, which would take a part of the time.
+    assert_eq!(
+        send(&pair.ingress, "/n/1", Bytes::new()).await.status(),
+        200
+    );
+    assert_eq!(send(&pair.ingress, "/h/1", body()).await.status(), 503);
+    sleep(Duration::from_millis(50)).await;
+    assert_eq!(pair.backend.sizes(), [0]);
+}
+
 /// The node accepts connections and says nothing, so no session with its gate can be opened. The deadline is before
 /// the time at which the gate is asked for the outcome.
 #[tokio::test]
