--- a/crates/rig/tests/slow_links.rs
+++ b/crates/rig/tests/slow_links.rs
@@ -52,7 +52,7 @@
         .routes(json!([route("uploads", true), route("lookups", false)]))
         .with_links(LINK_RATE);
     match fs::remove_dir_all(builder.output_dir()) {
-        Err(error) if error.kind() != io::ErrorKind::NotFound => return Err(error),
+        Err(error) if error.kind() != io::ErrorKind::NotFound => Err(error),
         _ => builder.start().await,
     }
 }
