--- a/crates/call/src/lib.rs
+++ b/crates/call/src/lib.rs
@@ -30,6 +30,7 @@
 mod event;
 mod latency;
 mod session;
+mod window;
 
 pub use budget::{Budget, TokenBucket};
 pub use core::Call;
@@ -38,3 +39,4 @@
 };
 pub use latency::LatencyEstimate;
 pub use session::{GateSession, SessionAttempt};
+pub use window::BodyWindow;
--- a/crates/ingress/src/driver.rs
+++ b/crates/ingress/src/driver.rs
@@ -97,6 +97,16 @@
     closed: bool,
 }
 
+impl AttemptState {
+    /// Whether the gate may have all that it needs to start the attempt.
+    fn is_sent(&self) -> bool {
+        match &self.handover {
+            Some(handover) => handover.is_complete(),
+            None => self.registered.get().is_some(),
+        }
+    }
+}
+
 enum Event {
     RunEnded {
         attempt: AttemptIndex,
@@ -167,8 +177,8 @@
         step: impl FnOnce(&mut Call, &mut Selector<'_>, &mut RetryBudget<'_>) -> Vec<Action>,
     ) -> Vec<Action> {
         for (index, attempt) in self.attempts.iter().enumerate() {
-            if attempt.handover.as_ref().is_some_and(Handover::is_complete) {
-                self.call.on_body_sent(index);
+            if attempt.is_sent() {
+                self.call.on_sent(index);
             }
         }
         let services = &self.ingress.services;
--- a/crates/ingress/src/driver/attempts.rs
+++ b/crates/ingress/src/driver/attempts.rs
@@ -62,9 +62,7 @@
         request.is_retry |= is_retry;
         let is_offered = self.routed.offers_body(self.ingress.offer_bytes);
         let handover = is_offered.then(Handover::default);
-        if is_offered {
-            self.call.withhold_body(attempt);
-        }
+        self.call.withhold(attempt);
         let outgoing = OutgoingAttempt {
             ingress: Arc::clone(&self.ingress),
             peer: Arc::clone(&peer),
--- a/crates/ingress/src/tests/bodies.rs
+++ b/crates/ingress/src/tests/bodies.rs
@@ -181,7 +181,12 @@
         objective_ms: 5_000,
         ..route("uploads", "/m/", "rinks")
     };
-    vec![uploads, route("lookups", "/n/", "rinks")]
+    let hasty = HostRoute {
+        bulk: true,
+        timeout_ms: 400,
+        ..route("hasty", "/h/", "rinks")
+    };
+    vec![uploads, hasty, route("lookups", "/n/", "rinks")]
 }
 
 fn body() -> Bytes {
@@ -216,6 +221,39 @@
     assert_eq!(pair.backend.sizes(), Vec::<usize>::new());
 }
 
+#[tokio::test]
+async fn a_body_that_is_not_whole_at_the_deadline_is_not_run() {
+    // The body takes 1.8 s.
+    let pair = Pair::start(usize::MAX, Duration::from_millis(5)).await;
+    // Opens the session, which would take a part of the time.
+    assert_eq!(
+        send(&pair.ingress, "/n/1", Bytes::new()).await.status(),
+        200
+    );
+    assert_eq!(send(&pair.ingress, "/h/1", body()).await.status(), 503);
+    sleep(Duration::from_millis(50)).await;
+    assert_eq!(pair.backend.sizes(), [0]);
+}
+
+/// The node accepts connections and says nothing, so no session with its gate can be opened. The deadline is before
+/// the time at which the gate is asked for the outcome.
+#[tokio::test]
+async fn a_request_that_was_sent_to_no_gate_is_not_run_at_its_deadline() {
+    let listener = TcpListener::bind("127.0.0.1:0").await.expect("a free port");
+    let silent = listener.local_addr().expect("a bound address");
+    let ingress = ingress();
+    let lookups = HostRoute {
+        timeout_ms: 100,
+        ..route("lookups", "/n/", "rinks")
+    };
+    publish(
+        &ingress.board,
+        remote_view(5, "rinks", vec![lookups], silent),
+    );
+    let response = send(&ingress, "/n/1", Bytes::new()).await;
+    assert_eq!(response.status(), 503);
+}
+
 #[tokio::test]
 async fn a_refusal_costs_no_body() {
     let pair = Pair::start(usize::MAX, Duration::ZERO).await;
