cli: explain says why a request was rejected for its key or team

Cause: call_ended names the ending, but nothing told whether a 401 came from a missing or an unknown key, how old the proof was when keys weren't served, or when there would have been room under an allowance; explain said "It ended otherwise" to all four endings.

The effect of the lines on processor time was not measured.

--- a/crates/cli/src/explain.rs
+++ b/crates/cli/src/explain.rs
@@ -166,18 +166,50 @@
         "down" => "It was refused and not run: no backend server could be reached",
         "joining" => "It was refused and not run: the node had no view yet",
         "no_route" => "No route takes it",
+        "no_team" => match last("key_rejected").map(|line| line.value("has_key")) {
+            Some("false") => {
+                "It was rejected and not run: it needs the key of a team, and came with none or several"
+            }
+            Some(_) => "It was rejected and not run: no team holds the key that it came with",
+            None => "It was rejected and not run: no team held its key any more when it was to run",
+        },
+        "keys_unproven" => {
+            "It was rejected and not run: the node couldn't prove that its configuration is current, so that its \
+             key may have been withdrawn"
+        }
+        "over_allowance" => "It was refused and not run: its team had used up its allowance",
+        "allowance_unknown" => {
+            "It was refused and not run: no node that knows what is left of its team's allowance answered"
+        }
         "unknown" => "Nobody can tell whether it ran: what was sent was not answered whole",
         "unknown_late" => "Nobody can tell whether it ran: its deadline passed while it ran",
         _ => "It ended otherwise",
     };
+    let team_state = team_state(last("key_rejected"), last("team_refused"));
     format!(
-        "{meaning} ({} after {} us, view {}).{gate_state}",
+        "{meaning} ({} after {} us, view {}).{team_state}{gate_state}",
         end.value("ending"),
         end.value("took_us"),
         end.value("view"),
     )
 }
 
+/// What the node knew of the proof for keys, or of the team's allowance.
+fn team_state(key: Option<&LogLine>, team: Option<&LogLine>) -> String {
+    match (key, team) {
+        (Some(key), _) if !matches!(key.value("proof_ms"), "" | "None") => {
+            format!(" The last proof was {} ms old.", key.value("proof_ms"))
+        }
+        (_, Some(team)) if !matches!(team.value("room_ms"), "" | "None") => format!(
+            " There was room for team {} in {} ms.",
+            team.value("team"),
+            team.value("room_ms"),
+        ),
+        (_, Some(team)) => format!(" It was of team {}.", team.value("team")),
+        _ => String::new(),
+    }
+}
+
 /// Formats an explanation as text.
 pub fn render(explanation: &Explanation) -> String {
     let mut text = String::new();
--- a/crates/cli/tests/explain.rs
+++ b/crates/cli/tests/explain.rs
@@ -57,3 +57,37 @@
     }
     Ok(())
 }
+
+/// Requests that were rejected before any attempt.
+const REJECTED: &str = "\
+ts=10.100 level=info event=key_rejected call=old has_key=true proof_ms=4912
+ts=10.101 level=info event=call_ended call=old ending=keys_unproven took_us=90 view=7
+ts=10.200 level=info event=key_rejected call=none has_key=false proof_ms=None
+ts=10.201 level=info event=call_ended call=none ending=no_team took_us=90 view=7
+ts=10.250 level=info event=call_ended call=gone ending=no_team took_us=90 view=8
+ts=10.300 level=info event=team_refused call=over team=club room_ms=350
+ts=10.301 level=info event=call_ended call=over ending=over_allowance took_us=90 view=7
+ts=10.400 level=info event=team_refused call=lost team=club room_ms=None
+ts=10.401 level=info event=call_ended call=lost ending=allowance_unknown took_us=400000 view=7
+";
+
+#[test]
+fn says_what_rejected_a_key_or_a_team() -> io::Result<()> {
+    let log = write_file("rejected.log", REJECTED)?;
+    let file = log.to_string_lossy().into_owned();
+    for (call, expected) in [
+        ("old", "The last proof was 4912 ms old."),
+        (
+            "none",
+            "came with none or several (no_team after 90 us, view 7).\n",
+        ),
+        ("gone", "no team held its key any more"),
+        ("over", "There was room for team club in 350 ms."),
+        ("lost", "It was of team club."),
+    ] {
+        let text = stdout(&run_tool(&["explain", call, &file])?);
+        assert!(text.contains(expected), "{text}");
+        assert!(text.contains("not run"), "{text}");
+    }
+    Ok(())
+}
--- a/crates/node/src/ingress/mod.rs
+++ b/crates/node/src/ingress/mod.rs
@@ -43,7 +43,7 @@
     task::JoinSet,
     time::sleep,
 };
-use types::{CallId, Moment, Refusal, ServerId, ServiceId, Size, Span};
+use types::{CallId, Moment, Refusal, ServerId, ServiceId, Size, Span, TeamId};
 
 use crate::{
     allowances::Allowances,
@@ -180,7 +180,11 @@
     /// Runs a call if its team's allowance has room for it. A call that isn't run costs its team nothing.
     async fn run_allowed(self: &Arc<Self>, routed: RoutedCall) -> Result<CallOutcome, Rejection> {
         let token = match &routed.team {
-            Some(team) => self.allowances.take(team, routed.deadline).await?,
+            Some(team) => {
+                let call = &routed.request.call;
+                let taken = self.allowances.take(team, routed.deadline).await;
+                taken.inspect_err(|rejection| log_allowance(call, team, *rejection))?
+            }
             None => None,
         };
         let result = reroute::run_call(self, routed).await;
@@ -223,6 +227,15 @@
     }
 }
 
+/// Logs why a request of a team got no token.
+fn log_allowance(call: &CallId, team: &TeamId, rejection: Rejection) {
+    let room_ms = match rejection {
+        Rejection::OverAllowance { retry_after } => Some(retry_after.as_millis()),
+        _ => None,
+    };
+    log::info!(call:% = call, team:% = team, room_ms; "team_refused");
+}
+
 /// Accepts connections from callers until `closing` is set. Returns when the last connection has
 /// ended.
 pub(crate) async fn serve(
