route: shares between zones only while these are far

Cause: shares follow reports that are up to 500 ms old. They pay only where the way takes longer than the 3 ms that the comparison for each request assumes.

An ingress computes shares for a service once the least round trip to another zone exceeds the one at home by 6 ms, and compares again below 3 ms. Until it knows, some servers of each zone are in use.

--- a/crates/ingress/src/lib.rs
+++ b/crates/ingress/src/lib.rs
@@ -53,6 +53,7 @@
 
 use routing::RoutedCall;
 pub use services::{RetryPolicy, ServerDump, Services, ZoneDump};
+pub use zones::ZoneShares;
 
 /// Time that a new connection gets for its first request while the node stops. Callers send the
 /// request at once, so it arrives within a few round trips of 20 ms.
--- a/crates/ingress/src/services.rs
+++ b/crates/ingress/src/services.rs
@@ -12,7 +12,7 @@
 use metrics::{Crossing, Metrics};
 use note::State;
 use rand::{SeedableRng, rngs::SmallRng};
-use route::{Balancer, ByteCost, LoadReport, Member, PolicyKind, ServerState, Spill, Trip};
+use route::{Balancer, LoadReport, Member, PolicyKind, ServerState, Spill, Trip};
 use serde::Serialize;
 use smol_str::SmolStr;
 use types::{Boot, Fingerprint, Moment, Outcome, Rate, ServerId, ServiceId, Span, ZoneId};
@@ -97,9 +97,9 @@
         }
     }
 
-    /// Has requests leave the zone `home` by computed shares.
-    pub fn with_shares(self, home: ZoneId, cost: ByteCost) -> Self {
-        let shares = Some(ZoneShares::new(home, cost));
+    /// Has requests leave the zone by computed shares.
+    pub fn with_shares(self, shares: ZoneShares) -> Self {
+        let shares = Some(shares);
         Self { shares, ..self }
     }
 
@@ -163,6 +163,9 @@
         let rng = SmallRng::seed_from_u64(self.boot.0);
         let balancer = Balancer::new(self.policy.build(), rng);
         let balancer = match &self.shares {
+            Some(shares) if shares.only_far => {
+                balancer.with_spill_to_far_zones(Spill::new(shares.cost))
+            }
             Some(shares) => balancer.with_spill(Spill::new(shares.cost)),
             None => balancer,
         };
@@ -278,8 +281,14 @@
         self.update(service, |state| {
             let zone = state.balancer.server(server).map(|s| s.member.zone.clone());
             let zone = zone?;
-            let added = shares.record(&zone, server, took, served)?;
-            state.balancer.set_added(&zone, added);
+            let way = shares.record(&zone, server, took, served)?;
+            if state.balancer.record_way(&zone, way) {
+                let is_used = state.balancer.uses_shares();
+                log::info!(
+                    service:% = service, from:% = shares.home, to:% = zone, least_us = way.least.0,
+                    shares = is_used; "zone_ways"
+                );
+            }
             Some(())
         });
     }
--- a/crates/ingress/src/zones.rs
+++ b/crates/ingress/src/zones.rs
@@ -5,7 +5,7 @@
     sync::{Mutex, MutexGuard},
 };
 
-use route::{ByteCost, Links, Spill};
+use route::{ByteCost, Links, Spill, Way};
 use types::{ServerId, ServiceId, Span, ZoneId};
 
 /// Change of a service's share that is logged.
@@ -13,17 +13,20 @@
 
 /// The zone of an ingress that computes shares, and its links to the others.
 #[derive(Debug)]
-pub(crate) struct ZoneShares {
+pub struct ZoneShares {
     pub(crate) home: ZoneId,
     pub(crate) cost: ByteCost,
+    pub(crate) only_far: bool,
     links: Mutex<Links>,
 }
 
 impl ZoneShares {
-    pub(crate) fn new(home: ZoneId, cost: ByteCost) -> Self {
+    /// Creates the shares of an ingress in the zone `home`, for other zones that are far, or for all.
+    pub fn new(home: ZoneId, cost: ByteCost, only_far: bool) -> Self {
         Self {
             home,
             cost,
+            only_far,
             links: Mutex::default(),
         }
     }
@@ -34,17 +37,17 @@
             .expect("no thread panics while holding this lock")
     }
 
-    /// Records a message that was answered. Returns what a round trip to its zone adds.
+    /// Records a message that was answered. Returns the way to its zone.
     pub(crate) fn record(
         &self,
         zone: &ZoneId,
         server: &ServerId,
         took: Span,
         served: Span,
-    ) -> Option<Span> {
+    ) -> Option<Way> {
         let mut links = self.links();
         links.record(zone, server, took, served);
-        links.added(&self.home, zone)
+        links.way(&self.home, zone)
     }
 
     /// Forgets the servers that `keep` doesn't hold for.
--- a/crates/node/src/lifecycle.rs
+++ b/crates/node/src/lifecycle.rs
@@ -16,7 +16,7 @@
 use board::{Board, Identity, Phase};
 use dialect::{Dialect, NativeDialect};
 use gate_actor::GateActor;
-use ingress::{Ingress, RetryPolicy, Services};
+use ingress::{Ingress, RetryPolicy, Services, ZoneShares};
 use kameo::actor::ActorRef;
 use metrics::Metrics;
 use peers::{Peers, server::PeerService};
@@ -38,7 +38,7 @@
 use crate::{
     admin::{self, Admin},
     reload::Reload,
-    settings::{Conventions, Readiness, Settings},
+    settings::{Conventions, Readiness, Settings, ZoneMode},
     stop::{Grace, StopTimes},
 };
 
@@ -177,7 +177,10 @@
     tokio::spawn(Arc::clone(&allowances).run());
     let services = Services::new(board.identity.boot, settings.policy, retries);
     let services = match settings.share_cost() {
-        Some(cost) => services.with_shares(settings.zone.clone(), cost),
+        Some(cost) => {
+            let only_far = settings.zones == ZoneMode::Auto;
+            services.with_shares(ZoneShares::new(settings.zone.clone(), cost, only_far))
+        }
         None => services,
     };
     let ingress = Arc::new(Ingress {
--- a/crates/node/src/settings.rs
+++ b/crates/node/src/settings.rs
@@ -39,6 +39,9 @@
     Nearest,
     /// The part that leaves is computed from the load of the zones, see [`route::Spill`].
     Shares,
+    /// As [`Shares`](Self::Shares) while round trips to other zones are measured to take longer than
+    /// [`Nearest`](Self::Nearest) assumes, else as that.
+    Auto,
 }
 
 /// Endpoint that reports whether a node accepts requests from callers.
@@ -119,8 +122,8 @@
     /// How requests leave the availability zone.
     #[serde(default)]
     pub zones: ZoneMode,
-    /// Milliseconds that callers would rather wait than have a megabyte pass between zones. Only with
-    /// [`ZoneMode::Shares`]. By default, latency alone decides.
+    /// Milliseconds that callers would rather wait than have a megabyte pass between zones. Not with
+    /// [`ZoneMode::Nearest`]. By default, latency alone decides.
     #[serde(default)]
     pub zone_cost: Option<ByteCost>,
     /// Least severe log level that is written.
@@ -217,7 +220,7 @@
     pub fn share_cost(&self) -> Option<ByteCost> {
         match self.zones {
             ZoneMode::Nearest => None,
-            ZoneMode::Shares => Some(self.zone_cost.unwrap_or_default()),
+            ZoneMode::Shares | ZoneMode::Auto => Some(self.zone_cost.unwrap_or_default()),
         }
     }
 
@@ -354,10 +357,10 @@
         () if s.zone_cost.is_some_and(|c| !c.0.is_finite() || c.0 < 0.0) => {
             invalid("zone_cost", &s.zone_cost.unwrap_or_default(), "0 or more")
         }
-        () if s.zone_cost.is_some() && s.zones != ZoneMode::Shares => invalid(
+        () if s.zone_cost.is_some() && s.zones == ZoneMode::Nearest => invalid(
             "zone_cost",
             &s.zone_cost.unwrap_or_default(),
-            "no value unless zones is shares",
+            "no value unless zones is shares or auto",
         ),
         () if !s.cold_over.is_finite() || s.cold_over < 1.0 => {
             invalid("cold_over", &s.cold_over, "1 or more")
--- a/crates/node/tests/settings.rs
+++ b/crates/node/tests/settings.rs
@@ -83,7 +83,7 @@
         ("cold_over", json!(0.5), "1 or more"),
         ("zones", json!("all"), "zones"),
         ("zone_cost", json!(-1.0), "0 or more"),
-        ("zone_cost", json!(10.0), "unless zones is shares"),
+        ("zone_cost", json!(10.0), "unless zones is shares or auto"),
         ("offer_bytes", json!(-1), "offer_bytes"),
         ("service", json!("A B"), "service"),
         (
--- a/crates/route/src/balancer.rs
+++ b/crates/route/src/balancer.rs
@@ -6,6 +6,8 @@
 use types::{Boot, Fingerprint, Moment, Refusal, ServerId, Span, ZoneId};
 
 use crate::{
+    distance::{ASSUMED, Distances},
+    link::Way,
     policy::Policy,
     rendezvous::rendezvous_hash,
     server::{LoadReport, Member, ServerState},
@@ -71,12 +73,17 @@
 pub struct Balancer {
     servers: Vec<ServerState>,
     /// All members, also those that this ingress doesn't use.
-    members: Vec<ServerId>,
+    members: Vec<Member>,
+    /// The ingress's incarnation and, if it has members there, its zone.
+    ingress: Boot,
+    home: Option<ZoneId>,
     /// Configured slots of all members by zone.
     slots: BTreeMap<ZoneId, u32>,
     policy: Box<dyn Policy>,
     /// Set if the requests that leave the zone are a computed share.
     spill: Option<Spill>,
+    /// Set if they are only while other zones are far.
+    distances: Option<Distances>,
     rng: SmallRng,
 }
 
@@ -86,9 +93,12 @@
         Self {
             servers: Vec::new(),
             members: Vec::new(),
+            ingress: Boot(0),
+            home: None,
             slots: BTreeMap::new(),
             policy,
             spill: None,
+            distances: None,
             rng,
         }
     }
@@ -101,6 +111,27 @@
         }
     }
 
+    /// Has first attempts leave the zone by the shares of `spill` while other zones are measured to be far. Near
+    /// ones are compared for each request.
+    pub fn with_spill_to_far_zones(self, spill: Spill) -> Self {
+        Self {
+            distances: Some(Distances::default()),
+            ..self.with_spill(spill)
+        }
+    }
+
+    /// Whether shares are computed, and not only prepared.
+    pub fn uses_shares(&self) -> bool {
+        let are_far = |distances: &Distances| distances.is_far() == Some(true);
+        self.spill.is_some() && self.distances.as_ref().is_none_or(are_far)
+    }
+
+    /// Whether servers of all zones are used: for shares, and until it is known whether these are needed.
+    fn knows_all(&self) -> bool {
+        let are_near = |distances: &Distances| distances.is_far() == Some(false);
+        self.spill.is_some() && !self.distances.as_ref().is_some_and(are_near)
+    }
+
     /// Replaces the members. The state of those that stay is kept.
     ///
     /// Only a subset of many members is used, so that the number of connections doesn't grow with
@@ -108,14 +139,24 @@
     /// incarnation, which spreads the ingresses evenly over the backend servers. With shares of
     /// other zones, some servers of each are used too.
     pub fn set_members(&mut self, members: Vec<Member>, ingress: Boot) {
-        self.members = members.iter().map(|member| member.id.clone()).collect();
         self.slots.clear();
         for member in &members {
             *self.slots.entry(member.zone.clone()).or_default() += member.slots;
         }
-        let members = subset(members, ingress, self.spill.is_some());
+        if let Some(distances) = &mut self.distances {
+            distances.retain(|zone| self.slots.contains_key(zone));
+        }
+        let home = members.iter().find(|member| member.local);
+        self.home = home.map(|member| member.zone.clone());
+        (self.members, self.ingress) = (members, ingress);
+        self.choose_servers();
+    }
+
+    /// Chooses the members that are used.
+    fn choose_servers(&mut self) {
+        let used = subset(self.members.clone(), self.ingress, self.knows_all());
         let previous = std::mem::take(&mut self.servers);
-        self.servers = members
+        self.servers = used
             .into_iter()
             .map(
                 |member| match previous.iter().find(|s| s.member.id == member.id) {
@@ -204,6 +245,9 @@
 
     /// The zone of a first attempt, `None` without shares of other zones.
     fn direct(&mut self, trip: &Trip, now: Moment) -> Option<Direction> {
+        if !self.uses_shares() {
+            return None;
+        }
         let spill = self.spill.as_mut()?;
         if spill.is_due(now) {
             let loads = zone_loads(&self.servers, &self.slots, now);
@@ -224,8 +268,45 @@
         self.spill.as_ref()
     }
 
-    /// Sets what a round trip to a zone takes longer than one within the ingress's.
-    pub fn set_added(&mut self, zone: &ZoneId, added: Span) {
+    /// Records the measured way to a zone. Returns whether shares are used from now on, or no longer.
+    pub fn record_way(&mut self, zone: &ZoneId, way: Way) -> bool {
+        if self.home.as_ref() == Some(zone) || !self.slots.contains_key(zone) {
+            return false;
+        }
+        let zones = self.slots.len() - usize::from(self.home.is_some());
+        let before = self.uses_shares();
+        let is_decided = match &mut self.distances {
+            Some(distances) => distances.record(zone, way, zones),
+            None => false,
+        };
+        if is_decided {
+            self.choose_servers();
+        }
+        match self.uses_shares() {
+            true if !before => self.apply_ways(),
+            true => self.set_added(zone, way.added),
+            false if before => self.assume_ways(),
+            false => {}
+        }
+        self.uses_shares() != before
+    }
+
+    /// Sets the latencies of all zones that were measured before shares were used.
+    fn apply_ways(&mut self) {
+        let ways = self.distances.iter().flat_map(Distances::ways);
+        let ways: Vec<_> = ways.map(|(zone, way)| (zone.clone(), way)).collect();
+        for (zone, way) in ways {
+            self.set_added(&zone, way.added);
+        }
+    }
+
+    /// Sets the latencies that comparisons assume.
+    fn assume_ways(&mut self) {
+        let others = self.servers.iter_mut().filter(|s| !s.member.local);
+        others.for_each(|server| server.added = ASSUMED);
+    }
+
+    fn set_added(&mut self, zone: &ZoneId, added: Span) {
         let there = self.servers.iter_mut().filter(|s| s.member.zone == *zone);
         there
             .filter(|s| !s.member.local)
@@ -241,7 +322,8 @@
         tried: &[ServerId],
         ended: &[ServerId],
     ) -> Option<Selection> {
-        let untried = self.members.iter().filter(|id| !tried.contains(id));
+        let ids = self.members.iter().map(|member| &member.id);
+        let untried = ids.filter(|id| !tried.contains(id));
         let key = |id: &&ServerId| (!ended.contains(id), rendezvous_hash(request, *id));
         Some(Selection {
             server: untried.max_by_key(key)?.clone(),
--- a/crates/route/src/lib.rs
+++ b/crates/route/src/lib.rs
@@ -7,7 +7,8 @@
 //! are baselines for experiments.
 //!
 //! With a [`Spill`], the part of the requests that leaves the availability zone is computed from the load
-//! of whole zones, and [`Links`] measures what the way there takes.
+//! of whole zones, and [`Links`] measures what the way there takes. Shares can be limited to zones that are
+//! far by that measure.
 //!
 //! An ingress knows a backend server only from replies to its own calls, which are outdated on
 //! arrival. So a selection is cheap, avoids backend servers that refused recently, and leaves the
@@ -15,6 +16,7 @@
 
 mod balancer;
 mod cost;
+mod distance;
 mod link;
 mod policy;
 mod rendezvous;
@@ -26,7 +28,7 @@
 
 pub use balancer::{Balancer, Reason, Selection};
 pub use cost::ByteCost;
-pub use link::Links;
+pub use link::{Links, Way};
 pub use policy::{LeastReported, Policy, PolicyKind, Random, RoundRobin, TwoChoices};
 pub use route_table::{RouteTable, host_name, service_for_trial};
 pub use server::{LoadReport, Member, ServerState};
--- a/crates/route/src/link.rs
+++ b/crates/route/src/link.rs
@@ -9,11 +9,57 @@
 /// Part of the difference by which a longer sample raises it. Most longer samples contain a wait
 /// for a slot or for a busy host, which the link doesn't add.
 const RISE: f64 = 0.02;
+/// Messages to a zone in each of two periods, of which the shortest counts as the way without any wait. They are
+/// many, as a host that is out of processor time delays nearly all.
+const PERIOD: u32 = 256;
+
+/// What a round trip to an availability zone takes longer than one within the own zone.
+#[derive(Debug, Clone, Copy, Default, PartialEq, Eq)]
+pub struct Way {
+    /// Usually, with the waits at hosts that are always busy.
+    pub added: Span,
+    /// At least, without any wait.
+    pub least: Span,
+}
+
+/// Round trips to one zone.
+#[derive(Debug)]
+struct Zone {
+    servers: BTreeMap<ServerId, f64>,
+    /// Messages of the present period, and the shortest ones of it and of the one before.
+    messages: u32,
+    shortest: [Span; 2],
+}
+
+impl Default for Zone {
+    fn default() -> Self {
+        Self {
+            servers: BTreeMap::new(),
+            messages: 0,
+            shortest: [Span(u64::MAX); 2],
+        }
+    }
+}
+
+impl Zone {
+    fn record_shortest(&mut self, sample: Span) {
+        if self.messages == PERIOD {
+            self.messages = 0;
+            self.shortest = [Span(u64::MAX), self.shortest[0]];
+        }
+        self.messages += 1;
+        self.shortest[0] = self.shortest[0].min(sample);
+    }
+
+    fn least(&self) -> Span {
+        self.shortest[0].min(self.shortest[1])
+    }
+}
 
 /// Round trips to backend servers, by availability zone.
 #[derive(Debug, Default)]
 pub struct Links {
-    zones: BTreeMap<ZoneId, BTreeMap<ServerId, f64>>,
+    zones: BTreeMap<ZoneId, Zone>,
 }
 
 impl Links {
@@ -21,8 +67,9 @@
     /// spent `served` on the request.
     pub fn record(&mut self, zone: &ZoneId, server: &ServerId, took: Span, served: Span) {
         let sample = took.0.saturating_sub(served.0) as f64;
-        let servers = self.zones.entry(zone.clone()).or_default();
-        let known = servers.entry(server.clone()).or_insert(sample);
+        let known = self.zones.entry(zone.clone()).or_default();
+        known.record_shortest(Span(sample as u64));
+        let known = known.servers.entry(server.clone()).or_insert(sample);
         let step = match sample < *known {
             true => FALL,
             false => RISE,
@@ -32,16 +79,16 @@
 
     /// Forgets the servers that `keep` doesn't hold for.
     pub fn retain(&mut self, keep: impl Fn(&ServerId) -> bool) {
-        for servers in self.zones.values_mut() {
-            servers.retain(|id, _| keep(id));
+        for zone in self.zones.values_mut() {
+            zone.servers.retain(|id, _| keep(id));
         }
-        self.zones.retain(|_, servers| !servers.is_empty());
+        self.zones.retain(|_, zone| !zone.servers.is_empty());
     }
 
     /// The round trip to a zone: the median over its servers, so that a few slow ones don't count.
     /// `None` before the first message.
     pub fn round_trip(&self, zone: &ZoneId) -> Option<Span> {
-        let mut known: Vec<f64> = self.zones.get(zone)?.values().copied().collect();
+        let mut known: Vec<f64> = self.zones.get(zone)?.servers.values().copied().collect();
         known.sort_by(f64::total_cmp);
         let median = known.get((known.len().max(1) - 1) / 2)?;
         Some(Span(*median as u64))
@@ -55,9 +102,12 @@
 
     /// How much longer a round trip to `zone` is than one within `home`. `None` while either is
     /// unknown.
-    pub fn added(&self, home: &ZoneId, zone: &ZoneId) -> Option<Span> {
-        let far = self.round_trip(zone)?;
-        let near = self.round_trip(home)?;
-        Some(Span(far.0.saturating_sub(near.0)))
+    pub fn way(&self, home: &ZoneId, zone: &ZoneId) -> Option<Way> {
+        let longer = |far: Span, near: Span| Span(far.0.saturating_sub(near.0));
+        let least = |zone: &ZoneId| self.zones.get(zone).map(Zone::least);
+        Some(Way {
+            added: longer(self.round_trip(zone)?, self.round_trip(home)?),
+            least: longer(least(zone)?, least(home)?),
+        })
     }
 }
--- a/crates/route/src/server.rs
+++ b/crates/route/src/server.rs
@@ -2,8 +2,7 @@
 
 use types::{Moment, ServerId, Span, ZoneId};
 
-/// Latency that a round trip to another availability zone adds, unless it is measured.
-const CROSS_ZONE_LATENCY: Span = Span::from_millis(3);
+use crate::distance::ASSUMED;
 
 /// Half-lives of the weight of a report's load and mean latency.
 const LOAD_HALF_LIFE: Span = Span::from_millis(20);
@@ -76,7 +75,7 @@
         let (reported_at, avoid_until) = (Moment(0), Moment(0));
         let added = match member.local {
             true => Span::default(),
-            false => CROSS_ZONE_LATENCY,
+            false => ASSUMED,
         };
         Self {
             member,
--- a/crates/route/tests/spill.rs
+++ b/crates/route/tests/spill.rs
@@ -129,9 +129,10 @@
             links.record(&zone(0), &id(10 + server), Span(140_200), SERVICE);
         }
     }
-    let added = links.added(&zone(0), &zone(1)).expect("both are measured");
-    assert!((8_000..16_000).contains(&added.0), "{added}");
-    assert_eq!(links.added(&zone(0), &zone(2)), None);
+    let way = links.way(&zone(0), &zone(1)).expect("both are measured");
+    assert!((8_000..16_000).contains(&way.added.0), "{way:?}");
+    assert_eq!(way.least, Span(8_600), "without any wait");
+    assert_eq!(links.way(&zone(0), &zone(2)), None);
 }
 
 #[test]
