fleet: one simulated fleet for the tests of gossip and of proofs

Cause: tests/proof_reads.rs had a fleet of its own, 200 lines that did what the fleet of tests/gossip.rs does.

Change: the fleet moves to tests/support; it also proves keys if asked to.

--- a/crates/fleet/src/lib.rs
+++ b/crates/fleet/src/lib.rs
@@ -17,7 +17,7 @@
 //! [`Lease`] limits how long a view may be used without confirmation. After a pause or a network
 //! partition the lease has expired, and the node accepts no new requests until a peer or the
 //! platform confirms its view again. [`KeyLease`] does the same for the teams' keys, for which only a read of the
-//! platform counts, by this node or a peer.
+//! platform counts, by this node or a peer. [`ProofSchedule`] decides when to ask peers for one and when to read.
 
 mod gossip;
 mod history;
--- a/crates/fleet/tests/gossip.rs
+++ b/crates/fleet/tests/gossip.rs
@@ -1,276 +1,44 @@
 //! Simulations of the gossip protocol in virtual time: a note must be in force on all nodes within
 //! 11 s although messages are lost, nodes are dead, and few nodes reach the platform.
 
-use std::net::SocketAddr;
+mod support;
 
 use fleet::{Action, Gossip, ReadBudget};
-use rand::{RngExt, SeedableRng, rngs::SmallRng};
-use types::{Moment, Rate, Revision, Span};
+use rand::{SeedableRng, rngs::SmallRng};
+use support::{Fleet, READS_PER_S, address};
+use types::{Moment, Rate, Span};
 
 /// Time within which the users require a note to be in force on all nodes.
 const MAX_PROPAGATION_TIME: Span = Span::from_millis(11_000);
-/// Step of the virtual time, and latency of a message.
-const STEP: Span = Span::from_millis(20);
-/// Time after which a request without an answer fails.
-const REQUEST_TIMEOUT: Span = Span::from_millis(500);
-/// Read budget of the fleet in reads per second.
-const READS_PER_S: f64 = 100.0;
-
-struct Node {
-    gossip: Gossip,
-    revision: Revision,
-    alive: bool,
-    reaches_platform: bool,
-    /// Offset of the node's clock from the virtual time.
-    clock_offset: Span,
-}
-
-enum Event {
-    ReadDone,
-    ReadFailed,
-    CompareRequest {
-        peer: usize,
-        revision: Revision,
-        clock: Moment,
-        hops: u32,
-    },
-    CompareReply {
-        peer: usize,
-        revision: Revision,
-        clock: Moment,
-    },
-    PullReply {
-        peer: usize,
-        revision: Revision,
-    },
-    Unreachable {
-        peer: usize,
-    },
-}
-
-struct Fleet {
-    nodes: Vec<Node>,
-    events: Vec<(Moment, usize, Event)>,
-    now: Moment,
-    loss_rate: f64,
-    latest: Revision,
-    reads: Vec<Moment>,
-    rng: SmallRng,
-}
-
-fn address(index: usize) -> SocketAddr {
-    SocketAddr::from((
-        [10, (index >> 16) as u8, (index >> 8) as u8, index as u8],
-        7000,
-    ))
-}
-
-fn index_of(address: SocketAddr) -> usize {
-    match address {
-        SocketAddr::V4(v4) => (v4.ip().to_bits() & 0x00ff_ffff) as usize,
-        SocketAddr::V6(_) => unreachable!("addresses of the test are IPv4"),
-    }
-}
-
-impl Fleet {
-    fn new(size: usize, loss_rate: f64, dead_share: f64, reach_share: f64, seed: u64) -> Self {
-        Self::with_reads(READS_PER_S, size, loss_rate, dead_share, reach_share, seed)
-    }
-
-    fn with_reads(
-        reads: f64,
-        size: usize,
-        loss_rate: f64,
-        dead_share: f64,
-        reach_share: f64,
-        seed: u64,
-    ) -> Self {
-        let mut rng = SmallRng::seed_from_u64(seed);
-        let members: Vec<SocketAddr> = (0..size).map(address).collect();
-        let reads = Rate::new(reads).expect("a rate");
-        let node = |index: usize| Node {
-            gossip: Gossip::new(
-                address(index),
-                members.clone(),
-                ReadBudget { reads },
-                SmallRng::seed_from_u64(seed * 1_000_003 + index as u64),
-            ),
-            revision: Revision(0),
-            alive: !rng.random_bool(dead_share),
-            reaches_platform: rng.random_bool(reach_share),
-            clock_offset: Span::from_millis(rng.random_range(0..1_000_000)),
-        };
-        let mut nodes: Vec<Node> = (0..size).map(node).collect();
-        // At least one live node must reach the platform.
-        (nodes[0].alive, nodes[0].reaches_platform) = (true, true);
-        Self {
-            nodes,
-            events: Vec::new(),
-            now: Moment(1),
-            loss_rate,
-            latest: Revision(0),
-            reads: Vec::new(),
-            rng,
-        }
-    }
-
-    fn step(&mut self) {
-        self.now = self.now + STEP;
-        let now = self.now;
-        let (due, later) = std::mem::take(&mut self.events)
-            .into_iter()
-            .partition(|(due_at, ..)| *due_at <= now);
-        self.events = later;
-        let due: Vec<(Moment, usize, Event)> = due;
-        due.into_iter()
-            .for_each(|(_, index, event)| self.handle(index, event));
-        for index in 0..self.nodes.len() {
-            let node = &mut self.nodes[index];
-            let now = now + node.clock_offset;
-            if node.alive && node.gossip.next_tick() <= now {
-                let actions = node.gossip.tick(now);
-                self.execute(index, actions);
-            }
-        }
-    }
-
-    fn handle(&mut self, index: usize, event: Event) {
-        let now = self.now + self.nodes[index].clock_offset;
-        let node = &mut self.nodes[index];
-        let actions = match event {
-            Event::ReadDone => {
-                self.reads.push(self.now);
-                node.revision = node.revision.max(self.latest);
-                node.gossip.set_platform_reachable(true);
-                node.gossip.on_new_revision(node.revision)
-            }
-            Event::ReadFailed => {
-                node.gossip.set_platform_reachable(false);
-                Vec::new()
-            }
-            Event::CompareRequest {
-                peer,
-                revision,
-                clock,
-                hops,
-            } => {
-                let own = node.revision;
-                let answered = !self.rng.random_bool(self.loss_rate);
-                let reply = match answered {
-                    true => Event::CompareReply {
-                        peer: index,
-                        revision: own,
-                        clock: node.gossip.fleet_time(now),
-                    },
-                    false => Event::Unreachable { peer: index },
-                };
-                let delay = if answered { STEP } else { REQUEST_TIMEOUT };
-                self.events.push((self.now + delay, peer, reply));
-                node.gossip.on_peer_clock(clock, now);
-                let mut actions = node.gossip.on_peer_revision(address(peer), revision);
-                if hops > 0 {
-                    actions.extend(node.gossip.on_read_request(hops - 1, now));
-                }
-                actions
-            }
-            Event::CompareReply {
-                peer,
-                revision,
-                clock,
-            } => {
-                node.gossip.on_peer_clock(clock, now);
-                node.gossip.on_compare_answered(now);
-                node.gossip.on_peer_revision(address(peer), revision)
-            }
-            Event::PullReply { peer, revision } => {
-                let mut actions = node.gossip.on_pull_ended(address(peer));
-                node.revision = node.revision.max(revision);
-                actions.extend(node.gossip.on_new_revision(node.revision));
-                actions
-            }
-            Event::Unreachable { peer } => {
-                node.gossip.on_peer_unreachable(address(peer), now);
-                Vec::new()
-            }
-        };
-        self.execute(index, actions);
-    }
-
-    fn execute(&mut self, index: usize, actions: Vec<Action>) {
-        for action in actions {
-            let lost = self.rng.random_bool(self.loss_rate);
-            let revision = self.nodes[index].revision;
-            let now = self.now + self.nodes[index].clock_offset;
-            let clock = self.nodes[index].gossip.fleet_time(now);
-            let (delay, to, event) = match action {
-                Action::Read if lost || !self.nodes[index].reaches_platform => {
-                    (REQUEST_TIMEOUT, index, Event::ReadFailed)
-                }
-                Action::Read => (STEP, index, Event::ReadDone),
-                Action::Compare(peer) | Action::Delegate(peer, _)
-                    if lost || !self.nodes[index_of(peer)].alive =>
-                {
-                    (
-                        REQUEST_TIMEOUT,
-                        index,
-                        Event::Unreachable {
-                            peer: index_of(peer),
-                        },
-                    )
-                }
-                Action::Compare(peer) | Action::Delegate(peer, _) => {
-                    let hops = match action {
-                        Action::Delegate(_, hops) => hops + 1,
-                        _ => 0,
-                    };
-                    let event = Event::CompareRequest {
-                        peer: index,
-                        revision,
-                        clock,
-                        hops,
-                    };
-                    (STEP, index_of(peer), event)
-                }
-                Action::Pull(peer) if lost || !self.nodes[index_of(peer)].alive => (
-                    REQUEST_TIMEOUT,
-                    index,
-                    Event::Unreachable {
-                        peer: index_of(peer),
-                    },
-                ),
-                Action::Pull(peer) => {
-                    let peer = index_of(peer);
-                    let revision = self.nodes[peer].revision;
-                    (STEP, index, Event::PullReply { peer, revision })
-                }
-            };
-            self.events.push((self.now + delay, to, event));
-        }
+/// Publishes a note after 3 s and returns the time until it is in force on all live nodes.
+fn propagation_time(fleet: &mut Fleet) -> Span {
+    let publish_at = fleet.now + Span::from_millis(3_000);
+    while fleet.now < publish_at {
+        fleet.step();
     }
-
-    /// Publishes a note after 3 s and returns the time until it is in force on all live nodes.
-    fn propagation_time(&mut self) -> Span {
-        let publish_at = self.now + Span::from_millis(3_000);
-        while self.now < publish_at {
-            self.step();
-        }
-        self.latest = self.latest.next();
-        let (published, latest) = (self.now, self.latest);
-        while self.nodes.iter().any(|n| n.alive && n.revision < latest) {
-            self.step();
-            assert!(
-                self.now.since(published) <= MAX_PROPAGATION_TIME,
-                "not in force within 11 s"
-            );
-        }
-        self.now.since(published)
+    fleet.latest = fleet.latest.next();
+    let (published, latest) = (fleet.now, fleet.latest);
+    while fleet.nodes.iter().any(|n| n.alive && n.revision < latest) {
+        fleet.step();
+        assert!(
+            fleet.now.since(published) <= MAX_PROPAGATION_TIME,
+            "not in force within 11 s"
+        );
     }
+    fleet.now.since(published)
 }
 
 /// Returns the longest propagation time over three fleets, after printing it.
 fn max_propagation_time(size: usize, loss_rate: f64, dead_share: f64, reach_share: f64) -> Span {
-    let fleets = (1..=3)
-        .map(|seed| Fleet::new(size, loss_rate, dead_share, reach_share, seed).propagation_time());
+    let fleets = (1..=3).map(|seed| {
+        propagation_time(&mut Fleet::new(
+            size,
+            loss_rate,
+            dead_share,
+            reach_share,
+            seed,
+        ))
+    });
     let longest = fleets.max().unwrap_or_default();
     println!(
         "{size} nodes, loss {loss_rate}, dead {dead_share}, reaching {reach_share}: {longest}"
