node: requests that get 503 for unproven keys are counted by team

Cause: teams{team,outcome} counted only teams with an allowance, whose requests got a token, 429 or 503; a request refused as its key wasn't proven was counted without its team.

A request that gets 401 is of no team, and stays with calls{ending="no_team"}.

Test: keys_are_served_only_while_the_configuration_is_proven also reads the metric.

--- a/crates/node/src/allowances/mod.rs
+++ b/crates/node/src/allowances/mod.rs
@@ -219,6 +219,14 @@
         result
     }
 
+    /// Counts a request of a team that was rejected as keys aren't proven.
+    pub(crate) fn record_unproven(&self, team: &TeamId) {
+        let outcome = Rejection::KeysUnproven.name();
+        let now = self.board.clock.now();
+        let label = self.core().watch.record(team, outcome, now);
+        self.metrics.record_team(label, outcome);
+    }
+
     /// Returns the token of a request that was not run.
     pub(crate) fn give_back(&self, token: Token) {
         let now = self.board.clock.now();
--- a/crates/node/src/allowances/watch.rs
+++ b/crates/node/src/allowances/watch.rs
@@ -20,6 +20,7 @@
     granted: u64,
     refused: u64,
     unknown: u64,
+    unproven: u64,
     /// When requests were refused last, while they are.
     refused_at: Option<Moment>,
 }
@@ -58,6 +59,7 @@
     granted: u64,
     refused: u64,
     unknown: u64,
+    unproven: u64,
 }
 
 impl Watch {
@@ -70,6 +72,7 @@
         match outcome {
             "granted" => counts.granted += 1,
             "over_allowance" => counts.refused += 1,
+            "keys_unproven" => counts.unproven += 1,
             _ => counts.unknown += 1,
         }
         if outcome == "over_allowance" && counts.refused_at.replace(now).is_none() {
@@ -129,5 +132,6 @@
         granted: counts.granted,
         refused: counts.refused,
         unknown: counts.unknown,
+        unproven: counts.unproven,
     }
 }
--- a/crates/node/src/ingress/routing.rs
+++ b/crates/node/src/ingress/routing.rs
@@ -237,7 +237,7 @@
         key: ingress.dialect.key(&head.headers).map(KeyHash::of),
     };
     let destination = find_destination(ingress, &origin, &head.target)
-        .inspect_err(|rejection| log_key(ingress, call, &origin, *rejection))?;
+        .inspect_err(|rejection| record_key(ingress, call, &origin, *rejection))?;
     let request = server_request(ingress, call, head, &metadata);
     let dialect = ingress.dialect.as_ref();
     Ok(RoutedCall::new(dialect, destination, request, origin))
@@ -291,13 +291,18 @@
     }
 }
 
-/// Logs why a caller's key was rejected, never the key.
-fn log_key(ingress: &Ingress, call: &CallId, origin: &Origin, rejection: Rejection) {
+/// Logs why a caller's key was rejected, never the key, and counts requests whose keys aren't proven by team.
+fn record_key(ingress: &Ingress, call: &CallId, origin: &Origin, rejection: Rejection) {
     let (has_key, now) = (origin.key.is_some(), ingress.board.clock.now());
     let proof_ms = (*ingress.board.keys.borrow()).map(|lease| lease.age(now).as_millis());
     if matches!(rejection, Rejection::NoTeam | Rejection::KeysUnproven) {
         log::info!(call:% = call, has_key, proof_ms; "key_rejected");
     }
+    if let (Rejection::KeysUnproven, Some(key)) = (rejection, origin.key)
+        && let Some(team) = ingress.with_routes(|_, routes| routes.team(&key).cloned())
+    {
+        ingress.allowances.record_unproven(&team);
+    }
 }
 
 /// Replaces the key by the name of its team, where teams are configured.
--- a/crates/node/src/ingress/tests/teams.rs
+++ b/crates/node/src/ingress/tests/teams.rs
@@ -151,6 +151,15 @@
         let judged = judge("/m/1", &[("authorization", key)]);
         assert_eq!(judged, Err(Rejection::KeysUnproven), "{key}");
     }
+    let metrics = ingress.metrics.prometheus_text();
+    let counted = metrics
+        .lines()
+        .filter(|line| line.contains(r#"outcome="keys_unproven""#));
+    let counted: Vec<_> = counted.collect();
+    assert!(
+        matches!(counted[..], [line] if line.contains(r#"team="club""#) && line.ends_with(" 1")),
+        "the unknown key is of no team: {counted:?}"
+    );
     assert_eq!(judge("/m/1", &[]), Err(Rejection::NoTeam));
     assert_eq!(judge("/open/1", &[]), Ok(()));
     lease.confirm(now(&ingress));
--- a/crates/node/src/metrics.rs
+++ b/crates/node/src/metrics.rs
@@ -79,7 +79,7 @@
                 .build(),
             teams: meter
                 .u64_counter("teams")
-                .with_description("Requests of teams with an allowance, by team and outcome")
+                .with_description("Requests of teams with an allowance, or whose keys aren't proven, by team and outcome")
                 .build(),
             zone_attempts: meter
                 .u64_counter("zone_attempts")
@@ -172,7 +172,7 @@
         }
     }
 
-    /// Counts a request of a team with an allowance.
+    /// Counts a request of a team with an allowance, or whose keys aren't proven.
     pub(crate) fn record_team(&self, team: SmolStr, outcome: &'static str) {
         let team = KeyValue::new("team", team.to_string());
         let labels = [team, KeyValue::new("outcome", outcome)];
