node: body_sent tells the time of a large body and the window it was sent in

Operators couldn't see how long a body took after its admission, nor the window that all bodies to a node share. The line comes when the last part is on its way.

--- a/crates/call/src/window.rs
+++ b/crates/call/src/window.rs
@@ -56,6 +56,11 @@
 }
 
 impl BodyWindow {
+    /// Bytes that may be on the way at present.
+    pub fn size(&self) -> Size {
+        Size(self.bytes as u64)
+    }
+
     /// Size of the chunk that may be sent now, `None` if enough is on the way.
     pub fn next_chunk(&self) -> Option<Size> {
         let [smallest, largest] = CHUNK_BYTES;
--- a/crates/node/src/peers/bodies.rs
+++ b/crates/node/src/peers/bodies.rs
@@ -156,8 +156,10 @@
 ) -> Result<Reply, TransportError> {
     let (sender, receiver) = mpsc::unbounded();
     let mut sending = Sending {
+        began: link.now(),
         link,
-        first: Some((id, body.len() as u64)),
+        id,
+        size: Size(body.len() as u64),
         rest: body,
         on_the_way: VecDeque::new(),
         sender,
@@ -195,8 +197,11 @@
 /// A body on its way from here.
 struct Sending {
     link: Arc<BodyLink>,
-    /// The attempt and the size of the body, until the first chunk has named them.
-    first: Option<(AttemptId, u64)>,
+    id: AttemptId,
+    /// Size of the whole body.
+    size: Size,
+    /// When the gate had admitted the attempt.
+    began: Moment,
     /// What isn't sent yet.
     rest: Bytes,
     /// The chunks that aren't acknowledged, in order.
@@ -212,17 +217,19 @@
     }
 
     fn send(&mut self, permit: ChunkPermit, handover: &Handover) {
+        let is_first = self.rest.len() as u64 == self.size.0;
         let data = self.rest.split_to(permit.size.0 as usize);
         if self.rest.is_empty() {
             handover.complete();
+            self.log_sent();
         }
-        let chunk = match self.first.take() {
-            Some((id, body_bytes)) => BodyChunk {
-                attempt: Some(id.into()),
-                body_bytes,
+        let chunk = match is_first {
+            true => BodyChunk {
+                attempt: Some(self.id.into()),
+                body_bytes: self.size.0,
                 data,
             },
-            None => BodyChunk {
+            false => BodyChunk {
                 data,
                 ..BodyChunk::default()
             },
@@ -232,6 +239,15 @@
         let _ = self.sender.unbounded_send(chunk);
     }
 
+    fn log_sent(&self) {
+        let took = self.link.now().since(self.began);
+        let window = self.link.window().size();
+        log::info!(
+            attempt:% = self.id, bytes = self.size.0, took_us = took.0, window = window.0;
+            "body_sent"
+        );
+    }
+
     fn acknowledge(&mut self) {
         if let Some(permit) = self.on_the_way.pop_front() {
             permit.acknowledge();
