gate: learn the room of a backend server that resets connections

Backend servers of some services reset the connection when they are full, and what was reset may have run. The gate took each reset as a restart: back to the limit of a cold server, and up again until the next reset.

The gate now learns the room: a streak of early resets at the same occupancy, by its own count, lowers the limit; a load report with free slots asks for a longer streak; one request in 200 is tried beyond it. Resets beyond the learned room don't count as restarts. A limit that a crash or chance brought about is withdrawn by what becomes of the requests that were running.

--- a/crates/gate/src/core/admission.rs
+++ b/crates/gate/src/core/admission.rs
@@ -36,13 +36,19 @@
     /// Whether the last free slot is reserved for requests that can still be answered within their
     /// objective, since one of those has recently found no slot.
     fn reserves_slot(&self, now: Moment) -> bool {
-        let allowed = self.concurrency.current(now);
+        let allowed = self.allowed(now);
         now < self.overloaded_until && allowed > 1 && self.used_slots() + 1 >= allowed
     }
 
     /// Whether one more request may start at `now`.
     fn has_capacity(&self, now: Moment) -> bool {
-        self.used_slots() < self.concurrency.current(now) && self.next_send(now) <= now
+        let used = self.used_slots();
+        used < self.concurrency.current(now) && self.room.allows(used) && self.next_send(now) <= now
+    }
+
+    /// Requests that may run at `now`, apart from a trial beyond the learned room.
+    pub(super) fn allowed(&self, now: Moment) -> usize {
+        self.concurrency.current(now).min(self.room.limit())
     }
 
     /// Earliest time at which the rate limits allow another request.
@@ -125,7 +131,7 @@
 
     /// Number of late requests that may wait at an overloaded gate.
     fn max_late(&self, now: Moment) -> usize {
-        (self.concurrency.current(now) as f64 * LATE_SHARE).ceil() as usize
+        (self.allowed(now) as f64 * LATE_SHARE).ceil() as usize
     }
 
     /// Whether a request that starts after `wait` misses its objective.
@@ -205,7 +211,7 @@
         let remaining = |run: &Run| (run.began + run.service_time).since(now);
         let running = self.running.values().map(remaining);
         let total = running.fold(work, |sum, time| sum + time);
-        let slots = self.concurrency.current(now) as f64;
+        let slots = self.allowed(now) as f64;
         total
             .scale(1.0 / slots)
             .max(self.cold.wait(ahead, now))
--- a/crates/gate/src/core/mod.rs
+++ b/crates/gate/src/core/mod.rs
@@ -20,6 +20,7 @@
     probe::Probes,
     queue::{Queue, Queued},
     rate_limit::RateLimit,
+    room::{End, Room},
     session::{AttemptState, LookupError, Sessions},
 };
 
@@ -54,6 +55,7 @@
     limits: Limits,
     sessions: Sessions,
     concurrency: ConcurrencyLimit,
+    room: Room,
     cold: ColdLimit,
     rate: RateLimit,
     queue: Queue,
@@ -96,6 +98,7 @@
                 retention.answer_bytes,
             ),
             concurrency: ConcurrencyLimit::new(limits.clone()),
+            room: Room::default(),
             cold: ColdLimit::new(limits.cold_rate),
             rate: RateLimit::default(),
             probes: Probes::new(limits.probes),
@@ -241,6 +244,7 @@
             Completion::Shed | Completion::Incomplete => self.breaker.record(true),
             _ => {}
         }
+        let is_full = self.room.record_end(id, End::of(&completion), now);
         let (feedback, outcome) = match completion {
             Completion::Answered(answer) if answer.is_failure() => {
                 (Feedback::Overload, Outcome::Answer(answer))
@@ -253,6 +257,7 @@
             }
             Completion::Unsent => (Feedback::Restarted, self.not_run(Refusal::Down, now)),
             Completion::Withheld => (Feedback::None, self.not_run(Refusal::Quarantined, now)),
+            Completion::Incomplete if is_full => (Feedback::None, Outcome::Unknown),
             Completion::Incomplete => (Feedback::Restarted, Outcome::Unknown),
             Completion::Cancelled => (Feedback::None, Outcome::Unknown),
         };
@@ -308,6 +313,7 @@
         self.replaced_until = Moment(0);
         self.slowdown_report = (NO_SLOWDOWN_PERCENT, Moment(0));
         self.breaker.reset();
+        self.room.reset();
         self.rate.reset();
         self.probes.set_min_interval(Span::default());
         self.server_boot = None;
@@ -373,7 +379,7 @@
         Load {
             running: self.used_slots() as u32,
             waiting: (self.queue.len() + self.reservations.len()) as u32,
-            allowed: self.concurrency.nominal(now) as u32,
+            allowed: self.concurrency.nominal(now).min(self.room.limit()) as u32,
             mean_latency: self.concurrency.mean_latency(),
             slowdown_percent: self.slowdown_percent(now),
             limit: self.rate.state(now).map(|limit| limit.rate),
@@ -446,6 +452,9 @@
             began: now,
             service_time: rank.service_time,
         };
+        let occupancy = self.used_slots() + 1;
+        self.room
+            .record_start(id, occupancy, rank.service_time, now);
         let before = self.running.insert(id, run);
         assert!(before.is_none(), "invariant: an attempt starts once, {id}");
         let max = self.concurrency.current(now);
--- a/crates/gate/src/core/observations.rs
+++ b/crates/gate/src/core/observations.rs
@@ -36,6 +36,7 @@
         let is_new = before.is_some_and(|b| b != server);
         if is_new {
             self.cold.invalidate();
+            self.room.reset();
             self.concurrency.record(Feedback::Restarted, now);
         }
         is_new
@@ -54,6 +55,16 @@
         self.slowdown_report = (percent, now);
     }
 
+    /// Records the backend server's report of the requests that it runs and queues, and of its slots.
+    pub fn observe_occupancy(&mut self, occupancy: u32, slots: u32, now: Moment) {
+        self.room.observe_occupancy(occupancy, slots, now);
+    }
+
+    /// Requests that the backend server has room for, if its resets have shown that.
+    pub fn learned_room(&self) -> Option<usize> {
+        self.room.learned()
+    }
+
     /// Whether another backend server has been listed since `sent_at`, so that the response to a request
     /// of that time says nothing of the present one.
     pub fn was_replaced_since(&self, sent_at: Moment) -> bool {
--- a/crates/gate/src/core/reservation.rs
+++ b/crates/gate/src/core/reservation.rs
@@ -142,8 +142,8 @@
         let reserved = self.reservations.len();
         let bytes = self.reservations.bytes().0.saturating_add(body.0);
         let fits = reserved == 0 || bytes <= MAX_RESERVED_BYTES;
-        let has_slot = self.starts_now(&offer, now)
-            && self.used_slots() + reserved < self.concurrency.current(now);
+        let has_slot =
+            self.starts_now(&offer, now) && self.used_slots() + reserved < self.allowed(now);
         if !fits || !(has_slot || self.may_wait_for_body(&offer, &queued, now)) {
             return self.refuse_for_capacity(offer.id, offer.fail_fast, now);
         }
--- a/crates/gate/src/lib.rs
+++ b/crates/gate/src/lib.rs
@@ -54,6 +54,7 @@
 mod probe;
 mod queue;
 mod rate_limit;
+mod room;
 mod route_profile;
 mod session;
 
--- /dev/null
+++ b/crates/gate/tests/full_server.rs
@@ -0,0 +1,222 @@
+//! Load: twice the requests that a backend server has slots for, which has room for fewer and resets the
+//! connections of the others.
+
+mod support;
+
+use std::collections::BTreeMap;
+
+use gate::{Action, Completion, Rank};
+use note::Limits;
+use rand::{RngExt, SeedableRng, rngs::SmallRng};
+use support::OpenGate;
+use types::{Answer, AttemptId, Moment, Rate, Seq, Slots, Span};
+
+/// The users' target: of the requests started after the first second, under one in a hundred is reset.
+const MAX_RESET_RATIO: f64 = 0.01;
+const FIRST_SECOND_MS: u64 = 1_000;
+const DURATION_MS: u64 = 20_000;
+/// Mean times until an answer and until a reset, each between half and one and a half of it.
+const SERVICE_MS: u64 = 50;
+const RESET_MS: u64 = 1;
+const DEADLINE: Span = Span::from_millis(400);
+const STEP_US: u64 = 500;
+const OFFER_STEPS: u64 = 5;
+const REPORT_STEPS: u64 = 100;
+/// More requests than are under way at once.
+const MAX_UNSETTLED: u64 = 500;
+
+/// A backend server and its gate.
+struct Simulation {
+    open_gate: OpenGate,
+    /// Requests that the server can hold.
+    room: usize,
+    /// Share of the requests that are lost for another reason, and whether that happens once they have run.
+    lost: (f64, bool),
+    /// Slots that the server reports, if it does.
+    reported_slots: Option<u32>,
+    rng: SmallRng,
+    /// Requests in progress: their ends, whether the server has a place for them, and whether it answers.
+    running: BTreeMap<AttemptId, (Moment, bool, bool)>,
+    step: u64,
+    starts: usize,
+    resets: usize,
+    most: usize,
+}
+
+impl Simulation {
+    /// The limits are those of servers that report how cold they are, or are `noted` by operators.
+    fn new(noted: bool, room: usize) -> Self {
+        let rate = Rate::new(25.0).expect("a valid rate");
+        let limits = match noted {
+            true => Limits {
+                cold: Slots(2),
+                warm_ms: 0,
+                ..Limits::default()
+            },
+            false => Limits::with_cold_rate(rate),
+        };
+        Self {
+            open_gate: OpenGate::new(Limits {
+                slots: Slots(10),
+                queue: Slots(40),
+                ..limits
+            }),
+            room,
+            lost: (0.0, false),
+            reported_slots: None,
+            rng: SmallRng::seed_from_u64(18),
+            running: BTreeMap::new(),
+            step: 20_000,
+            starts: 0,
+            resets: 0,
+            most: 0,
+        }
+    }
+
+    fn now(&self) -> Moment {
+        Moment(self.step * STEP_US)
+    }
+
+    fn held(&self) -> usize {
+        self.running.values().filter(|(_, held, _)| *held).count()
+    }
+
+    fn carry_out(&mut self, actions: Vec<Action>) {
+        for action in actions {
+            let Action::Start(id, _) = action else {
+                continue;
+            };
+            let (share, has_run) = self.lost;
+            let lost = self.rng.random_bool(share);
+            let held = self.held() < self.room && (!lost || has_run);
+            let factor = self.rng.random_range(0.5..1.5);
+            let duration = Span::from_millis(if held { SERVICE_MS } else { RESET_MS });
+            let end = self.now() + duration.scale(factor);
+            self.running.insert(id, (end, held, held && !lost));
+            self.starts += 1;
+            self.resets += usize::from(!held);
+            self.most = self.most.max(self.held());
+        }
+    }
+
+    fn finish_due(&mut self) {
+        let now = self.now();
+        let ended: Vec<_> = self
+            .running
+            .extract_if(.., |_, (end, ..)| *end <= now)
+            .collect();
+        for (id, (_, _, answered)) in ended {
+            let completion = match answered {
+                true => Completion::Answered(Answer::default().into()),
+                false => Completion::Incomplete,
+            };
+            let actions = self.open_gate.gate.complete(id, completion, now);
+            self.carry_out(actions);
+        }
+    }
+
+    fn run(&mut self, duration_ms: u64) {
+        (self.starts, self.resets, self.most) = (0, 0, 0);
+        for _ in 0..duration_ms * 1_000 / STEP_US {
+            self.step += 1;
+            let now = self.now();
+            let mut actions = self.open_gate.gate.tick(now);
+            if self.step.is_multiple_of(REPORT_STEPS) {
+                actions.extend(self.open_gate.gate.observe_cold(Span::default(), now, now));
+                let slots = self.reported_slots.unwrap_or_default();
+                let held = self.held() as u32;
+                self.open_gate.gate.observe_occupancy(held, slots, now);
+            }
+            if self.step.is_multiple_of(OFFER_STEPS) {
+                let mut offer = self.open_gate.offer(now + DEADLINE);
+                offer.floor = Seq(offer.id.seq.0.saturating_sub(MAX_UNSETTLED));
+                let (objective, service_time) = (offer.deadline, Span::from_millis(SERVICE_MS));
+                offer.rank = Rank {
+                    objective,
+                    service_time,
+                    ..Rank::default()
+                };
+                actions.extend(self.open_gate.gate.offer(offer, now));
+            }
+            self.carry_out(actions);
+            self.finish_due();
+        }
+    }
+
+    /// Checks that the room is learned within a second: few requests are reset from then on, and as much of the
+    /// room is used as `overload.rs` asks.
+    fn assert_learned(&mut self) {
+        self.run(FIRST_SECOND_MS);
+        self.run(DURATION_MS);
+        let ratio = self.resets as f64 / self.starts as f64;
+        assert!(
+            ratio < MAX_RESET_RATIO,
+            "{} of {} reset",
+            self.resets,
+            self.starts
+        );
+        let capacity = self.room * (DURATION_MS / SERVICE_MS) as usize;
+        assert!(
+            (self.starts - self.resets) * 10 >= capacity * 8,
+            "{} starts",
+            self.starts
+        );
+    }
+}
+
+#[test]
+fn a_full_server_resets_few_requests() {
+    for (noted, room) in [false, true]
+        .into_iter()
+        .flat_map(|n| [2, 4, 6, 8].map(|r| (n, r)))
+    {
+        for reported_slots in [None, Some(room as u32), Some(10)] {
+            let mut simulation = Simulation::new(noted, room);
+            simulation.reported_slots = reported_slots;
+            simulation.assert_learned();
+            println!(
+                "room {room}: {} of {}",
+                simulation.resets, simulation.starts
+            );
+        }
+    }
+}
+
+#[test]
+fn room_that_changes_is_learned_again() {
+    let mut simulation = Simulation::new(false, 8);
+    for room in [3, 8, 2, 6] {
+        simulation.room = room;
+        simulation.run(DURATION_MS);
+        simulation.assert_learned();
+    }
+}
+
+/// Idle connections that were closed, lost answers and failures of a server with free slots don't.
+#[test]
+fn resets_for_other_reasons_do_not_lower_the_limit() {
+    for (lost, slots) in [
+        ((0.05, false), None),
+        ((0.4, true), None),
+        ((0.4, false), Some(10)),
+    ] {
+        let mut simulation = Simulation::new(false, 8);
+        (simulation.lost, simulation.reported_slots) = (lost, slots);
+        simulation.run(DURATION_MS);
+        simulation.lost = (0.0, false);
+        simulation.run(FIRST_SECOND_MS);
+        assert_eq!(simulation.most, 8, "{lost:?}");
+    }
+}
+
+#[test]
+fn a_crash_does_not_lower_the_limit() {
+    let mut simulation = Simulation::new(false, 8);
+    for crash in 0..20 {
+        simulation.run(FIRST_SECOND_MS + crash * 7);
+        assert_eq!(simulation.most, 8, "crash {crash}");
+        let now = simulation.now();
+        let running = simulation.running.values_mut();
+        running.for_each(|(end, _, answered)| (*end, *answered) = (now, false));
+    }
+}
--- a/crates/node/src/gate_actor/observations.rs
+++ b/crates/node/src/gate_actor/observations.rs
@@ -56,6 +56,8 @@
         let was_cold = self.gate.is_cold(now);
         if let Some(load) = metadata.as_ref().and_then(|m| m.load) {
             self.gate.observe_slowdown(load.slowdown_percent, now);
+            let occupancy = load.running.saturating_add(load.queued);
+            self.gate.observe_occupancy(occupancy, load.slots, now);
         }
         let warmup_left = metadata.as_ref().map(|m| m.warmup_left.unwrap_or_default());
         let actions = match warmup_left {
@@ -178,6 +180,15 @@
         );
     }
 
+    /// Logs a change of the learned room from what it was `before`.
+    pub(super) fn log_room(&self, before: Option<usize>) {
+        let room = self.gate.learned_room();
+        if room != before {
+            let server = self.server_id().map(ToString::to_string);
+            log::info!(server, room, before; "server_room_changed");
+        }
+    }
+
     /// Logs that the backend server at the address was found to be the listed one or another, unless
     /// the gate knew it.
     pub(super) fn log_identity(&self, was_replaced: bool, named: Option<&ServerId>) {
--- a/crates/node/src/gate_actor/state.rs
+++ b/crates/node/src/gate_actor/state.rs
@@ -202,14 +202,18 @@
         }
         if let Some(load) = metadata.load {
             self.gate.observe_slowdown(load.slowdown_percent, now);
+            let occupancy = load.running.saturating_add(load.queued);
+            self.gate.observe_occupancy(occupancy, load.slots, now);
         }
         if let Some(started_at) = self.attempts.get(&id).and_then(|a| a.started_at) {
             self.observe_statements(&completion, &metadata, started_at);
         }
         self.record_evidence(id, &completion, refused);
         let was_replaced = self.gate.is_replaced(now);
+        let room = self.gate.learned_room();
         let actions = self.gate.complete(id, completion, now);
         self.log_identity(was_replaced, None);
+        self.log_room(room);
         self.execute(actions);
     }
 
