call: half of the retry budget at most for requests that may have run

A backend server that resets connections while it is full leaves requests of which nobody knows whether they ran.

Half of the deposits at most now go to such retries, and the rest stays for hedges and refused attempts. A gate that is lost counts as before. Requests that may not run twice are not sent again after a reset, before and now.

--- a/crates/call/src/core.rs
+++ b/crates/call/src/core.rs
@@ -113,6 +113,17 @@
     Finish(CallOutcome),
 }
 
+/// Why another attempt is sent that adds load.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+enum Retry {
+    /// The first attempt takes long.
+    Hedge,
+    /// An attempt was refused, or its gate was lost.
+    Failed,
+    /// The gate doesn't know whether the backend server ran an attempt.
+    Unknown,
+}
+
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
 enum Phase {
     /// Sent. The gate is asked for the outcome if no reply arrives by this time.
@@ -242,10 +253,12 @@
                     return actions;
                 }
                 let adds_load = refusal.is_overload() || refusal.is_from_server();
-                let for_load = adds_load && !declined;
-                actions.extend(self.retry_or_finish(for_load, now, selector, budget));
+                let retry = (adds_load && !declined).then_some(Retry::Failed);
+                actions.extend(self.retry_or_finish(retry, now, selector, budget));
+            }
+            Outcome::Unknown => {
+                actions.extend(self.handle_unknown(Retry::Unknown, now, selector, budget));
             }
-            Outcome::Unknown => actions.extend(self.handle_unknown(now, selector, budget)),
             // The gate's copy of the deadline may pass slightly before the call's own.
             Outcome::Expired => actions.extend(self.give_up(true)),
         }
@@ -274,7 +287,7 @@
         match self.attempts[attempt].phase {
             Phase::Sent(_) if self.request.idempotent && !self.finished => {
                 let mut actions = self.settle(attempt);
-                actions.extend(self.handle_unknown(now, selector, budget));
+                actions.extend(self.handle_unknown(Retry::Failed, now, selector, budget));
                 actions
             }
             Phase::Sent(_) => self.query(attempt),
@@ -320,7 +333,7 @@
         if self.hedge_at <= now {
             self.hedge_at = Moment::MAX;
             actions.extend(
-                self.try_retry(true, now, selector, budget)
+                self.try_retry(Retry::Hedge, now, selector, budget)
                     .unwrap_or_default(),
             );
         }
@@ -407,10 +420,10 @@
     }
 
     /// Sends another attempt or finishes the call, unless an attempt is still open. The budget
-    /// limits retries `for_load`.
+    /// limits those that add load.
     fn retry_or_finish(
         &mut self,
-        for_load: bool,
+        retry: Option<Retry>,
         now: Moment,
         selector: &mut dyn ServerSelector,
         budget: &mut dyn Budget,
@@ -421,17 +434,18 @@
         if now >= self.request.deadline {
             return self.give_up(true);
         }
-        match for_load {
-            true => match self.try_retry(false, now, selector, budget) {
+        match retry {
+            Some(retry) => match self.try_retry(retry, now, selector, budget) {
                 Some(actions) => actions,
                 None => self.give_up(false),
             },
-            false => self.send_or_finish(now, selector),
+            None => self.send_or_finish(now, selector),
         }
     }
 
     fn handle_unknown(
         &mut self,
+        retry: Retry,
         now: Moment,
         selector: &mut dyn ServerSelector,
         budget: &mut dyn Budget,
@@ -439,7 +453,7 @@
         self.unknown_attempts += 1;
         match self.request.idempotent {
             true if self.unknown_attempts < MAX_UNKNOWN_ATTEMPTS => {
-                self.retry_or_finish(true, now, selector, budget)
+                self.retry_or_finish(Some(retry), now, selector, budget)
             }
             true if self.open_count() > 0 => Vec::new(),
             _ => self.give_up(false),
@@ -449,7 +463,7 @@
     /// Sends one more attempt if limits and budget allow it and a backend server is available.
     fn try_retry(
         &mut self,
-        hedge: bool,
+        retry: Retry,
         now: Moment,
         selector: &mut dyn ServerSelector,
         budget: &mut dyn Budget,
@@ -465,11 +479,16 @@
         }
         let selection = selector.select(&self.tried(), &self.declined())?;
         // Attempts that never reached a backend server added no load, so their retry is free.
-        if delivered > 0 && !budget.try_withdraw() {
+        let covered = match retry {
+            _ if delivered == 0 => true,
+            Retry::Unknown => budget.try_withdraw_for_unknown(),
+            Retry::Hedge | Retry::Failed => budget.try_withdraw(),
+        };
+        if !covered {
             return None;
         }
         self.load_retries += 1;
-        Some(self.send(selection, hedge, now))
+        Some(self.send(selection, retry == Retry::Hedge, now))
     }
 
     fn send_or_finish(&mut self, now: Moment, selector: &mut dyn ServerSelector) -> Vec<Action> {
--- a/crates/node/src/ingress/services.rs
+++ b/crates/node/src/ingress/services.rs
@@ -427,4 +427,9 @@
         self.services
             .update(self.service, |state| state.retry_budget.try_withdraw())
     }
+
+    fn try_withdraw_for_unknown(&mut self) -> bool {
+        let withdraw = |state: &mut ServiceState| state.retry_budget.try_withdraw_for_unknown();
+        self.services.update(self.service, withdraw)
+    }
 }
