gate: requests that reach a full server in another order than they were sent

The occupancy of a reset request is now taken with those sent within a millisecond of it, a reset ends the present trial, and a single reset takes back a limit that was raised in the last two rounds.

--- a/crates/gate/src/room.rs
+++ b/crates/gate/src/room.rs
@@ -29,6 +29,9 @@
 const STREAK_TTL: Span = Span::from_millis(1_000);
 /// Requests from a reset beyond the limit to the next trial, so that trials reset half a percent of the requests.
 const TRIAL_STARTS: u64 = 200;
+/// Rounds of requests for which a raised limit is tentative: a request that ended meanwhile may have made the
+/// room for the trial.
+const TENTATIVE_ROUNDS: u64 = 2;
 /// Share of the service time within which a reset counts as prompt.
 const PROMPT_SHARE: f64 = 0.5;
 /// Time within which a reset counts as prompt whatever the service time, which is unknown at first.
@@ -36,7 +39,7 @@
 /// A request counts as accepted once it has been running for so many times as long as the slowest reset of the
 /// streak took.
 const ACCEPTED_FACTOR: f64 = 2.0;
-/// Longest time that an answer is on its way from the backend server, which runs on the same host.
+/// Longest time that a request or an answer is on its way, as the backend server runs on the same host.
 const DELIVERY: Span = Span::from_millis(1);
 /// Time by which responses of a backend server that has crashed may be processed after its resets.
 const REORDERING: Span = Span::from_millis(5);
@@ -115,6 +118,8 @@
     /// Number of requests sent at which the next trial is due.
     trial_at: u64,
     trial: Option<AttemptId>,
+    /// Number of requests sent up to which a single reset takes back that the limit was raised.
+    tentative_until: u64,
     streak: Option<Streak>,
     unconfirmed: Option<Unconfirmed>,
     /// When the backend server reported a free slot, if that was its last report.
@@ -189,8 +194,12 @@
         let later = self.sent.values_mut().filter(is_later);
         later.for_each(|s| s.min_occupancy -= 1);
         if was_trial && let Some(limit) = &mut self.limit {
+            let is_raised = sent.min_occupancy > *limit;
             *limit = (*limit).max(sent.min_occupancy);
             let round = *limit as u64;
+            if is_raised {
+                self.tentative_until = self.total + round * TENTATIVE_ROUNDS;
+            }
             self.schedule_trial(round);
         }
         self.streak.take_if(|streak| streak.is_refuted_by(sent));
@@ -210,6 +219,7 @@
         if took >= sent.service_time.scale(PROMPT_SHARE).max(MIN_PROMPT) {
             return false;
         }
+        let occupancy = self.max_occupancy(sent);
         // It had no place at the backend server while the later ones were sent.
         let later = self.sent.values_mut().filter(|s| s.order > sent.order);
         for s in later {
@@ -217,18 +227,31 @@
             s.min_occupancy -= 1;
         }
         match () {
-            () if self.sent.is_empty() || sent.occupancy == 1 => false,
+            () if self.sent.is_empty() || occupancy == 1 => false,
             // Others beyond the limit were sent before it was lowered.
-            () if was_trial || sent.occupancy > self.limit() => {
-                self.schedule_trial(TRIAL_STARTS);
+            () if was_trial || occupancy > self.limit() => {
+                self.end_trial();
+                true
+            }
+            () if occupancy == self.limit() && sent.order <= self.tentative_until => {
+                self.limit = Some(occupancy - 1);
+                self.end_trial();
                 true
             }
-            () => self.extend_streak(sent, took, now),
+            () => self.extend_streak(sent.order, occupancy, took, now),
         }
     }
 
+    /// Requests that were at most at the backend server when it got this one: those that are sent at the same time
+    /// may arrive in another order.
+    fn max_occupancy(&self, sent: &Sent) -> usize {
+        let is_near = |s: &&Sent| s.at.since(sent.at).max(sent.at.since(s.at)) <= DELIVERY;
+        let near = self.sent.values().filter(is_near);
+        near.map(|s| s.occupancy).fold(sent.occupancy, usize::max)
+    }
+
     /// Adds a reset to the streak. Returns whether the streak lowers the limit.
-    fn extend_streak(&mut self, sent: &Sent, took: Span, now: Moment) -> bool {
+    fn extend_streak(&mut self, order: u64, occupancy: usize, took: Span, now: Moment) -> bool {
         self.streak
             .take_if(|streak| now.since(streak.last) >= STREAK_TTL);
         let accepted = |streak: &mut Streak| {
@@ -240,15 +263,15 @@
         self.streak.take_if(accepted);
         let streak = self.streak.get_or_insert(Streak {
             len: 0,
-            occupancy: sent.occupancy,
+            occupancy,
             slowest: took,
-            first: sent.order,
+            first: order,
             began: now,
             last: now,
             answered: false,
         });
         streak.len += 1;
-        streak.occupancy = streak.occupancy.min(sent.occupancy);
+        streak.occupancy = streak.occupancy.min(occupancy);
         streak.slowest = streak.slowest.max(took);
         streak.last = now;
         let is_doubted = self.free_at.is_some_and(|at| now.since(at) < REPORT_TTL);
@@ -266,10 +289,17 @@
         });
         self.limit = Some(streak.occupancy - 1);
         self.streak = None;
-        self.schedule_trial(TRIAL_STARTS);
+        self.end_trial();
         true
     }
 
+    /// Ends the present trial, whose answer says nothing once another request was reset in its place.
+    fn end_trial(&mut self) {
+        self.trial = None;
+        self.tentative_until = 0;
+        self.schedule_trial(TRIAL_STARTS);
+    }
+
     fn schedule_trial(&mut self, starts: u64) {
         self.trial_at = self.total + starts;
     }
