--- a/crates/rig/src/site/server.rs
+++ b/crates/rig/src/site/server.rs
@@ -56,6 +56,8 @@
 pub struct Behavior {
     /// Largest number of queued requests.
     pub queue: usize,
+    /// Largest number of requests, in progress or queued, whatever its slots.
+    pub room: usize,
     /// Time that a request takes, unless its path has a segment such as `work-300` with the milliseconds.
     pub work: Duration,
     /// Whether answers tell the load. Health probes are then answered at once.
@@ -72,6 +74,7 @@
     fn default() -> Self {
         Self {
             queue: 4,
+            room: usize::MAX,
             work: Duration::from_millis(5),
             tells_load: true,
             when_full: WhenFull::Rejects,
@@ -453,10 +456,16 @@
         life: &'a Life,
         deadline: Instant,
     ) -> Result<SemaphorePermit<'a>, WhenFull> {
-        let (queue, when_full) = {
-            let behavior = self.behavior();
-            (behavior.queue, behavior.when_full)
-        };
+        let Behavior {
+            queue,
+            room,
+            when_full,
+            ..
+        } = *self.behavior();
+        let running = self.place.slots - life.slots.available_permits();
+        if running + life.waiting.load(Ordering::SeqCst) >= room {
+            return Err(when_full);
+        }
         if let Ok(slot) = life.slots.try_acquire() {
             return Ok(slot);
         }
