gate: a raised room stays tentative when a request beyond it is reset

The run of rig/tests/full_server.rs that failed is traced (32 of 1942 reset in a second one, caught with its logs): the answers of three requests came late, so a trial was accepted and the room raised from 3 to 4. The next trial, at 5, began three requests later, beside one at 4. Both were reset; the one beyond the room ended the tentative time of the raise, so the other one began a streak, and as load reports named free slots, that took 20 more resets.

A reset beyond the room leaves the tentative time as it is, the next trial follows after that time, and once a room was learned, reports of free slots no longer make the streak longer.

--- a/crates/gate/src/room.rs
+++ b/crates/gate/src/room.rs
@@ -197,10 +197,13 @@
             let is_raised = sent.min_occupancy > *limit;
             *limit = (*limit).max(sent.min_occupancy);
             let round = *limit as u64;
-            if is_raised {
-                self.tentative_until = self.total + round * TENTATIVE_ROUNDS;
+            match is_raised {
+                true => {
+                    self.schedule_trial(round * TENTATIVE_ROUNDS);
+                    self.tentative_until = self.trial_at;
+                }
+                false => self.schedule_trial(round),
             }
-            self.schedule_trial(round);
         }
         self.streak.take_if(|streak| streak.is_refuted_by(sent));
         if let Some(streak) = &mut self.streak {
@@ -235,6 +238,7 @@
             }
             () if occupancy == self.limit() && sent.order <= self.tentative_until => {
                 self.limit = Some(occupancy - 1);
+                self.tentative_until = 0;
                 self.end_trial();
                 true
             }
@@ -274,7 +278,9 @@
         streak.occupancy = streak.occupancy.min(occupancy);
         streak.slowest = streak.slowest.max(took);
         streak.last = now;
-        let is_doubted = self.free_at.is_some_and(|at| now.since(at) < REPORT_TTL);
+        // Where a limit was learned, reports have been wrong.
+        let is_doubted =
+            self.limit.is_none() && self.free_at.is_some_and(|at| now.since(at) < REPORT_TTL);
         let needed = match is_doubted {
             true => DOUBTED_STREAK_LEN,
             false => STREAK_LEN,
@@ -289,6 +295,7 @@
         });
         self.limit = Some(streak.occupancy - 1);
         self.streak = None;
+        self.tentative_until = 0;
         self.end_trial();
         true
     }
@@ -296,7 +303,6 @@
     /// Ends the present trial, whose answer says nothing once another request was reset in its place.
     fn end_trial(&mut self) {
         self.trial = None;
-        self.tentative_until = 0;
         self.schedule_trial(TRIAL_STARTS);
     }
 
