gate: bodies on their way leave half of the queue to small requests

Cause: reservations counted as places in the queue for all. On a link of 10 Mbit/s bodies took all of them, and a lookup that found no free slot at that moment was refused as busy, however short its wait would have been. It was met by rig/tests/slow_links.rs with 4 slots and a queue of 4, whose set-up had been changed to 8 and 2 for it; that is taken back.

Change: requests whose bodies are on their way take at most half of the places without a free slot, and count for that much to requests that come whole. The queue gets no longer than before: slots and places together.

Tests: bodies_on_their_way_leave_half_of_the_queue_to_small_requests fails without the change (the first waiting request is refused).

--- a/crates/gate/src/core/admission.rs
+++ b/crates/gate/src/core/admission.rs
@@ -102,7 +102,9 @@
         let queued = self.queued(&offer);
         let (ahead, work) = self.queue.ahead(&queued, now, self.slowdown_factor(now));
         let wait = self.expected_wait(ahead, work, now);
-        if !self.may_wait(&offer, &queued, wait, now) {
+        let reserved = self.reservations.len().min(self.places_for_bodies());
+        let full = self.queue.len() + reserved >= self.places();
+        if !self.may_wait(&offer, &queued, wait, now) || full {
             return self.refuse_for_capacity(offer.id, offer.fail_fast, now);
         }
         self.sessions.record(offer.id, AttemptState::Pending);
@@ -110,7 +112,18 @@
         self.refuse_displaced(now)
     }
 
-    /// Whether a request that has found no slot, and would start after `wait`, may take a place in the queue.
+    /// Places in the queue.
+    pub(super) fn places(&self) -> usize {
+        self.limits.queue.0 as usize
+    }
+
+    /// Places that requests whose bodies are on their way may take without a free slot. The others stay for
+    /// requests that can start at once.
+    pub(super) fn places_for_bodies(&self) -> usize {
+        self.places().div_ceil(2)
+    }
+
+    /// Whether a request that has found no slot, and would start after `wait`, may take a free place in the queue.
     pub(super) fn may_wait(
         &mut self,
         offer: &Offer,
@@ -118,7 +131,6 @@
         wait: Span,
         now: Moment,
     ) -> bool {
-        let full = self.queue.len() + self.reservations.len() >= self.limits.queue.0 as usize;
         let too_late = now + wait + queued.rank.service_time > offer.deadline;
         if !queued.is_late(now, self.slowdown_factor(now)) {
             self.overloaded_until = now + OVERLOAD_PERIOD;
@@ -126,7 +138,7 @@
         let late_full = self.will_be_late(queued, wait, now)
             && now < self.overloaded_until
             && self.expected_late(now).len() >= self.max_late(now);
-        !(offer.fail_fast || full || too_late || late_full)
+        !(offer.fail_fast || too_late || late_full)
     }
 
     /// Number of late requests that may wait at an overloaded gate.
--- a/crates/gate/src/core/reservation.rs
+++ b/crates/gate/src/core/reservation.rs
@@ -162,6 +162,9 @@
         let (ahead, work) = self.queue.ahead(queued, now, self.slowdown_factor(now));
         let ahead = ahead + self.reservations.len();
         let work = work + self.reservations.service_time();
-        self.may_wait(offer, queued, self.expected_wait(ahead, work, now), now)
+        let reserved = self.reservations.len();
+        let full =
+            reserved >= self.places_for_bodies() || self.queue.len() + reserved >= self.places();
+        self.may_wait(offer, queued, self.expected_wait(ahead, work, now), now) && !full
     }
 }
--- a/crates/gate/tests/bodies.rs
+++ b/crates/gate/tests/bodies.rs
@@ -13,10 +13,14 @@
 
 /// An open gate whose backend server has two slots and a queue of one.
 fn gate() -> (Gate, SessionId) {
+    gate_with(2, 1)
+}
+
+fn gate_with(slots: u32, queue: u32) -> (Gate, SessionId) {
     let limits = Limits {
-        slots: Slots(2),
-        cold: Slots(2),
-        queue: Slots(1),
+        slots: Slots(slots),
+        cold: Slots(slots),
+        queue: Slots(queue),
         ..Limits::default()
     };
     let mut gate = Gate::new(Boot(1), limits, RetentionLimits::default());
@@ -144,6 +148,31 @@
     assert!(places <= 3, "{places} places");
 }
 
+/// Bodies took all places on a slow link, and lookups that found no free slot were refused.
+#[test]
+fn bodies_on_their_way_leave_half_of_the_queue_to_small_requests() {
+    let (mut gate, session) = gate_with(4, 4);
+    for seq in 1..20 {
+        gate.offer_body(offer(session, seq), BODY, NOW);
+    }
+    let small = |seq| offer(session, seq);
+    for seq in 20..24 {
+        let started = gate.offer(small(seq), NOW);
+        assert_eq!(
+            started,
+            vec![Action::Start(small(seq).id, small(seq).deadline)]
+        );
+    }
+    for seq in 24..26 {
+        assert_eq!(gate.offer(small(seq), NOW), vec![], "{seq} waits");
+    }
+    assert!(is_refused(&gate.offer(small(26), NOW), Refusal::Busy));
+    assert!(is_refused(
+        &gate.offer_body(offer(session, 27), BODY, NOW),
+        Refusal::Busy
+    ));
+}
+
 #[test]
 fn a_body_larger_than_what_may_be_on_its_way_is_taken_alone() {
     let (mut gate, session) = gate();
--- a/crates/rig/tests/slow_links.rs
+++ b/crates/rig/tests/slow_links.rs
@@ -44,7 +44,7 @@
         })
     };
     let places = json!({
-        "slots": 8, "cold": 8, "warm_ms": 0, "queue": 2, "body": 1 << 20, "timeout_ms": 8_000,
+        "slots": 4, "cold": 4, "warm_ms": 0, "queue": 4, "body": 1 << 20, "timeout_ms": 8_000,
     });
     let builder = cluster(name, net)
         .service("front", 1)
