node: records of peers are logged at all levels

Cause: peers logs body_sent since it was joined with the split of the node, and the list of components that are logged below warn lacked it.

--- a/crates/node/src/logs.rs
+++ b/crates/node/src/logs.rs
@@ -40,13 +40,14 @@
 const RATE_WINDOW: Duration = Duration::from_secs(1);
 
 /// Crates whose records are written at all levels: the node and those of its components that log.
-pub const COMPONENTS: [&str; 7] = [
+pub const COMPONENTS: [&str; 8] = [
     "allowances",
     "backend",
     "gate_actor",
     "ingress",
     "metrics",
     "node",
+    "peers",
     "view_sync",
 ];
 
