gate: the room of a server that was faulty is tried again soon

Change: the first trial is due after 10 requests, and the number doubles with each trial that is reset, to 200.

Tests: a_server_that_was_faulty_has_its_room_back_within_seconds fails before (1 at a time).

--- a/crates/gate/src/room.rs
+++ b/crates/gate/src/room.rs
@@ -27,8 +27,10 @@
 const DOUBTED_STREAK_LEN: u32 = 10;
 /// Time after which another reset begins a new streak: a long service time.
 const STREAK_TTL: Span = Span::from_millis(1_000);
-/// Requests from a reset beyond the limit to the next trial, so that trials reset half a percent of the requests.
-const TRIAL_STARTS: u64 = 200;
+/// Requests from a lowered limit to the first trial, and from a reset trial to the next one at most. The number doubles
+/// with each trial that is reset, so that a server that wasn't full has its room back soon, and trials at a full one
+/// reset half a percent of the requests.
+const TRIAL_STARTS: [u64; 2] = [10, 200];
 /// Rounds of requests for which a raised limit is tentative: a request that ended meanwhile may have made the
 /// room for the trial.
 const TENTATIVE_ROUNDS: u64 = 2;
@@ -118,6 +120,8 @@
     /// Number of requests sent at which the next trial is due.
     trial_at: u64,
     trial: Option<AttemptId>,
+    /// Number of requests between two trials.
+    trial_starts: u64,
     /// Number of requests sent up to which a single reset takes back that the limit was raised.
     tentative_until: u64,
     streak: Option<Streak>,
@@ -162,7 +166,7 @@
         self.sent.insert(id, sent);
         if occupancy > self.limit() {
             self.trial = Some(id);
-            self.schedule_trial(TRIAL_STARTS);
+            self.schedule_trial(self.trial_starts);
         }
     }
 
@@ -296,14 +300,17 @@
         self.limit = Some(streak.occupancy - 1);
         self.streak = None;
         self.tentative_until = 0;
-        self.end_trial();
+        self.trial = None;
+        self.trial_starts = TRIAL_STARTS[0];
+        self.schedule_trial(self.trial_starts);
         true
     }
 
     /// Ends the present trial, whose answer says nothing once another request was reset in its place.
     fn end_trial(&mut self) {
         self.trial = None;
-        self.schedule_trial(TRIAL_STARTS);
+        self.trial_starts = (self.trial_starts * 2).min(TRIAL_STARTS[1]);
+        self.schedule_trial(self.trial_starts);
     }
 
     fn schedule_trial(&mut self, starts: u64) {
@@ -325,7 +332,7 @@
     fn withdraw(&mut self) {
         if let Some(lowered) = self.unconfirmed.take() {
             self.limit = lowered.before;
-            self.schedule_trial(TRIAL_STARTS);
+            self.schedule_trial(self.trial_starts);
         }
     }
 
--- a/crates/gate/tests/full_server.rs
+++ b/crates/gate/tests/full_server.rs
@@ -193,6 +193,19 @@
 }
 
 /// Idle connections that were closed, lost answers and failures of a server with free slots don't.
+/// A server that resets nearly all for some seconds isn't told from a full one. Its limit stayed at 1 for 20 s.
+#[test]
+fn a_server_that_was_faulty_has_its_room_back_within_seconds() {
+    let mut simulation = Simulation::new(true, 9);
+    simulation.run(FIRST_SECOND_MS);
+    simulation.room = 1;
+    simulation.run(3_000);
+    simulation.room = 9;
+    simulation.run(2_000);
+    simulation.run(FIRST_SECOND_MS);
+    assert!(simulation.most >= 8, "{} at a time", simulation.most);
+}
+
 #[test]
 fn resets_for_other_reasons_do_not_lower_the_limit() {
     for (lost, slots) in [
