gate: a server's room is learned only where the setting full_resets asks for it

Cause: the learned room was on for all deployments, though nothing in their configuration or settings calls for it.

Change: full_resets, false by default and as deployed, switches the learned room and the bound on retries of requests that may have run. The rig's sites take settings beside the template's, and the test of real nodes sets it.

Measured: all tests of gate, gate_actor, call, ingress and node pass, with a new one that nothing is learned without the setting; gates_learn_the_room_of_servers_that_reset_when_full passes with it.

--- a/crates/gate/src/core/admission.rs
+++ b/crates/gate/src/core/admission.rs
@@ -43,12 +43,13 @@
     /// Whether one more request may start at `now`.
     fn has_capacity(&self, now: Moment) -> bool {
         let used = self.used_slots();
-        used < self.concurrency.current(now) && self.room.allows(used) && self.next_send(now) <= now
+        let has_room = self.room.as_ref().is_none_or(|room| room.allows(used));
+        used < self.concurrency.current(now) && has_room && self.next_send(now) <= now
     }
 
     /// Requests that may run at `now`, apart from a trial beyond the learned room.
     pub(super) fn allowed(&self, now: Moment) -> usize {
-        self.concurrency.current(now).min(self.room.limit())
+        self.concurrency.current(now).min(self.room_limit())
     }
 
     /// Earliest time at which the rate limits allow another request.
--- a/crates/gate/src/core/mod.rs
+++ b/crates/gate/src/core/mod.rs
@@ -56,7 +56,8 @@
     limits: Limits,
     sessions: Sessions,
     concurrency: ConcurrencyLimit,
-    room: Room,
+    /// Set if the backend server may reset connections when it is full.
+    room: Option<Room>,
     cold: ColdLimit,
     rate: RateLimit,
     queue: Queue,
@@ -99,7 +100,7 @@
                 retention.answer_bytes,
             ),
             concurrency: ConcurrencyLimit::new(limits.clone()),
-            room: Room::default(),
+            room: None,
             cold: ColdLimit::new(limits.cold_rate),
             rate: RateLimit::default(),
             probes: Probes::new(limits.probes),
@@ -121,6 +122,13 @@
         }
     }
 
+    /// Has the gate learn the room of a backend server that resets connections when it is full. One that resets
+    /// them for another reason, over seconds, is taken for full.
+    pub fn with_learned_room(self) -> Self {
+        let room = Some(Room::default());
+        Self { room, ..self }
+    }
+
     /// Incarnation of this gate.
     pub fn boot(&self) -> Boot {
         self.boot
@@ -191,7 +199,11 @@
             Completion::Shed | Completion::Incomplete => self.breaker.record(true),
             _ => {}
         }
-        let is_full = self.room.record_end(id, End::of(&completion), now);
+        let end = End::of(&completion);
+        let is_full = self
+            .room
+            .as_mut()
+            .is_some_and(|room| room.record_end(id, end, now));
         let (feedback, outcome) = match completion {
             Completion::Answered(answer) if answer.is_failure() => {
                 (Feedback::Overload, Outcome::Answer(answer))
@@ -260,7 +272,7 @@
         self.replaced_until = Moment(0);
         self.slowdown_report = (NO_SLOWDOWN_PERCENT, Moment(0));
         self.breaker.reset();
-        self.room.reset();
+        self.reset_room();
         self.rate.reset();
         self.probes.set_min_interval(Span::default());
         self.server_boot = None;
@@ -326,7 +338,7 @@
         Load {
             running: self.used_slots() as u32,
             waiting: (self.queue.len() + self.reservations.len()) as u32,
-            allowed: self.concurrency.nominal(now).min(self.room.limit()) as u32,
+            allowed: self.concurrency.nominal(now).min(self.room_limit()) as u32,
             mean_latency: self.concurrency.mean_latency(),
             slowdown_percent: self.slowdown_percent(now),
             limit: self.rate.state(now).map(|limit| limit.rate),
@@ -400,8 +412,9 @@
             service_time: rank.service_time,
         };
         let occupancy = self.used_slots() + 1;
-        self.room
-            .record_start(id, occupancy, rank.service_time, now);
+        if let Some(room) = &mut self.room {
+            room.record_start(id, occupancy, rank.service_time, now);
+        }
         let before = self.running.insert(id, run);
         assert!(before.is_none(), "invariant: an attempt starts once, {id}");
         let max = self.concurrency.current(now);
--- a/crates/gate/src/core/observations.rs
+++ b/crates/gate/src/core/observations.rs
@@ -7,6 +7,7 @@
     concurrency::Feedback,
     event::Action,
     rate_limit::{LimitSource, LimitState},
+    room::Room,
 };
 
 /// Time for which nothing is sent to a backend server that isn't the listed one. If its probes name no
@@ -36,7 +37,7 @@
         let is_new = before.is_some_and(|b| b != server);
         if is_new {
             self.cold.invalidate();
-            self.room.reset();
+            self.reset_room();
             self.concurrency.record(Feedback::Restarted, now);
         }
         is_new
@@ -57,12 +58,24 @@
 
     /// Records the backend server's report of the requests that it runs and queues, and of its slots.
     pub fn observe_occupancy(&mut self, occupancy: u32, slots: u32, now: Moment) {
-        self.room.observe_occupancy(occupancy, slots, now);
+        if let Some(room) = &mut self.room {
+            room.observe_occupancy(occupancy, slots, now);
+        }
     }
 
     /// Requests that the backend server has room for, if its resets have shown that.
     pub fn learned_room(&self) -> Option<usize> {
-        self.room.learned()
+        self.room.as_ref().and_then(Room::learned)
+    }
+
+    /// Requests that may be at the backend server by its learned room.
+    pub(super) fn room_limit(&self) -> usize {
+        self.room.as_ref().map_or(usize::MAX, Room::limit)
+    }
+
+    /// Forgets the room of a backend server that was replaced or has restarted.
+    pub(super) fn reset_room(&mut self) {
+        self.room.iter_mut().for_each(Room::reset);
     }
 
     /// Whether another backend server has been listed since `sent_at`, so that the response to a request
--- a/crates/gate/src/room.rs
+++ b/crates/gate/src/room.rs
@@ -14,6 +14,9 @@
 //!
 //! From time to time one request is tried beyond the limit. Each success allows the next trial after one round of
 //! requests, so that the limit rises quickly once there is room.
+//!
+//! A server that resets nearly all requests for seconds can't be told from a full one, so the gate learns only if it
+//! is asked to.
 
 use std::collections::BTreeMap;
 
--- a/crates/gate/tests/full_server.rs
+++ b/crates/gate/tests/full_server.rs
@@ -55,12 +55,14 @@
             },
             false => Limits::with_cold_rate(rate),
         };
+        let mut open_gate = OpenGate::new(Limits {
+            slots: Slots(10),
+            queue: Slots(40),
+            ..limits
+        });
+        open_gate.gate = open_gate.gate.with_learned_room();
         Self {
-            open_gate: OpenGate::new(Limits {
-                slots: Slots(10),
-                queue: Slots(40),
-                ..limits
-            }),
+            open_gate,
             room,
             lost: (0.0, false),
             reported_slots: None,
@@ -206,6 +208,24 @@
     assert!(simulation.most >= 8, "{} at a time", simulation.most);
 }
 
+/// A server that is faulty in the same way must not get less afterwards where no server resets when it is full.
+#[test]
+fn nothing_is_learned_unless_servers_may_reset_when_full() {
+    let mut simulation = Simulation::new(true, 1);
+    simulation.open_gate = OpenGate::new(Limits {
+        slots: Slots(10),
+        queue: Slots(40),
+        cold: Slots(10),
+        warm_ms: 0,
+        ..Limits::default()
+    });
+    simulation.run(3_000);
+    assert_eq!(simulation.open_gate.gate.learned_room(), None);
+    simulation.room = 10;
+    simulation.run(FIRST_SECOND_MS);
+    assert!(simulation.most >= 8, "{} at a time", simulation.most);
+}
+
 #[test]
 fn resets_for_other_reasons_do_not_lower_the_limit() {
     for (lost, slots) in [
--- a/crates/gate_actor/src/lib.rs
+++ b/crates/gate_actor/src/lib.rs
@@ -175,15 +175,32 @@
     open: bool,
 }
 
-/// Starts the actor and the task that notifies it of changes on the board. The rate that a service
-/// sets for a cold backend server is multiplied by `cold_factor`.
+/// What settings say of the backend server beside the gate.
+#[derive(Debug, Clone, Copy)]
+pub struct GateOptions {
+    /// Factor on the rate that a service sets for a cold backend server.
+    pub cold_factor: f64,
+    /// Whether it resets connections when it is full, see [`Gate::with_learned_room`].
+    pub full_resets: bool,
+}
+
+impl Default for GateOptions {
+    fn default() -> Self {
+        Self {
+            cold_factor: 1.0,
+            full_resets: false,
+        }
+    }
+}
+
+/// Starts the actor and the task that notifies it of changes on the board.
 pub fn spawn(
     board: &Arc<Board>,
     backend: Arc<dyn Backend>,
     metrics: &Arc<Metrics>,
-    cold_factor: f64,
+    options: GateOptions,
 ) -> ActorRef<GateActor> {
-    let state = GateActor::new(Arc::clone(board), backend, Arc::clone(metrics), cold_factor);
+    let state = GateActor::new(Arc::clone(board), backend, Arc::clone(metrics), options);
     let actor = GateActor::spawn_with_mailbox(state, mailbox::bounded(MAILBOX_MESSAGES));
     tokio::spawn(watch_board(Arc::clone(board), actor.downgrade()));
     actor
--- a/crates/gate_actor/src/state.rs
+++ b/crates/gate_actor/src/state.rs
@@ -19,8 +19,8 @@
 use types::{AttemptId, Boot, CallId, Moment, Outcome, Revision, ServerId, ServiceId, Span};
 
 use super::{
-    GateDump, OpenedSession, ProbeFinished, QueryAttempt, Refresh, Reply, RunFinished, apply_board,
-    evidence::Evidence,
+    GateDump, GateOptions, OpenedSession, ProbeFinished, QueryAttempt, Refresh, Reply, RunFinished,
+    apply_board, evidence::Evidence,
 };
 
 /// An attempt that waits or runs, or whose outcome an ingress queries.
@@ -84,13 +84,17 @@
         board: Arc<Board>,
         backend: Arc<dyn Backend>,
         metrics: Arc<Metrics>,
-        cold_factor: f64,
+        options: GateOptions,
     ) -> Self {
         let gate = Gate::new(
             board.identity.boot,
             Limits::default(),
             RetentionLimits::default(),
         );
+        let gate = match options.full_resets {
+            true => gate.with_learned_room(),
+            false => gate,
+        };
         Self {
             board,
             backend,
@@ -98,7 +102,7 @@
             gate,
             routes: RouteProfiles::default(),
             hosts_revision: Revision::default(),
-            cold_factor,
+            cold_factor: options.cold_factor,
             server: None,
             attempts: HashMap::new(),
             evidence: Evidence::default(),
--- a/crates/gate_actor/src/tests/actor.rs
+++ b/crates/gate_actor/src/tests/actor.rs
@@ -19,7 +19,7 @@
 use types::{AttemptId, Boot, Outcome, Refusal, Seq, ServerId, Size, Span};
 
 use super::{attempt, request, server, server_request, view};
-use crate::{BodyLost, DeliverBody, GateActor, OfferBody, ProbeFinished, RunAttempt};
+use crate::{BodyLost, DeliverBody, GateActor, GateOptions, OfferBody, ProbeFinished, RunAttempt};
 
 /// A backend server whose requests run until the test ends them.
 struct PendingBackend;
@@ -43,7 +43,12 @@
     board.phase.send_replace(board::Phase::Ready);
     board.view.send_replace(view(2, &server()));
     let metrics = Arc::new(Metrics::new());
-    let mut actor = GateActor::new(board, Arc::new(PendingBackend), metrics, 1.0);
+    let mut actor = GateActor::new(
+        board,
+        Arc::new(PendingBackend),
+        metrics,
+        GateOptions::default(),
+    );
     actor.refresh();
     actor
 }
--- a/crates/gate_actor/src/tests/malformed.rs
+++ b/crates/gate_actor/src/tests/malformed.rs
@@ -23,7 +23,7 @@
 use types::{AttemptId, Boot, Moment, NamedLimit, Rate, Revision, Seq, SessionId, Slots, Span};
 
 use super::{listed_server, server, server_request, state};
-use crate::{GateActor, ProbeFinished, QueryAttempt, RunAttempt};
+use crate::{GateActor, GateOptions, ProbeFinished, QueryAttempt, RunAttempt};
 
 const QUERIES: [Query; 3] = [Query::Outcome, Query::Withdraw, Query::Cancel];
 
@@ -211,7 +211,12 @@
         ..View::default()
     }));
     let backend = Arc::clone(backend);
-    let mut actor = GateActor::new(board, backend, Arc::new(Metrics::new()), 1.0);
+    let mut actor = GateActor::new(
+        board,
+        backend,
+        Arc::new(Metrics::new()),
+        GateOptions::default(),
+    );
     actor.refresh();
     actor
 }
--- a/crates/ingress/src/services.rs
+++ b/crates/ingress/src/services.rs
@@ -61,6 +61,9 @@
     /// Retries of one service beyond the retry ratio that all nodes together may send. `None` gives
     /// each node a fixed allowance.
     pub fleet_burst: Option<f64>,
+    /// Whether only a part of the retries may be of requests that may have run, see
+    /// [`Budget::try_withdraw_for_unknown`].
+    pub limits_unknown: bool,
 }
 
 impl RetryPolicy {
@@ -440,6 +443,9 @@
     }
 
     fn try_withdraw_for_unknown(&mut self) -> bool {
+        if !self.services.retry_policy.limits_unknown {
+            return self.try_withdraw();
+        }
         let withdraw = |state: &mut ServiceState| state.retry_budget.try_withdraw_for_unknown();
         self.services.update(self.service, withdraw)
     }
--- a/crates/ingress/src/tests/fixtures.rs
+++ b/crates/ingress/src/tests/fixtures.rs
@@ -13,6 +13,7 @@
 use fleet::Lease;
 use futures::{FutureExt, future::BoxFuture};
 use gate::Completion;
+use gate_actor::GateOptions;
 use metrics::Metrics;
 use note::{
     CallerLimits, HostRoute, Limits, ListedServer, Listing, OperatorConfig, Server, ServerStatus,
@@ -73,7 +74,7 @@
     lease.renew(board.clock.now());
     board.lease.send_replace(lease);
     let metrics = Arc::new(Metrics::new());
-    let gate_actor = gate_actor::spawn(&board, backend, &metrics, 1.0);
+    let gate_actor = gate_actor::spawn(&board, backend, &metrics, GateOptions::default());
     let options = SyncOptions {
         seeds: Vec::new(),
         reads: Rate::new(1.0).expect("a valid rate"),
--- a/crates/node/src/lifecycle.rs
+++ b/crates/node/src/lifecycle.rs
@@ -15,7 +15,7 @@
 use backend::HttpBackend;
 use board::{Board, Identity, Phase};
 use dialect::{Dialect, NativeDialect};
-use gate_actor::GateActor;
+use gate_actor::{GateActor, GateOptions};
 use ingress::{Ingress, RetryPolicy, Services, ZoneShares};
 use kameo::actor::ActorRef;
 use metrics::Metrics;
@@ -161,7 +161,11 @@
     let peer_listener = listen(settings.node).await?;
     let admin_listener = listen(settings.admin).await?;
 
-    let gate_actor = gate_actor::spawn(&board, Arc::new(backend), &metrics, settings.cold_over);
+    let options = GateOptions {
+        cold_factor: settings.cold_over,
+        full_resets: settings.full_resets,
+    };
+    let gate_actor = gate_actor::spawn(&board, Arc::new(backend), &metrics, options);
     let options = SyncOptions {
         seeds: settings.seeds.clone(),
         reads: settings.reads,
@@ -171,6 +175,7 @@
     let view_sync = view_sync::spawn(&board, source, &metrics, options);
     let retries = RetryPolicy {
         fleet_burst: settings.repeats,
+        limits_unknown: settings.full_resets,
     };
     let courier = Arc::new(TonicCourier::default());
     let allowances = Allowances::new(Arc::clone(&board), courier, Arc::clone(&metrics));
--- a/crates/node/src/settings.rs
+++ b/crates/node/src/settings.rs
@@ -95,6 +95,11 @@
     /// their warm-up.
     #[serde(default = "default_cold_over")]
     pub cold_over: f64,
+    /// Whether backend servers may reset connections when they are full. Gates then learn their room from resets, and
+    /// at most half of the retries are of requests that may have run. A server that resets connections for
+    /// another reason, over seconds, is taken for full.
+    #[serde(default)]
+    pub full_resets: bool,
     /// Size in bytes from which the body of a request on a bulk route is only sent to a gate that has admitted
     /// the request.
     #[serde(default = "default_offer")]
--- a/crates/rig/src/site/cluster.rs
+++ b/crates/rig/src/site/cluster.rs
@@ -9,7 +9,7 @@
     time::{Duration, Instant},
 };
 
-use serde_json::{Value, json};
+use serde_json::{Map, Value, json};
 use tokio::{
     process::Command,
     task::JoinHandle,
@@ -57,6 +57,8 @@
     pub slots: usize,
     /// Initial behavior of the servers.
     pub behavior: Behavior,
+    /// Settings of the nodes that the template doesn't have.
+    pub settings: Map<String, Value>,
     /// Time that the platform gives a process to stop, such as `"6s"`.
     pub grace: String,
 }
@@ -74,6 +76,7 @@
             zones: ["a", "b", "c"].map(str::to_owned).to_vec(),
             slots: 8,
             behavior: Behavior::default(),
+            settings: Map::new(),
             grace: format!("{}ms", GRACE.as_millis()),
         }
     }
@@ -207,8 +210,10 @@
         let template = fs::read_to_string(repository().join(deploy_value(&deploy, "template")?))?;
         let fields = self.fields(index);
         let settings = template::fill(&template, &fields).map_err(io::Error::other)?;
+        let mut settings: Map<String, Value> = serde_json::from_str(&settings)?;
+        settings.extend(self.layout.settings.clone());
         let file = self.layout.output_dir().join(format!("node-{index}.json"));
-        fs::write(&file, settings)?;
+        fs::write(&file, Value::Object(settings).to_string())?;
         let run = deploy_value(&deploy, "run")?;
         let run = template::fill(run, &fields).map_err(io::Error::other)?;
         let mut words = run.split(' ').map(str::to_owned);
--- a/crates/rig/tests/full_server.rs
+++ b/crates/rig/tests/full_server.rs
@@ -37,6 +37,9 @@
         when_full: WhenFull::Resets,
         ..Behavior::default()
     };
+    layout
+        .settings
+        .insert("full_resets".to_owned(), true.into());
     let mut site = layout.prepare()?;
     let config = Config {
         version: 1,
