route: no medians of round trips where shares aren't used

Cause: with `zones: auto` each reply sorted the round trips to the servers of two zones for latencies that only shares use, on every deployment, and the ways to all zones were kept twice, in Links and in Distances.

Change: the decision takes the least round trip alone, which Links keeps as it is recorded. Latencies are computed for shares, and for all zones at once when these begin. The decision is the same.

--- a/crates/ingress/src/services.rs
+++ b/crates/ingress/src/services.rs
@@ -282,16 +282,12 @@
     ) {
         let Some(shares) = &self.shares else { return };
         self.update(service, |state| {
-            let zone = state.balancer.server(server).map(|s| s.member.zone.clone());
-            let zone = zone?;
-            let way = shares.record(&zone, server, took, served)?;
-            if state.balancer.record_way(&zone, way) {
-                let is_used = state.balancer.uses_shares();
-                log::info!(
-                    service:% = service, from:% = shares.home, to:% = zone, least_us = way.least.0,
-                    shares = is_used; "zone_ways"
-                );
-            }
+            let (zone, least) = shares.record(server, took, served, &mut state.balancer)?;
+            let is_used = state.balancer.uses_shares();
+            log::info!(
+                service:% = service, from:% = shares.home, to:% = zone, least_us = least.0,
+                shares = is_used; "zone_ways"
+            );
             Some(())
         });
     }
--- a/crates/ingress/src/tests.rs
+++ b/crates/ingress/src/tests.rs
@@ -5,6 +5,7 @@
 mod reroute;
 mod routing;
 mod teams;
+mod zones;
 
 use bytes::BytesMut;
 use dialect::Rejection;
--- a/crates/ingress/src/zones.rs
+++ b/crates/ingress/src/zones.rs
@@ -5,7 +5,7 @@
     sync::{Mutex, MutexGuard},
 };
 
-use route::{ByteCost, Links, Spill, Way};
+use route::{Balancer, ByteCost, Links, Spill};
 use types::{ServerId, ServiceId, Span, ZoneId};
 
 /// Change of a service's share that is logged.
@@ -37,17 +37,33 @@
             .expect("no thread panics while holding this lock")
     }
 
-    /// Records a message that was answered. Returns the way to its zone.
+    /// Records a message that was answered, and tells the balancer what that changes. Returns the zone and what a
+    /// round trip there adds at least if the balancer uses shares from now on, or no longer.
     pub(crate) fn record(
         &self,
-        zone: &ZoneId,
         server: &ServerId,
         took: Span,
         served: Span,
-    ) -> Option<Way> {
+        balancer: &mut Balancer,
+    ) -> Option<(ZoneId, Span)> {
+        let zone = balancer.server(server)?.member.zone.clone();
         let mut links = self.links();
-        links.record(zone, server, took, served);
-        links.way(&self.home, zone)
+        links.record(&zone, server, took, served);
+        let least = links.least(&self.home, &zone)?;
+        let is_changed = balancer.record_least(&zone, least);
+        if balancer.uses_shares() && zone != self.home {
+            let set = |zone: &ZoneId| {
+                let added = links.added(&self.home, zone);
+                added
+                    .into_iter()
+                    .for_each(|added| balancer.set_added(zone, added));
+            };
+            match is_changed {
+                true => links.zones().for_each(set),
+                false => [&zone].into_iter().for_each(set),
+            }
+        }
+        is_changed.then_some((zone, least))
     }
 
     /// Forgets the servers that `keep` doesn't hold for.
--- a/crates/route/src/balancer.rs
+++ b/crates/route/src/balancer.rs
@@ -7,7 +7,6 @@
 
 use crate::{
     distance::{ASSUMED, Distances},
-    link::Way,
     policy::Policy,
     rendezvous::rendezvous_hash,
     server::{LoadReport, Member, ServerState},
@@ -268,45 +267,29 @@
         self.spill.as_ref()
     }
 
-    /// Records the measured way to a zone. Returns whether shares are used from now on, or no longer.
-    pub fn record_way(&mut self, zone: &ZoneId, way: Way) -> bool {
-        if self.home.as_ref() == Some(zone) || !self.slots.contains_key(zone) {
-            return false;
-        }
+    /// Records what a round trip to a zone takes longer than one within the ingress's at least. Returns whether
+    /// shares are used from now on, or no longer.
+    pub fn record_least(&mut self, zone: &ZoneId, least: Span) -> bool {
         let zones = self.slots.len() - usize::from(self.home.is_some());
-        let before = self.uses_shares();
-        let is_decided = match &mut self.distances {
-            Some(distances) => distances.record(zone, way, zones),
-            None => false,
+        let is_other = self.home.as_ref() != Some(zone) && self.slots.contains_key(zone);
+        let Some(distances) = self.distances.as_mut().filter(|_| is_other) else {
+            return false;
         };
-        if is_decided {
+        let was_far = distances.is_far() == Some(true);
+        if distances.record(zone, least, zones) {
             self.choose_servers();
         }
-        match self.uses_shares() {
-            true if !before => self.apply_ways(),
-            true => self.set_added(zone, way.added),
-            false if before => self.assume_ways(),
-            false => {}
-        }
-        self.uses_shares() != before
-    }
-
-    /// Sets the latencies of all zones that were measured before shares were used.
-    fn apply_ways(&mut self) {
-        let ways = self.distances.iter().flat_map(Distances::ways);
-        let ways: Vec<_> = ways.map(|(zone, way)| (zone.clone(), way)).collect();
-        for (zone, way) in ways {
-            self.set_added(&zone, way.added);
+        let uses_shares = self.uses_shares();
+        if was_far && !uses_shares {
+            let others = self.servers.iter_mut().filter(|s| !s.member.local);
+            others.for_each(|server| server.added = ASSUMED);
         }
+        uses_shares != was_far
     }
 
-    /// Sets the latencies that comparisons assume.
-    fn assume_ways(&mut self) {
-        let others = self.servers.iter_mut().filter(|s| !s.member.local);
-        others.for_each(|server| server.added = ASSUMED);
-    }
-
-    fn set_added(&mut self, zone: &ZoneId, added: Span) {
+    /// Sets what a round trip to a zone takes longer than one within the ingress's. Comparisons assume that until
+    /// shares are used.
+    pub fn set_added(&mut self, zone: &ZoneId, added: Span) {
         let there = self.servers.iter_mut().filter(|s| s.member.zone == *zone);
         there
             .filter(|s| !s.member.local)
--- a/crates/route/src/distance.rs
+++ b/crates/route/src/distance.rs
@@ -8,8 +8,6 @@
 
 use types::{Span, ZoneId};
 
-use crate::link::Way;
-
 /// Latency that a round trip to another availability zone adds, unless it is measured.
 pub(crate) const ASSUMED: Span = Span::from_millis(3);
 /// Least added latency from which zones count as far: twice what is assumed, as a busy host measures some
@@ -22,8 +20,8 @@
 /// The measured ways to the other zones, and what is decided from them.
 #[derive(Debug, Default)]
 pub(crate) struct Distances {
-    /// The last measured way to each zone, and the number of messages there.
-    ways: BTreeMap<ZoneId, (Way, u32)>,
+    /// What a round trip to each zone adds at least, and the number of messages there.
+    ways: BTreeMap<ZoneId, (Span, u32)>,
     /// Whether a zone is far, `None` until that is known.
     far: Option<bool>,
 }
@@ -31,13 +29,13 @@
 impl Distances {
     /// Records what a message to a zone has shown. `zones` is the number of other zones. Returns whether the
     /// decision has changed.
-    pub(crate) fn record(&mut self, zone: &ZoneId, way: Way, zones: usize) -> bool {
+    pub(crate) fn record(&mut self, zone: &ZoneId, least: Span, zones: usize) -> bool {
         let (known, messages) = self.ways.entry(zone.clone()).or_default();
-        (*known, *messages) = (way, messages.saturating_add(1));
-        let is_measured = |(_, messages): &&(Way, u32)| *messages >= MIN_MESSAGES;
+        (*known, *messages) = (least, messages.saturating_add(1));
+        let is_measured = |(_, messages): &&(Span, u32)| *messages >= MIN_MESSAGES;
         let measured = self.ways.values().filter(is_measured);
         let (count, farthest) = measured.fold((0, Span::default()), |(count, farthest), known| {
-            (count + 1, farthest.max(known.0.least))
+            (count + 1, farthest.max(known.0))
         });
         let before = self.far;
         self.far = match before {
@@ -54,11 +52,6 @@
         self.ways.retain(|zone, _| keep(zone));
     }
 
-    /// The measured ways.
-    pub(crate) fn ways(&self) -> impl Iterator<Item = (&ZoneId, Way)> {
-        self.ways.iter().map(|(zone, (way, _))| (zone, *way))
-    }
-
     /// Whether a zone is far, `None` until that is known.
     pub(crate) fn is_far(&self) -> Option<bool> {
         self.far
--- a/crates/route/src/lib.rs
+++ b/crates/route/src/lib.rs
@@ -28,7 +28,7 @@
 
 pub use balancer::{Balancer, Reason, Selection};
 pub use cost::ByteCost;
-pub use link::{Links, Way};
+pub use link::Links;
 pub use policy::{LeastReported, Policy, PolicyKind, Random, RoundRobin, TwoChoices};
 pub use route_table::{RouteTable, host_name, service_for_trial};
 pub use server::{LoadReport, Member, ServerState};
--- a/crates/route/src/link.rs
+++ b/crates/route/src/link.rs
@@ -13,15 +13,6 @@
 /// many, as a host that is out of processor time delays nearly all.
 const PERIOD: u32 = 256;
 
-/// What a round trip to an availability zone takes longer than one within the own zone.
-#[derive(Debug, Clone, Copy, Default, PartialEq, Eq)]
-pub struct Way {
-    /// Usually, with the waits at hosts that are always busy.
-    pub added: Span,
-    /// At least, without any wait.
-    pub least: Span,
-}
-
 /// Round trips to one zone.
 #[derive(Debug)]
 struct Zone {
@@ -85,6 +76,11 @@
         self.zones.retain(|_, zone| !zone.servers.is_empty());
     }
 
+    /// The zones that are known.
+    pub fn zones(&self) -> impl Iterator<Item = &ZoneId> {
+        self.zones.keys()
+    }
+
     /// The round trip to a zone: the median over its servers, so that a few slow ones don't count.
     /// `None` before the first message.
     pub fn round_trip(&self, zone: &ZoneId) -> Option<Span> {
@@ -102,12 +98,16 @@
 
     /// How much longer a round trip to `zone` is than one within `home`. `None` while either is
     /// unknown.
-    pub fn way(&self, home: &ZoneId, zone: &ZoneId) -> Option<Way> {
-        let longer = |far: Span, near: Span| Span(far.0.saturating_sub(near.0));
-        let least = |zone: &ZoneId| self.zones.get(zone).map(Zone::least);
-        Some(Way {
-            added: longer(self.round_trip(zone)?, self.round_trip(home)?),
-            least: longer(least(zone)?, least(home)?),
-        })
+    pub fn added(&self, home: &ZoneId, zone: &ZoneId) -> Option<Span> {
+        let far = self.round_trip(zone)?;
+        let near = self.round_trip(home)?;
+        Some(Span(far.0.saturating_sub(near.0)))
+    }
+
+    /// The same without any wait, from the shortest of many round trips.
+    pub fn least(&self, home: &ZoneId, zone: &ZoneId) -> Option<Span> {
+        let far = self.zones.get(zone)?.least();
+        let near = self.zones.get(home)?.least();
+        Some(Span(far.0.saturating_sub(near.0)))
     }
 }
--- a/crates/route/src/server.rs
+++ b/crates/route/src/server.rs
@@ -11,7 +11,7 @@
 const SLOWDOWN_HALF_LIFE: Span = Span::from_millis(100);
 /// Slowdown of a backend server that works at its usual speed.
 const NO_SLOWDOWN_PERCENT: u32 = 100;
-/// Utilization up to which a zone bears its load: nearly all requests find a free slot.
+/// Utilization up to which a zone serves its load: nearly all requests find a free slot.
 pub(crate) const FULL: f64 = 0.9;
 
 /// A backend server as configured in the view.
--- a/crates/route/src/zone_load.rs
+++ b/crates/route/src/zone_load.rs
@@ -9,7 +9,7 @@
 /// Highest utilization that is told apart. Beyond it the queues say how long a zone has been
 /// overloaded, not by how much.
 const MAX_UTILIZATION: f64 = 2.0;
-/// Utilization of a zone that wasn't heard of: half of what it bears.
+/// Utilization of a zone that wasn't heard of: half of what it can serve.
 const UNHEARD: f64 = FULL / 2.0;
 /// Half-life of a report's weight. One of many ingresses sends a server a request every few seconds.
 const HALF_LIFE: Span = Span::from_millis(1_000);
@@ -33,7 +33,7 @@
 }
 
 impl ZoneLoad {
-    /// Requests that it bears in addition, up to a utilization of `level`.
+    /// Requests that it can serve in addition, up to a utilization of `level`.
     pub(crate) fn room(&self, level: f64) -> f64 {
         (level * self.capacity - self.load).max(0.0)
     }
--- a/crates/route/tests/distance.rs
+++ b/crates/route/tests/distance.rs
@@ -1,7 +1,7 @@
 //! Shares only for zones that are far, by measured round trips.
 
 use rand::{SeedableRng, rngs::SmallRng};
-use route::{Balancer, ByteCost, Member, PolicyKind, Spill, Way};
+use route::{Balancer, ByteCost, Member, PolicyKind, Spill};
 use types::{Boot, Moment, Span, ZoneId};
 
 /// Messages to each zone by which every decision is made.
@@ -11,11 +11,6 @@
     format!("zone-{index}").parse().expect("a valid name")
 }
 
-fn way(added: Span) -> Way {
-    let least = added;
-    Way { added, least }
-}
-
 /// Members of three zones, of which the first is the ingress's.
 fn members(of_each: usize) -> Vec<Member> {
     let member = |index: usize| Member {
@@ -44,9 +39,9 @@
 /// Has both other zones answer messages, `added` later than the own zone would.
 fn measure(balancer: &mut Balancer, added: Span) {
     for _ in 0..MESSAGES {
-        balancer.record_way(&zone(0), way(Span::default()));
-        balancer.record_way(&zone(1), way(added));
-        balancer.record_way(&zone(2), way(added));
+        balancer.record_least(&zone(0), Span::default());
+        balancer.record_least(&zone(1), added);
+        balancer.record_least(&zone(2), added);
     }
 }
 
@@ -88,16 +83,14 @@
     measure(&mut balancer, Span(8_800));
     assert!(balancer.uses_shares());
     assert_eq!(used_zones(&balancer), 3);
-    let far = balancer.servers().iter().filter(|s| !s.member.local);
-    assert!(far.map(|s| s.added).all(|added| added == Span(8_800)));
 }
 
 #[test]
 fn one_far_zone_is_enough() {
     let mut balancer = auto(4);
     for _ in 0..MESSAGES {
-        balancer.record_way(&zone(1), way(Span(500)));
-        balancer.record_way(&zone(2), way(Span(9_000)));
+        balancer.record_least(&zone(1), Span(500));
+        balancer.record_least(&zone(2), Span(9_000));
     }
     assert!(balancer.uses_shares());
 }
@@ -107,8 +100,8 @@
 fn the_first_messages_decide_nothing() {
     let mut balancer = auto(4);
     for added in [30_000, 12_000, 7_000] {
-        balancer.record_way(&zone(1), way(Span(added)));
-        balancer.record_way(&zone(2), way(Span(added)));
+        balancer.record_least(&zone(1), Span(added));
+        balancer.record_least(&zone(2), Span(added));
     }
     assert!(!balancer.uses_shares());
     measure(&mut balancer, Span(1_800));
@@ -143,13 +136,13 @@
 fn a_zone_that_is_gone_is_forgotten() {
     let mut balancer = auto(4);
     for _ in 0..MESSAGES {
-        balancer.record_way(&zone(1), way(Span(8_800)));
+        balancer.record_least(&zone(1), Span(8_800));
     }
     assert!(balancer.uses_shares());
     let left = members(4).into_iter().filter(|m| m.zone != zone(1));
     balancer.set_members(left.collect(), Boot(7));
     for _ in 0..MESSAGES {
-        balancer.record_way(&zone(2), way(Span(1_000)));
+        balancer.record_least(&zone(2), Span(1_000));
     }
     assert!(!balancer.uses_shares());
 }
--- a/crates/route/tests/fleet/mod.rs
+++ b/crates/route/tests/fleet/mod.rs
@@ -3,7 +3,7 @@
 use std::{collections::VecDeque, fmt};
 
 use rand::{RngExt, SeedableRng, rngs::SmallRng};
-use route::{Balancer, ByteCost, LoadReport, Member, PolicyKind, Spill, Way};
+use route::{Balancer, ByteCost, LoadReport, Member, PolicyKind, Spill};
 use types::{Boot, Moment, ServerId, Span, ZoneId};
 
 const ZONES: usize = 4;
@@ -190,10 +190,7 @@
             };
             let members = (first..ZONES * PEERS).map(member).collect();
             balancer.set_members(members, Boot(ingress as u64));
-            (0..ZONES).for_each(|z| {
-                let (added, least) = (self.plan.added, self.plan.added);
-                balancer.record_way(&zone(z * PEERS), Way { added, least });
-            });
+            (0..ZONES).for_each(|z| balancer.set_added(&zone(z * PEERS), self.plan.added));
         }
     }
 
--- a/crates/route/tests/spill.rs
+++ b/crates/route/tests/spill.rs
@@ -129,10 +129,12 @@
             links.record(&zone(0), &id(10 + server), Span(140_200), SERVICE);
         }
     }
-    let way = links.way(&zone(0), &zone(1)).expect("both are measured");
-    assert!((8_000..16_000).contains(&way.added.0), "{way:?}");
-    assert_eq!(way.least, Span(8_600), "without any wait");
-    assert_eq!(links.way(&zone(0), &zone(2)), None);
+    let added = links.added(&zone(0), &zone(1)).expect("both are measured");
+    assert!((8_000..16_000).contains(&added.0), "{added}");
+    assert_eq!(links.added(&zone(0), &zone(2)), None);
+    let least = links.least(&zone(0), &zone(1));
+    assert_eq!(least, Some(Span(8_600)), "without any wait");
+    assert_eq!(links.least(&zone(0), &zone(2)), None);
 }
 
 #[test]
@@ -155,7 +157,7 @@
     assert_eq!(counts, [12, 3, 3, 3, 3]);
 }
 
-/// Four zones of twelve servers; the first has twice the load that it bears, the others half.
+/// Four zones of twelve servers; the first has twice the load that it can serve, the others half.
 fn uneven(added_ms: u64) -> Plan {
     Plan {
         load: [1.8, 0.45, 0.45, 0.45],
