peers, ingress, call: one clock, one place for attempts without an id, plainer names

The link of bodies had a clock of its own; it takes the board's. query and withdraw shared the lines for an attempt that has no id yet. Two test files had the same selector. withheld is unsent, on_the_way is in_flight.

--- a/crates/allowance/tests/support/mod.rs
+++ b/crates/allowance/tests/support/mod.rs
@@ -86,7 +86,7 @@
     nodes: Vec<Node>,
     /// All views, the newest last. A node never goes back to an earlier one.
     views: Vec<View>,
-    on_the_way: Vec<Message>,
+    in_flight: Vec<Message>,
     waiters: Vec<Waiter>,
     steps: u64,
 }
@@ -128,7 +128,7 @@
             probes: 0,
             delays: vec![2_000],
             cut: Default::default(),
-            on_the_way: Vec::new(),
+            in_flight: Vec::new(),
             waiters: Vec::new(),
             steps: 0,
             members,
@@ -169,7 +169,7 @@
     pub(crate) fn kill(&mut self, index: usize) {
         self.nodes[index].alive = false;
         self.waiters.retain(|w| w.ingress != index);
-        self.on_the_way.retain(|m| m.ingress != index);
+        self.in_flight.retain(|m| m.ingress != index);
     }
 
     pub(crate) fn start(&mut self, index: usize) {
@@ -272,7 +272,7 @@
     /// Delivers messages, and returns the ingresses that have an answer or give up, with the team.
     fn deliver(&mut self) -> Vec<(usize, TeamId)> {
         let now = self.now;
-        let mut messages = std::mem::take(&mut self.on_the_way);
+        let mut messages = std::mem::take(&mut self.in_flight);
         for message in &mut messages {
             if message.drawn.is_none() && now >= message.arrives {
                 let drawn = self.ask(message.ingress, &message.team, message.question);
@@ -284,7 +284,7 @@
                 || now.since(message.sent_at) >= TIMEOUT)
         };
         let (open, ended): (Vec<_>, Vec<_>) = messages.into_iter().partition(is_open);
-        self.on_the_way.extend(open);
+        self.in_flight.extend(open);
         let mut answered = Vec::new();
         for message in ended {
             let in_time = now >= message.returns;
@@ -398,7 +398,7 @@
                 let delay =
                     |i: u64| Span(self.delays[(self.steps + i) as usize % self.delays.len()]);
                 let arrives = now + delay(waiter.ingress as u64);
-                self.on_the_way.push(Message {
+                self.in_flight.push(Message {
                     ingress: waiter.ingress,
                     team: waiter.team.clone(),
                     question,
--- a/crates/call/src/core.rs
+++ b/crates/call/src/core.rs
@@ -54,7 +54,7 @@
     /// Whether the backend server may be selected again, as the refusal says nothing against it.
     reusable: bool,
     /// Whether the gate hasn't got the attempt, or not its body to its end, without which it starts nothing.
-    withheld: bool,
+    unsent: bool,
     /// Whether the request certainly never reached the backend server.
     undelivered: bool,
     /// Whether the gate should refuse it rather than queue it or run it slowly.
@@ -133,7 +133,7 @@
             return Vec::new();
         }
         let outcome = match outcome {
-            Outcome::Unknown if self.attempts[attempt].withheld => Outcome::refused(Refusal::Down),
+            Outcome::Unknown if self.attempts[attempt].unsent => Outcome::refused(Refusal::Down),
             known => known,
         };
         let mut actions = self.settle(attempt);
@@ -176,13 +176,13 @@
 
     /// Notes that the gate can't start an attempt yet: nothing is sent, or its body follows once the gate has
     /// admitted it.
-    pub fn withhold(&mut self, attempt: AttemptIndex) {
-        self.attempts[attempt].withheld = true;
+    pub fn mark_unsent(&mut self, attempt: AttemptIndex) {
+        self.attempts[attempt].unsent = true;
     }
 
     /// Notes that the last part of what the gate needs to start an attempt is about to be sent.
     pub fn on_sent(&mut self, attempt: AttemptIndex) {
-        self.attempts[attempt].withheld = false;
+        self.attempts[attempt].unsent = false;
     }
 
     /// Handles a broken connection under an attempt, or a node that can't be reached. An idempotent
@@ -196,7 +196,7 @@
         budget: &mut dyn Budget,
     ) -> Vec<Action> {
         match self.attempts[attempt].phase {
-            Phase::Sent(_) if self.attempts[attempt].withheld => {
+            Phase::Sent(_) if self.attempts[attempt].unsent => {
                 let outcome = Outcome::refused(Refusal::Down);
                 self.on_outcome(attempt, outcome, now, selector, budget)
             }
@@ -439,7 +439,7 @@
             server: server.clone(),
             phase,
             not_run: false,
-            withheld: false,
+            unsent: false,
             reusable: false,
             undelivered: false,
             fail_fast,
@@ -456,7 +456,7 @@
     /// Finishes the call without an answer. An open attempt that the gate can't start yet never runs, as it is
     /// cancelled and no more of it is sent.
     fn give_up(&mut self, late: bool) -> Vec<Action> {
-        let none_ran = self.attempts.iter().all(|a| a.not_run || a.withheld);
+        let none_ran = self.attempts.iter().all(|a| a.not_run || a.unsent);
         let (refusal, retry_after) = match self.last_refusal {
             // Other nodes may serve it at once.
             _ if self.is_ending => (Refusal::Stopping, Span::default()),
--- a/crates/call/tests/bodies.rs
+++ b/crates/call/tests/bodies.rs
@@ -1,24 +1,13 @@
 //! Attempts whose bodies follow once a gate has admitted them.
 
-use call::{
-    Action, Call, CallOutcome, CallRequest, Selection, ServerSelector, Timeouts, TokenBucket,
-};
-use types::{Moment, Outcome, Refusal, ServerId, Span};
+#[path = "support/in_turn.rs"]
+mod in_turn;
 
-const DEADLINE: Moment = Moment(6_000_000);
-
-/// Selects the servers `a`, `b` and `c` in turn.
-struct InTurn;
+use call::{Action, Call, CallOutcome, CallRequest, Timeouts, TokenBucket};
+use in_turn::InTurn;
+use types::{Moment, Outcome, Refusal, Span};
 
-impl ServerSelector for InTurn {
-    fn select(&mut self, tried: &[ServerId], _: &[ServerId]) -> Option<Selection> {
-        let name = ["a", "b", "c"].get(tried.len())?;
-        Some(Selection {
-            server: name.parse().expect("a valid id"),
-            has_alternatives: true,
-        })
-    }
-}
+const DEADLINE: Moment = Moment(6_000_000);
 
 /// A call of a request that may run once, whose first attempt is offered without its body.
 fn offered() -> Call {
@@ -35,7 +24,7 @@
     };
     let mut call = Call::new(request, timeouts);
     call.start(Moment(0), &mut InTurn);
-    call.withhold(0);
+    call.mark_unsent(0);
     call
 }
 
--- a/crates/call/tests/resets.rs
+++ b/crates/call/tests/resets.rs
@@ -1,7 +1,11 @@
 //! Load: callers whose backend servers reset most requests, among a few that are shed, at one retry budget.
 
-use call::{Action, Call, CallRequest, Selection, ServerSelector, Timeouts, TokenBucket};
-use types::{Moment, Outcome, Refusal, ServerId, Span};
+#[path = "support/in_turn.rs"]
+mod in_turn;
+
+use call::{Action, Call, CallRequest, Timeouts, TokenBucket};
+use in_turn::InTurn;
+use types::{Moment, Outcome, Refusal, Span};
 
 const CALLS: u64 = 2_000;
 /// Retry ratio of a node, and what the platform allows beyond it to its 17 nodes.
@@ -11,18 +15,6 @@
 /// One in this number of calls is shed: less than half of what the ratio allows.
 const SHED_INTERVAL: u64 = 25;
 
-struct InTurn;
-
-impl ServerSelector for InTurn {
-    fn select(&mut self, tried: &[ServerId], _: &[ServerId]) -> Option<Selection> {
-        let name = ["a", "b", "c"].get(tried.len())?;
-        Some(Selection {
-            server: name.parse().expect("a valid id"),
-            has_alternatives: true,
-        })
-    }
-}
-
 /// Whether a call is sent again after its first attempt ended with this outcome.
 fn is_retried(outcome: Outcome, idempotent: bool, budget: &mut TokenBucket) -> bool {
     let (now, deadline) = (Moment(0), Moment(800_000));
--- a/crates/call/tests/support/mod.rs
+++ b/crates/call/tests/support/mod.rs
@@ -297,7 +297,7 @@
         let boot = process.gate.boot();
         let call = index;
         if caller.is_large {
-            caller.call.withhold(attempt);
+            caller.call.mark_unsent(attempt);
         }
         self.in_flight.push(match caller.is_large {
             true => Message::Offer {
--- a/crates/call/tests/unsent.rs
+++ b/crates/call/tests/unsent.rs
@@ -112,7 +112,7 @@
             match action {
                 Action::Send { attempt, .. } => {
                     self.attempts.push(Attempt::default());
-                    self.call.withhold(attempt);
+                    self.call.mark_unsent(attempt);
                 }
                 Action::Cancel(attempt) | Action::Settle(attempt) => {
                     self.attempts[attempt].is_closed = true;
--- a/crates/call/tests/window.rs
+++ b/crates/call/tests/window.rs
@@ -49,11 +49,11 @@
     };
     let mut windows: Vec<BodyWindow> = (0..hosts).map(|_| BodyWindow::default()).collect();
     // Chunks on the way: when they are acknowledged, when they were sent, to whom, and their size.
-    let mut on_the_way: Vec<(Moment, Moment, usize, Size)> = Vec::new();
+    let mut in_flight: Vec<(Moment, Moment, usize, Size)> = Vec::new();
     let (mut carried, mut waits) = (0.0, Vec::new());
     let end = Moment(0) + duration;
     for now in (0..end.0).step_by(50).map(Moment) {
-        let due = on_the_way.extract_if(.., |(at, ..)| *at <= now);
+        let due = in_flight.extract_if(.., |(at, ..)| *at <= now);
         for (at, sent, host, bytes) in due.collect::<Vec<_>>() {
             windows[host].on_acknowledged(bytes, at.since(sent), now);
             if now >= SETTLED {
@@ -66,7 +66,7 @@
         for (host, window) in windows.iter_mut().enumerate() {
             while let Some(bytes) = window.next_chunk() {
                 window.on_sent(bytes);
-                on_the_way.push((link.send(bytes, now), now, host, bytes));
+                in_flight.push((link.send(bytes, now), now, host, bytes));
             }
         }
     }
@@ -112,16 +112,16 @@
     let mut now = Moment(0);
     let mut largest = Vec::new();
     for round_trip in [Span::from_millis(1), Span::from_millis(30)] {
-        let mut on_the_way = Vec::new();
+        let mut in_flight = Vec::new();
         let end = now + Span::from_millis(30_000);
         while now < end {
             while let Some(bytes) = window.next_chunk() {
                 window.on_sent(bytes);
-                on_the_way.push(bytes);
+                in_flight.push(bytes);
             }
-            largest.push(on_the_way.iter().map(|bytes: &Size| bytes.0).sum::<u64>());
+            largest.push(in_flight.iter().map(|bytes: &Size| bytes.0).sum::<u64>());
             now = now + round_trip;
-            for bytes in on_the_way.drain(..) {
+            for bytes in in_flight.drain(..) {
                 window.on_acknowledged(bytes, round_trip, now);
             }
         }
--- a/crates/ingress/src/driver/attempts.rs
+++ b/crates/ingress/src/driver/attempts.rs
@@ -5,10 +5,10 @@
     sync::{Arc, OnceLock},
 };
 
-use call::{Action, AttemptIndex, CallOutcome};
+use call::{Action, AttemptIndex, CallOutcome, SessionAttempt};
 use futures::{FutureExt, future::abortable};
 use gate::Rank;
-use peers::Handover;
+use peers::{Handover, Peer};
 use types::{Refusal, ServerId};
 
 use super::{AttemptState, CallDriver, Event};
@@ -62,7 +62,7 @@
         request.is_retry |= is_retry;
         let is_offered = self.routed.offers_body(self.ingress.offer_bytes);
         let handover = is_offered.then(Handover::default);
-        self.call.withhold(attempt);
+        self.call.mark_unsent(attempt);
         let outgoing = OutgoingAttempt {
             ingress: Arc::clone(&self.ingress),
             peer: Arc::clone(&peer),
@@ -120,15 +120,26 @@
         }
     }
 
-    fn query(&mut self, attempt: AttemptIndex) -> Vec<Action> {
+    /// The peer of an attempt and the id under which it was sent. Without an id nothing was sent, and nothing will
+    /// be: the attempt counts as refused.
+    fn sent_to(
+        &mut self,
+        attempt: AttemptIndex,
+    ) -> Result<(Arc<Peer>, SessionAttempt), Vec<Action>> {
         let state = &self.attempts[attempt];
-        let Some(registered) = state.registered.get().copied() else {
-            // It has no id yet, so nothing was sent. Aborting ensures that nothing will be.
-            state.abort_handle.abort();
-            let now = self.now();
-            return self.apply_refusal(attempt, Refusal::Down, now);
+        if let Some(registered) = state.registered.get().copied() {
+            return Ok((Arc::clone(&state.peer), registered));
+        }
+        state.abort_handle.abort();
+        let now = self.now();
+        Err(self.apply_refusal(attempt, Refusal::Down, now))
+    }
+
+    fn query(&mut self, attempt: AttemptIndex) -> Vec<Action> {
+        let (peer, registered) = match self.sent_to(attempt) {
+            Ok(sent) => sent,
+            Err(actions) => return actions,
         };
-        let peer = Arc::clone(&state.peer);
         let sent_at = self.now();
         let query = async move {
             let result = peer.client.query(registered.id).await;
@@ -144,14 +155,10 @@
 
     /// Has the gate refuse an attempt if it is queued. The attempt itself goes on waiting for its outcome.
     fn withdraw(&mut self, attempt: AttemptIndex) -> Vec<Action> {
-        let state = &self.attempts[attempt];
-        let Some(registered) = state.registered.get().copied() else {
-            // Nothing was sent, see `query`.
-            state.abort_handle.abort();
-            let now = self.now();
-            return self.apply_refusal(attempt, Refusal::Down, now);
+        let (peer, registered) = match self.sent_to(attempt) {
+            Ok(sent) => sent,
+            Err(actions) => return actions,
         };
-        let peer = Arc::clone(&state.peer);
         let sent_at = self.now();
         let withdrawal = async move {
             match peer.client.withdraw(registered.id).await {
--- a/crates/peers/src/bodies.rs
+++ b/crates/peers/src/bodies.rs
@@ -9,10 +9,10 @@
         Arc, Mutex, MutexGuard,
         atomic::{AtomicBool, Ordering},
     },
-    time::Instant,
 };
 
 use attempt::Reply;
+use board::Clock;
 use bytes::{Bytes, BytesMut};
 use call::BodyWindow;
 use futures::{
@@ -35,34 +35,28 @@
 #[derive(Debug)]
 pub(super) struct BodyLink {
     window: Mutex<BodyWindow>,
-    created_at: Instant,
+    clock: Clock,
     /// Held by the body whose chunk is next. Its fair order gives all bodies their turns.
     turn: tokio::sync::Mutex<()>,
     changed: Notify,
 }
 
-impl Default for BodyLink {
-    fn default() -> Self {
+impl BodyLink {
+    pub(super) fn new(clock: Clock) -> Self {
         Self {
             window: Mutex::default(),
-            created_at: Instant::now(),
+            clock,
             turn: tokio::sync::Mutex::default(),
             changed: Notify::new(),
         }
     }
-}
 
-impl BodyLink {
     fn window(&self) -> MutexGuard<'_, BodyWindow> {
         self.window
             .lock()
             .expect("no thread panics while holding this lock")
     }
 
-    fn now(&self) -> Moment {
-        Moment(self.created_at.elapsed().as_micros() as u64)
-    }
-
     /// Waits until a chunk of a body of which `rest` bytes are left may be sent.
     async fn next_chunk(self: Arc<Self>, rest: usize) -> ChunkPermit {
         let _turn = self.turn.lock().await;
@@ -82,7 +76,7 @@
         Some(ChunkPermit {
             link: Arc::clone(self),
             size,
-            sent_at: self.now(),
+            sent_at: self.clock.now(),
             is_acknowledged: false,
         })
     }
@@ -104,7 +98,7 @@
 
 impl Drop for ChunkPermit {
     fn drop(&mut self) {
-        let now = self.link.now();
+        let now = self.link.clock.now();
         let round_trip: Span = now.since(self.sent_at);
         let mut window = self.link.window();
         match self.is_acknowledged {
@@ -156,12 +150,12 @@
 ) -> Result<Reply, TransportError> {
     let (sender, receiver) = mpsc::unbounded();
     let mut sending = Sending {
-        began: link.now(),
+        began: link.clock.now(),
         link,
         id,
         size: Size(body.len() as u64),
         rest: body,
-        on_the_way: VecDeque::new(),
+        in_flight: VecDeque::new(),
         sender,
     };
     if let Some(permit) = sending.next_permit() {
@@ -205,7 +199,7 @@
     /// What isn't sent yet.
     rest: Bytes,
     /// The chunks that aren't acknowledged, in order.
-    on_the_way: VecDeque<ChunkPermit>,
+    in_flight: VecDeque<ChunkPermit>,
     sender: mpsc::UnboundedSender<BodyChunk>,
 }
 
@@ -234,13 +228,13 @@
                 ..BodyChunk::default()
             },
         };
-        self.on_the_way.push_back(permit);
+        self.in_flight.push_back(permit);
         // The receiver is gone if the connection is, which its reply tells.
         let _ = self.sender.unbounded_send(chunk);
     }
 
     fn log_sent(&self) {
-        let took = self.link.now().since(self.began);
+        let took = self.link.clock.now().since(self.began);
         let window = self.link.window().size();
         log::info!(
             attempt:% = self.id, bytes = self.size.0, took_us = took.0, window = window.0;
@@ -249,7 +243,7 @@
     }
 
     fn acknowledge(&mut self) {
-        if let Some(permit) = self.on_the_way.pop_front() {
+        if let Some(permit) = self.in_flight.pop_front() {
             permit.acknowledge();
         }
     }
--- a/crates/peers/src/lib.rs
+++ b/crates/peers/src/lib.rs
@@ -226,7 +226,7 @@
         let peer = peers.entry(address).or_insert_with(|| {
             let client: Arc<dyn GateClient> = match address == self.board.identity.node {
                 true => Arc::new(LocalGate::new(self.gate_actor.clone())),
-                false => Arc::new(RemoteGate::new(address)),
+                false => Arc::new(RemoteGate::new(address, self.board.clock)),
             };
             Arc::new(Peer::new(address, client))
         });
--- a/crates/peers/src/remote.rs
+++ b/crates/peers/src/remote.rs
@@ -12,6 +12,7 @@
 };
 
 use attempt::{OpenedSession, Reply, ServerRequest};
+use board::Clock;
 use bytes::Bytes;
 use futures::{FutureExt, future::BoxFuture};
 use gate::Query;
@@ -35,6 +36,7 @@
 /// Client of a gate in another process.
 pub(crate) struct RemoteGate {
     address: SocketAddr,
+    clock: Clock,
     channel: Mutex<Channel>,
     /// Connection for large bodies, so that no other message waits behind them, with the window of the bodies on
     /// it. Made for the first one.
@@ -42,9 +44,10 @@
 }
 
 impl RemoteGate {
-    pub(crate) fn new(address: SocketAddr) -> Self {
+    pub(crate) fn new(address: SocketAddr, clock: Clock) -> Self {
         Self {
             address,
+            clock,
             channel: Mutex::new(endpoint(address).connect_lazy()),
             body_channel: Mutex::default(),
         }
@@ -117,7 +120,10 @@
 
     fn body_client(&self) -> (PeerClient<Channel>, Arc<BodyLink>) {
         let mut channel = self.body_channel();
-        let create = || (endpoint(self.address).connect_lazy(), Arc::default());
+        let create = || {
+            let link = Arc::new(BodyLink::new(self.clock));
+            (endpoint(self.address).connect_lazy(), link)
+        };
         let (channel, link) = channel.get_or_insert_with(create);
         (client(channel.clone()), Arc::clone(link))
     }
--- a/crates/rig/src/site/caller.rs
+++ b/crates/rig/src/site/caller.rs
@@ -102,7 +102,7 @@
     Failed {
         /// Status.
         status: u16,
-        /// Whether it bears a backend server's signature.
+        /// Whether it has a backend server's signature.
         signed: bool,
     },
     /// A success that isn't that of a backend server for this request, or bytes that are no answer.
