--- a/crates/rig/src/server.rs
+++ b/crates/rig/src/server.rs
@@ -5,6 +5,9 @@
 //! concurrency limit: a request beyond the limit counts as a breach, and a breach while the server is
 //! cold makes all requests fail for a while.
 
+mod behavior;
+mod response;
+
 use std::{
     collections::HashMap,
     io,
@@ -15,15 +18,16 @@
 
 use axum::{
     Json, Router,
-    body::{Body, Bytes, to_bytes},
+    body::to_bytes,
     extract::{Request, State},
     http::{HeaderMap, HeaderValue, StatusCode},
     middleware::{Next, from_fn_with_state},
     response::Response,
     routing::{get, post},
 };
-use futures::stream;
+pub use behavior::{Behavior, ResponseMode};
 use rand::RngExt;
+use response::{empty_response, respond};
 use serde::{Deserialize, Serialize};
 use tokio::{net::TcpListener, sync::watch, time::sleep};
 
@@ -43,73 +47,6 @@
 /// Time for which a server that a deadly request has ended accepts no connection.
 const DOWN_DURATION: Duration = Duration::from_millis(800);
 const MAX_BODY_BYTES: usize = 32 << 20;
-/// Bytes of a body without end that are sent in each interval.
-const ENDLESS_CHUNK: usize = 64 << 10;
-const ENDLESS_INTERVAL: Duration = Duration::from_millis(10);
-
-/// How the server responds.
-#[derive(Debug, Clone, Copy, Default, PartialEq, Eq, Serialize, Deserialize)]
-#[serde(rename_all = "snake_case")]
-pub enum ResponseMode {
-    /// Sends the whole response.
-    #[default]
-    Whole,
-    /// Sends the first half of the body and closes the connection.
-    Truncated,
-    /// Closes the connection without a response.
-    Cut,
-    /// Sends the head of a response, and a body without end.
-    Endless,
-    /// Keeps the connection open and never responds.
-    Silent,
-    /// Responds with 503 at once and doesn't run the request.
-    Shed,
-    /// Responds with 500 at once and doesn't run the request.
-    Fail,
-}
-
-/// Configuration of the server, which can change while it runs.
-#[derive(Debug, Clone, Serialize, Deserialize)]
-#[serde(default)]
-pub struct Behavior {
-    /// Concurrency limit when warm.
-    pub slots: usize,
-    /// Concurrency limit when cold.
-    pub cold: usize,
-    /// Time in milliseconds from a start until the server is warm.
-    pub warm_ms: u64,
-    /// Mean service time in milliseconds. The time is uniform between half and one and a half of it.
-    pub service_ms: f64,
-    /// Factor on the service time.
-    pub slow: f64,
-    /// How the server responds.
-    pub answering: ResponseMode,
-    /// Address of the node on the same host, which takes the nested requests.
-    pub node: Option<SocketAddr>,
-    /// Requests a second that responses name as the limit.
-    pub limit: Option<f64>,
-    /// Whether responses say that the server is leaving.
-    pub leaving: bool,
-    /// Path segment of requests that end the server.
-    pub deadly: Option<String>,
-}
-
-impl Default for Behavior {
-    fn default() -> Self {
-        Self {
-            slots: 10,
-            cold: 10,
-            warm_ms: 0,
-            service_ms: 5.0,
-            slow: 1.0,
-            answering: ResponseMode::Whole,
-            node: None,
-            limit: None,
-            leaving: false,
-            deadly: None,
-        }
-    }
-}
 
 /// Counters since the server was created. A restart doesn't reset them.
 #[derive(Debug, Clone, Default, Serialize, Deserialize)]
@@ -507,39 +444,6 @@
     }
 }
 
-async fn respond(mode: ResponseMode, boot: u64, echo: Option<&Echo>) -> Response {
-    let text = serde_json::to_vec(&echo).unwrap_or_default();
-    let builder = Response::builder().header("x-boot", boot);
-    let half = Bytes::copy_from_slice(&text[..text.len() / 2]);
-    let reset = || Err(io::Error::from(io::ErrorKind::ConnectionReset));
-    let response = match mode {
-        ResponseMode::Truncated => builder
-            .header("content-length", text.len())
-            .body(Body::from_stream(stream::iter([Ok(half), reset()]))),
-        ResponseMode::Cut => builder.body(Body::from_stream(stream::iter([reset()]))),
-        ResponseMode::Endless => builder.body(Body::from_stream(endless_stream())),
-        ResponseMode::Silent => std::future::pending().await,
-        _ => builder
-            .header("content-type", "application/json")
-            .body(Body::from(text)),
-    };
-    response.unwrap_or_else(|_| empty_response(StatusCode::INTERNAL_SERVER_ERROR))
-}
-
-/// Yields a chunk of a body in each interval, for ever.
-fn endless_stream() -> impl stream::Stream<Item = io::Result<Bytes>> {
-    stream::unfold((), |()| async {
-        sleep(ENDLESS_INTERVAL).await;
-        Some((Ok(Bytes::from_static(&[b'x'; ENDLESS_CHUNK])), ()))
-    })
-}
-
-fn empty_response(status: StatusCode) -> Response {
-    let mut response = Response::new(Body::empty());
-    *response.status_mut() = status;
-    response
-}
-
 fn header<'a>(headers: &'a HeaderMap, name: &str) -> &'a str {
     headers
         .get(name)
--- a/crates/rig/src/site/server.rs
+++ b/crates/rig/src/site/server.rs
@@ -1,5 +1,7 @@
 //! Stand-in of a backend server, which registers itself at the store.
 
+mod behavior;
+
 use std::{
     io,
     net::SocketAddr,
@@ -20,6 +22,8 @@
     time::{interval, sleep, timeout_at},
 };
 
+pub use behavior::{Behavior, WhenFull};
+
 use super::{
     http1::{Message, bind, read_message, response},
     journal::{Arrival, Journal},
@@ -39,51 +43,6 @@
 /// Time without a write after which an entry is removed: three silent intervals.
 pub const LEASE: Duration = Duration::from_millis(4_500);
 
-/// What a server does with a request beyond its queue.
-#[derive(Debug, Clone, Copy, Default, PartialEq, Eq)]
-pub enum WhenFull {
-    /// Answers that it didn't run the request.
-    #[default]
-    Rejects,
-    /// Resets the connection.
-    Resets,
-    /// Never answers on that connection.
-    IsSilent,
-}
-
-/// How a server behaves; it may change while the server runs.
-#[derive(Debug, Clone)]
-pub struct Behavior {
-    /// Largest number of queued requests.
-    pub queue: usize,
-    /// Largest number of requests, in progress or queued, whatever its slots.
-    pub room: usize,
-    /// Time that a request takes, unless its path has a segment such as `work-300` with the milliseconds.
-    pub work: Duration,
-    /// Whether answers tell the load. Health probes are then answered at once.
-    pub tells_load: bool,
-    /// What becomes of requests beyond the queue.
-    pub when_full: WhenFull,
-    /// Share of the answers that are sent once more, where the next answer is expected.
-    pub late_copies: f64,
-    /// Share of the successes that are cut within their body.
-    pub cut_answers: f64,
-}
-
-impl Default for Behavior {
-    fn default() -> Self {
-        Self {
-            queue: 4,
-            room: usize::MAX,
-            work: Duration::from_millis(5),
-            tells_load: true,
-            when_full: WhenFull::Rejects,
-            late_copies: 0.0,
-            cut_answers: 0.0,
-        }
-    }
-}
-
 /// Place of a server.
 #[derive(Debug, Clone)]
 pub struct Place {
