route, ingress: tests for the least way and for the ways at the start of shares

Nothing failed when the shortest way was taken from too few messages, or when the ways that were measured before shares began weren't told to the balancer. With a period of 4 messages in place of 256 the first test fails; without telling all ways once a zone turns far the second does.

--- a/crates/ingress/src/tests/zones.rs
+++ b/crates/ingress/src/tests/zones.rs
@@ -64,3 +64,20 @@
         assert_eq!(added(phases), [Span::default(), assumed, assumed]);
     }
 }
+
+/// A zone that turns far switches shares on for all: the ways to the others were measured before, but not told.
+#[test]
+fn the_ways_to_all_zones_count_as_soon_as_one_is_far() {
+    let shares = ZoneShares::new(zone(0), ByteCost::default(), true);
+    let mut balancer = balancer();
+    let mut record =
+        |index, way| shares.record(&server(index), SERVED + Span(way), SERVED, &mut balancer);
+    assert_eq!(record(0, 400), None);
+    for _ in 0..MESSAGES {
+        assert_eq!(record(1, 1_400), None);
+    }
+    let far = (0..MESSAGES).find_map(|_| record(2, 9_400));
+    assert_eq!(far, Some((zone(2), Span(9_000))));
+    let added = [1, 2].map(|index| balancer.server(&server(index)).expect("in use").added);
+    assert_eq!(added, [Span(1_000), Span(9_000)]);
+}
--- a/crates/route/tests/spill.rs
+++ b/crates/route/tests/spill.rs
@@ -137,6 +137,23 @@
     assert_eq!(links.least(&zone(0), &zone(2)), None);
 }
 
+/// Hosts that are out of processor time delay nearly all messages.
+#[test]
+fn the_least_way_needs_one_message_in_a_hundred_without_a_wait() {
+    let mut links = Links::default();
+    let id = |index: usize| -> ServerId { format!("s-{index}").parse().expect("a valid name") };
+    links.record(&zone(0), &id(0), SERVICE + Span(200), SERVICE);
+    for message in 0..2_000_u64 {
+        let wait = Span(if message % 100 == 50 { 0 } else { 9_000 });
+        let took = SERVICE + Span(2_000 + wait.0);
+        links.record(&zone(1), &id(1), took, SERVICE);
+        if message >= 50 {
+            let least = links.least(&zone(0), &zone(1));
+            assert_eq!(least, Some(Span(1_800)), "message {message}");
+        }
+    }
+}
+
 #[test]
 fn an_ingress_knows_all_zones_with_bounded_connections() {
     let rng = SmallRng::seed_from_u64(1);
