gate: tests of full servers that reorder requests or whose answers are late

The simulated server had the order of its gate and its answers arrived at once. Requests that overtake each other are borne: 0 failures over all rooms, limits and reports, and the test fails if the occupancy of requests sent at the same time isn't looked at. Late answers are not: where limits are noted and the server reports more slots than it has room, 1 ms is 16 of 1,576 reset and 5 ms 2% to 4%, beyond one in a hundred. Counting answers as on their way for a tenth of the service time changed nothing (trial, reverted). A comment stands at its own test again.

--- a/crates/gate/tests/full_server.rs
+++ b/crates/gate/tests/full_server.rs
@@ -18,6 +18,8 @@
 /// Mean times until an answer and until a reset, each between half and one and a half of it.
 const SERVICE_MS: u64 = 50;
 const RESET_MS: u64 = 1;
+/// Requests that are started within this time may arrive in another order.
+const OVERTAKING: Span = Span::from_millis(1);
 const DEADLINE: Span = Span::from_millis(400);
 const STEP_US: u64 = 500;
 const OFFER_STEPS: u64 = 5;
@@ -25,6 +27,15 @@
 /// More requests than are under way at once.
 const MAX_UNSETTLED: u64 = 500;
 
+/// A request at the backend server.
+#[derive(Debug, Clone, Copy)]
+struct Running {
+    end: Moment,
+    /// Whether the server has a place for it.
+    held: bool,
+    answered: bool,
+}
+
 /// A backend server and its gate.
 struct Simulation {
     open_gate: OpenGate,
@@ -32,11 +43,16 @@
     room: usize,
     /// Share of the requests that are lost for another reason, and whether that happens once they have run.
     lost: (f64, bool),
+    /// Time by which answers arrive after the server has freed their places.
+    late: Span,
+    /// Whether each second request overtakes the one before it.
+    reorders: bool,
     /// Slots that the server reports, if it does.
     reported_slots: Option<u32>,
     rng: SmallRng,
-    /// Requests in progress: their ends, whether the server has a place for them, and whether it answers.
-    running: BTreeMap<AttemptId, (Moment, bool, bool)>,
+    /// Requests whose ends the gate doesn't know yet, and the last one that it started.
+    running: BTreeMap<AttemptId, Running>,
+    last: Option<(AttemptId, Moment)>,
     step: u64,
     starts: usize,
     resets: usize,
@@ -65,9 +81,12 @@
             open_gate,
             room,
             lost: (0.0, false),
+            late: Span::default(),
+            reorders: false,
             reported_slots: None,
             rng: SmallRng::seed_from_u64(18),
             running: BTreeMap::new(),
+            last: None,
             step: 20_000,
             starts: 0,
             resets: 0,
@@ -80,7 +99,9 @@
     }
 
     fn held(&self) -> usize {
-        self.running.values().filter(|(_, held, _)| *held).count()
+        let now = self.now();
+        let held = |r: &&Running| r.held && r.end > now;
+        self.running.values().filter(held).count()
     }
 
     fn carry_out(&mut self, actions: Vec<Action>) {
@@ -93,22 +114,44 @@
             let held = self.held() < self.room && (!lost || has_run);
             let factor = self.rng.random_range(0.5..1.5);
             let duration = Span::from_millis(if held { SERVICE_MS } else { RESET_MS });
-            let end = self.now() + duration.scale(factor);
-            self.running.insert(id, (end, held, held && !lost));
+            let running = Running {
+                end: self.now() + duration.scale(factor),
+                held,
+                answered: held && !lost,
+            };
+            self.running.insert(id, running);
+            self.overtake(id);
             self.starts += 1;
             self.resets += usize::from(!held);
             self.most = self.most.max(self.held());
         }
     }
 
+    /// Lets a request arrive before the one that was started less than a millisecond before.
+    fn overtake(&mut self, id: AttemptId) {
+        let now = self.now();
+        let last = self.last.replace((id, now));
+        let near = last.filter(|(_, at)| self.reorders && now.since(*at) < OVERTAKING);
+        if let Some((before, _)) = near
+            && let Some(first) = self.running.remove(&before)
+            && let Some(second) = self.running.insert(id, first)
+        {
+            self.running.insert(before, second);
+        }
+    }
+
     fn finish_due(&mut self) {
         let now = self.now();
+        let late = self.late;
         let ended: Vec<_> = self
             .running
-            .extract_if(.., |_, (end, ..)| *end <= now)
+            .extract_if(.., |_, r| match r.answered {
+                true => r.end + late <= now,
+                false => r.end <= now,
+            })
             .collect();
-        for (id, (_, _, answered)) in ended {
-            let completion = match answered {
+        for (id, running) in ended {
+            let completion = match running.answered {
                 true => Completion::Answered(Answer::default().into()),
                 false => Completion::Incomplete,
             };
@@ -166,8 +209,8 @@
     }
 }
 
-#[test]
-fn a_full_server_resets_few_requests() {
+/// Checks servers of every room whose limits are noted or not, and whose reports are right, wrong or missing.
+fn assert_all_learned(set_up: impl Fn(&mut Simulation)) {
     for (noted, room) in [false, true]
         .into_iter()
         .flat_map(|n| [2, 4, 6, 8].map(|r| (n, r)))
@@ -175,6 +218,7 @@
         for reported_slots in [None, Some(room as u32), Some(10)] {
             let mut simulation = Simulation::new(noted, room);
             simulation.reported_slots = reported_slots;
+            set_up(&mut simulation);
             simulation.assert_learned();
             println!(
                 "room {room}: {} of {}",
@@ -184,6 +228,26 @@
     }
 }
 
+#[test]
+fn a_full_server_resets_few_requests() {
+    assert_all_learned(|_| {});
+}
+
+#[test]
+fn requests_that_arrive_in_another_order_are_no_restart() {
+    assert_all_learned(|simulation| simulation.reorders = true);
+}
+
+#[test]
+fn answers_on_their_way_are_no_room() {
+    assert_all_learned(|simulation| simulation.late = Span::from_millis(1));
+}
+
+#[test]
+fn answers_on_their_way_for_long_are_no_room() {
+    assert_all_learned(|simulation| simulation.late = Span::from_millis(5));
+}
+
 #[test]
 fn room_that_changes_is_learned_again() {
     let mut simulation = Simulation::new(false, 8);
@@ -194,7 +258,6 @@
     }
 }
 
-/// Idle connections that were closed, lost answers and failures of a server with free slots don't.
 /// A server that resets nearly all for some seconds isn't told from a full one. Its limit stayed at 1 for 20 s.
 #[test]
 fn a_server_that_was_faulty_has_its_room_back_within_seconds() {
@@ -226,6 +289,7 @@
     assert!(simulation.most >= 8, "{} at a time", simulation.most);
 }
 
+/// Idle connections that were closed, lost answers and failures of a server with free slots don't.
 #[test]
 fn resets_for_other_reasons_do_not_lower_the_limit() {
     for (lost, slots) in [
@@ -250,6 +314,6 @@
         assert_eq!(simulation.most, 8, "crash {crash}");
         let now = simulation.now();
         let running = simulation.running.values_mut();
-        running.for_each(|(end, _, answered)| (*end, *answered) = (now, false));
+        running.for_each(|r| (r.end, r.answered) = (now, false));
     }
 }
