gate: fail-fast nested requests may wait for a slot that comes free soon

Lookups that backend servers send in the course of other requests are sent fail-fast, and a full gate refuses these at once, although one of its slots may come free within milliseconds. They ask up to six gates while their parents hold slots.

Change: with the setting `nested_waits`, off by default, a gate queues a fail-fast nested request where it is expected to get a slot within half of its service time and in time for its objective: of the slots that come free until then, one must be left after the requests that rank before it and after the fail-fast ones that wait already. If its slot doesn't come in that time it is refused as busy, and asks on. Without the setting nothing changes. The emulator counts refusals, and plays the setting with `--nested-waits`.

--- a/crates/gate/src/core/admission.rs
+++ b/crates/gate/src/core/admission.rs
@@ -19,6 +19,12 @@
 const MAX_SLOWDOWN: f64 = 4.0;
 /// Late requests that may wait at an overloaded gate, as a share of the slots.
 const LATE_SHARE: f64 = 0.25;
+/// Longest time that a fail-fast nested request waits for a slot, as a share of its service time. After longer waits
+/// another gate would have had a free slot.
+const WAIT_SHARE: f64 = 0.5;
+/// Time until a request is expected to end that has no end in sight, as a multiple of its service time: it may wait
+/// for others itself.
+const MAX_OVERDUE: f64 = 1.3;
 
 impl Gate {
     /// Whether a new request may start at once. It overtakes only late requests, which may be
@@ -96,11 +102,15 @@
                 service_time,
                 ..offer.rank
             },
+            wait_until: None,
         }
     }
 
     pub(super) fn enqueue(&mut self, offer: Offer, now: Moment) -> Vec<Action> {
-        let queued = self.queued(&offer);
+        let queued = Queued {
+            wait_until: self.wait_until(&offer, now),
+            ..self.queued(&offer)
+        };
         let (ahead, work) = self.queue.ahead(&queued, now, self.slowdown_factor(now));
         let wait = self.expected_wait(ahead, work, now);
         let reserved = self.reservations.len().min(self.places_for_bodies());
@@ -139,7 +149,39 @@
         let late_full = self.will_be_late(queued, wait, now)
             && now < self.overloaded_until
             && self.expected_late(now).len() >= self.max_late(now);
-        !(offer.fail_fast || too_late || late_full)
+        let declined = offer.fail_fast && !self.gets_next_slot(queued, now);
+        !(declined || too_late || late_full)
+    }
+
+    /// Until when a fail-fast request waits for a slot, `None` if it doesn't. It must still meet its objective then.
+    fn wait_until(&self, offer: &Offer, now: Moment) -> Option<Moment> {
+        if !(self.nested_waits && offer.fail_fast && offer.rank.nested) {
+            return None;
+        }
+        let usual = self.queued(offer).rank.service_time;
+        let latest = offer.rank.objective - usual.scale(self.slowdown_factor(now));
+        Some(latest.min(now + usual.scale(WAIT_SHARE))).filter(|until| *until > now)
+    }
+
+    /// Whether a fail-fast request may wait: so many slots are expected to come free until it gives up that one
+    /// is left for it by its rank, and for each fail-fast request that waits already.
+    fn gets_next_slot(&self, queued: &Queued, now: Moment) -> bool {
+        let Some(until) = queued.wait_until else {
+            return false;
+        };
+        let slowdown = self.slowdown_factor(now);
+        let ends = |run: &&Run| {
+            let usual = run.service_time.scale(slowdown);
+            let is_overdue = run.began + usual.scale(MAX_OVERDUE) < now;
+            run.began + usual < until && !is_overdue
+        };
+        let ending = self.running.values().filter(ends).count();
+        let released = self.cancelling.iter().filter(|end| **end < until).count();
+        let (ahead, _) = self.queue.ahead(queued, now, slowdown);
+        let taken = ahead.max(self.queue.fail_fast_count());
+        let excess = self.used_slots().saturating_sub(self.allowed(now));
+        let is_limited = self.next_send(now) >= until;
+        taken + excess < ending + released && !is_limited
     }
 
     /// Number of late requests that may wait at an overloaded gate.
@@ -242,8 +284,11 @@
     pub(super) fn start_queued(&mut self, now: Moment) -> Vec<Action> {
         self.cancelling.retain(|until| *until > now);
         let mut actions = Vec::new();
-        for id in self.queue.expire(now) {
-            actions.extend(self.refuse_expired(id));
+        for queued in self.queue.expire(now) {
+            actions.extend(match queued.wait_until {
+                Some(_) => self.refuse_for_capacity(queued.id, true, now),
+                None => self.refuse(queued.id, Refusal::Late, Span::default()),
+            });
         }
         for id in self.reservations.expire(now) {
             actions.extend(self.refuse(id, Refusal::Cancelled, Span::default()));
@@ -266,10 +311,6 @@
         actions
     }
 
-    fn refuse_expired(&mut self, id: AttemptId) -> Vec<Action> {
-        self.refuse(id, Refusal::Late, Span::default())
-    }
-
     pub(super) fn refuse_queued(&mut self, refusal: Refusal) -> Vec<Action> {
         let queued = self.queue.drain().into_iter();
         queued
--- a/crates/gate/src/core/mod.rs
+++ b/crates/gate/src/core/mod.rs
@@ -58,6 +58,8 @@
     concurrency: ConcurrencyLimit,
     /// Set if the backend server may reset connections when it is full.
     room: Option<Room>,
+    /// Whether fail-fast nested requests may wait for the next slots.
+    nested_waits: bool,
     cold: ColdLimit,
     rate: RateLimit,
     queue: Queue,
@@ -101,6 +103,7 @@
             ),
             concurrency: ConcurrencyLimit::new(limits.clone()),
             room: None,
+            nested_waits: false,
             cold: ColdLimit::new(limits.cold_rate),
             rate: RateLimit::default(),
             probes: Probes::new(limits.probes),
@@ -129,6 +132,15 @@
         Self { room, ..self }
     }
 
+    /// Has fail-fast nested requests wait at a full gate where they get one of the next slots, for half of their service
+    /// time at most. They rank like requests of callers, and are refused as busy if the slot comes later.
+    pub fn with_nested_waits(self) -> Self {
+        Self {
+            nested_waits: true,
+            ..self
+        }
+    }
+
     /// Incarnation of this gate.
     pub fn boot(&self) -> Boot {
         self.boot
@@ -405,7 +417,9 @@
     }
 
     fn start(&mut self, queued: &Queued, now: Moment) -> Vec<Action> {
-        let Queued { id, deadline, rank } = *queued;
+        let Queued {
+            id, deadline, rank, ..
+        } = *queued;
         self.sessions.record(id, AttemptState::Pending);
         let run = Run {
             began: now,
--- a/crates/gate/src/queue.rs
+++ b/crates/gate/src/queue.rs
@@ -15,6 +15,10 @@
 //! wait that are late or will be by the time at which they are expected to start: running a request
 //! that is late anyway would make another one late.
 //!
+//! A gate may also let fail-fast nested requests wait, see [`crate::Gate::with_nested_waits`]. These are ranked like
+//! requests of callers, by the priority and the objective of their own route, so they never start before more urgent
+//! ones.
+//!
 //! A request that can't be answered by its deadline is refused as soon as that is known, so that
 //! its caller can go elsewhere or retry.
 
@@ -54,6 +58,8 @@
     pub(crate) deadline: Moment,
     /// Offered rank, with an estimated service time if that was unknown.
     pub(crate) rank: Rank,
+    /// Set for a fail-fast request: time until which it waits for a slot here, and then tries other gates.
+    pub(crate) wait_until: Option<Moment>,
 }
 
 /// Sort key of a queued request. The smallest key starts first.
@@ -76,6 +82,7 @@
             nested,
         } = self.rank;
         let done = now + service_time.scale(slowdown);
+        let nested = nested && self.wait_until.is_none();
         // The objective of the outermost caller isn't known here, so only the deadline counts.
         let objective = if nested { self.deadline } else { objective };
         let late = done > objective;
@@ -93,9 +100,10 @@
         self.sort_key(now, slowdown).late
     }
 
-    /// Latest time at which it may start and still meet its deadline.
+    /// Latest time at which it may start and still meet its deadline, or until which it waits.
     pub(crate) fn latest_start(&self) -> Moment {
-        self.deadline - self.rank.service_time
+        let latest = self.deadline - self.rank.service_time;
+        latest.min(self.wait_until.unwrap_or(Moment::MAX))
     }
 }
 
@@ -134,22 +142,21 @@
         self.entries.iter().filter(late).count()
     }
 
-    /// Time at which the next entry expires, since it can no longer meet its deadline.
+    /// Number of fail-fast entries.
+    pub(crate) fn fail_fast_count(&self) -> usize {
+        let fail_fast = |q: &&Queued| q.wait_until.is_some();
+        self.entries.iter().filter(fail_fast).count()
+    }
+
+    /// Time at which the next entry expires, see [`Queued::latest_start`].
     pub(crate) fn next_expiry(&self) -> Option<Moment> {
         self.entries.iter().map(Queued::latest_start).min()
     }
 
-    /// Removes the entries that can no longer meet their deadline.
-    pub(crate) fn expire(&mut self, now: Moment) -> Vec<AttemptId> {
-        let expired = |q: &Queued| q.latest_start() <= now;
-        let removed = self
-            .entries
-            .iter()
-            .filter(|q| expired(q))
-            .map(|q| q.id)
-            .collect();
-        self.entries.retain(|q| !expired(q));
-        removed
+    /// Removes the entries that have expired.
+    pub(crate) fn expire(&mut self, now: Moment) -> Vec<Queued> {
+        let expired = |q: &mut Queued| q.latest_start() <= now;
+        self.entries.extract_if(.., expired).collect()
     }
 
     /// Number and total service time of the entries that would start before `queued`.
--- a/crates/gate_actor/src/lib.rs
+++ b/crates/gate_actor/src/lib.rs
@@ -182,6 +182,8 @@
     pub cold_factor: f64,
     /// Whether it resets connections when it is full, see [`Gate::with_learned_room`].
     pub full_resets: bool,
+    /// Whether fail-fast nested requests may wait for the next slots, see [`Gate::with_nested_waits`].
+    pub nested_waits: bool,
 }
 
 impl Default for GateOptions {
@@ -189,6 +191,7 @@
         Self {
             cold_factor: 1.0,
             full_resets: false,
+            nested_waits: false,
         }
     }
 }
--- a/crates/gate_actor/src/state.rs
+++ b/crates/gate_actor/src/state.rs
@@ -95,6 +95,10 @@
             true => gate.with_learned_room(),
             false => gate,
         };
+        let gate = match options.nested_waits {
+            true => gate.with_nested_waits(),
+            false => gate,
+        };
         Self {
             board,
             backend,
--- a/crates/node/src/lifecycle.rs
+++ b/crates/node/src/lifecycle.rs
@@ -164,6 +164,7 @@
     let options = GateOptions {
         cold_factor: settings.cold_over,
         full_resets: settings.full_resets,
+        nested_waits: settings.nested_waits,
     };
     let gate_actor = gate_actor::spawn(&board, Arc::new(backend), &metrics, options);
     let options = SyncOptions {
--- a/crates/node/src/settings.rs
+++ b/crates/node/src/settings.rs
@@ -100,6 +100,10 @@
     /// another reason, over seconds, is taken for full.
     #[serde(default)]
     pub full_resets: bool,
+    /// Whether requests that backend servers send in the course of others may wait a moment at a full gate, where they
+    /// get one of its next slots, rather than ask other gates at once.
+    #[serde(default)]
+    pub nested_waits: bool,
     /// Size in bytes from which the body of a request on a bulk route is only sent to a gate that has admitted
     /// the request.
     #[serde(default = "default_offer")]
--- a/crates/rig/src/emulator/host.rs
+++ b/crates/rig/src/emulator/host.rs
@@ -9,7 +9,7 @@
 use route::{Balancer, Member, PolicyKind};
 use types::{AttemptId, Boot, Moment, ServerId, ServiceId, SessionId, Slots, Span};
 
-use super::{Kind, SERVERS, SLOTS, START};
+use super::{Kind, Options, SERVERS, SLOTS, START};
 
 /// A request that a backend server is running.
 #[derive(Debug)]
@@ -36,7 +36,7 @@
 
 impl Host {
     /// Creates a host for each entry of `services`, which is the service of its backend server.
-    pub(super) fn all(services: &[usize], seed: u64) -> Vec<Self> {
+    pub(super) fn all(services: &[usize], options: &Options) -> Vec<Self> {
         let members = |service: usize| -> Vec<Member> {
             let own = services.iter().enumerate().filter(|(_, s)| **s == service);
             own.map(|(index, _)| Member {
@@ -49,7 +49,11 @@
         };
         let host = |(index, own): (usize, &usize)| {
             let boot = Boot(index as u64 + 1);
-            let mut gate = Gate::new(boot, limits(), RetentionLimits::default());
+            let gate = Gate::new(boot, limits(), RetentionLimits::default());
+            let mut gate = match options.nested_waits {
+                true => gate.with_nested_waits(),
+                false => gate,
+            };
             let session = gate.open_session(Boot(99), START);
             gate.set_open(true);
             gate.extend_lease(Moment::MAX);
@@ -57,7 +61,7 @@
             let hosts = SERVERS.iter().enumerate();
             profiles.set_hosts(&hosts.map(|(i, count)| (service(i), *count)).collect());
             let balancers = [0, 1].map(|service| {
-                let rng = SmallRng::seed_from_u64(seed + boot.0);
+                let rng = SmallRng::seed_from_u64(options.seed + boot.0);
                 let mut balancer = Balancer::new(PolicyKind::default().build(), rng);
                 balancer.set_members(members(service), boot);
                 balancer
--- a/crates/rig/src/emulator/kind.rs
+++ b/crates/rig/src/emulator/kind.rs
@@ -69,4 +69,6 @@
     pub refused: u64,
     /// Failed after a backend server had worked on them.
     pub failed: u64,
+    /// Attempts that gates refused.
+    pub refusals: u64,
 }
--- a/crates/rig/src/emulator/mod.rs
+++ b/crates/rig/src/emulator/mod.rs
@@ -50,11 +50,13 @@
     pub lookups: u64,
     /// Whether gates learn about routes, see [`gate::RouteProfiles`].
     pub learns: bool,
+    /// Whether nested requests may wait at full gates, see [`gate::Gate::with_nested_waits`].
+    pub nested_waits: bool,
 }
 
 /// Plays a load and returns what callers got, by kind of request.
 pub fn play(options: &Options) -> BTreeMap<Kind, Counts> {
-    let mut fleet = Fleet::new(options.seed, options.learns);
+    let mut fleet = Fleet::new(options);
     fleet.play(options);
     fleet.counts
 }
@@ -62,19 +64,20 @@
 /// Formats the counts as a table.
 pub fn render(counts: &BTreeMap<Kind, Counts>) -> String {
     let mut text = format!(
-        "{:<8} {:>7} {:>7} {:>7} {:>7} {:>7}\n",
-        "kind", "asked", "in time", "late", "refused", "failed"
+        "{:<8} {:>7} {:>7} {:>7} {:>7} {:>7} {:>9}\n",
+        "kind", "asked", "in time", "late", "refused", "failed", "refusals"
     );
     for (kind, c) in counts {
         let _ = writeln!(
             text,
-            "{:<8} {:>7} {:>7} {:>7} {:>7} {:>7}",
+            "{:<8} {:>7} {:>7} {:>7} {:>7} {:>7} {:>9}",
             format!("{kind:?}"),
             c.asked,
             c.in_time,
             c.late,
             c.refused,
-            c.failed
+            c.failed,
+            c.refusals
         );
     }
     text
@@ -131,22 +134,22 @@
 }
 
 impl Fleet {
-    fn new(seed: u64, learns: bool) -> Self {
+    fn new(options: &Options) -> Self {
         let services = SERVERS.iter().enumerate();
         let services: Vec<usize> = services
             .flat_map(|(service, count)| vec![service; *count])
             .collect();
         Self {
-            hosts: Host::all(&services, seed),
+            hosts: Host::all(&services, options),
             callers: Vec::new(),
             attempts: BTreeMap::new(),
             events: BTreeMap::new(),
             next_event: 0,
             counts: BTreeMap::new(),
             budget: TokenBucket::default(),
-            rng: SmallRng::seed_from_u64(seed),
+            rng: SmallRng::seed_from_u64(options.seed),
             now: START,
-            learns,
+            learns: options.learns,
         }
     }
 
@@ -351,6 +354,8 @@
             room_after: load.room_after,
         };
         balancer.on_report(&server, report, self.now);
+        let refused = matches!(outcome, Outcome::NotRun { .. });
+        self.counts.entry(caller.kind).or_default().refusals += u64::from(refused);
         match &outcome {
             Outcome::NotRun {
                 refusal,
--- a/crates/rig/src/main.rs
+++ b/crates/rig/src/main.rs
@@ -68,6 +68,9 @@
         lookups: u64,
         /// Gates learn nothing about routes
         ordinary: bool,
+        /// Nested requests may wait at full gates
+        #[bpaf(long)]
+        nested_waits: bool,
     },
     /// Inject random faults from a seed and check invariants of calls and backend servers
     #[bpaf(command)]
@@ -147,6 +150,7 @@
             orders,
             lookups,
             ordinary,
+            nested_waits,
         } => {
             let counts = emulator::play(&emulator::Options {
                 seed,
@@ -154,6 +158,7 @@
                 orders,
                 lookups,
                 learns: !ordinary,
+                nested_waits,
             });
             print!("{}", emulator::render(&counts));
             Ok(())
