peers: an offer without a reply is sent once more

A refusal should take 50 ms at most.

The offer now goes over the connection for bodies as well, after 1.5 times the usual slowest reply, between 15 and 100 ms. The gate starts nothing by an offer, and knows the id of the second one.

--- a/crates/call/src/lib.rs
+++ b/crates/call/src/lib.rs
@@ -29,6 +29,7 @@
 mod core;
 mod event;
 mod latency;
+mod repeat;
 mod session;
 mod window;
 
@@ -38,5 +39,6 @@
     Action, AttemptIndex, CallOutcome, CallRequest, Selection, ServerSelector, Timeouts,
 };
 pub use latency::LatencyEstimate;
+pub use repeat::RepeatTimer;
 pub use session::{GateSession, SessionAttempt};
 pub use window::{BodyWindow, LinkWindow};
--- a/crates/peers/src/remote.rs
+++ b/crates/peers/src/remote.rs
@@ -13,12 +13,17 @@
 
 use attempt::{OpenedSession, Reply, ServerRequest};
 use bytes::Bytes;
-use futures::{FutureExt, future::BoxFuture};
+use call::RepeatTimer;
+use futures::{
+    FutureExt,
+    future::{BoxFuture, Either, select, select_ok},
+};
 use gate::Query;
 use support::endpoint::endpoint;
-use tonic::{Code, transport::Channel};
+use tokio::time::sleep;
+use tonic::{Code, Status, transport::Channel};
 use types::{AttemptId, Boot};
-use wire::peer::{AskRequest, OfferRequest, OpenRequest, peer_client::PeerClient};
+use wire::peer::{AskRequest, OfferReply, OfferRequest, OpenRequest, peer_client::PeerClient};
 
 use super::{
     Attempt, GateClient, Handover, TransportError,
@@ -40,6 +45,7 @@
     /// Connection for large bodies, so that no other message waits behind them, with the window of the bodies on
     /// it. Made for the first one.
     body_channel: Mutex<Option<(Channel, Arc<BodyLink>)>>,
+    repeat_timer: Mutex<RepeatTimer>,
 }
 
 impl RemoteGate {
@@ -49,6 +55,7 @@
             uplink,
             channel: Mutex::new(endpoint(address).connect_lazy()),
             body_channel: Mutex::default(),
+            repeat_timer: Mutex::default(),
         }
     }
 
@@ -97,8 +104,8 @@
             run: Some(convert::to_run_request(bare)),
             body_bytes: body.len() as u64,
         };
-        match self.client().offer(offer).await {
-            Ok(reply) => match reply.into_inner().outcome {
+        match self.offer(offer).await {
+            Ok(reply) => match reply.outcome {
                 Some(outcome) => Ok(bodies::without_body(convert::from_outcome(outcome))),
                 None => {
                     let (client, link) = self.body_client();
@@ -117,6 +124,34 @@
         }
     }
 
+    fn repeat_timer(&self) -> MutexGuard<'_, RepeatTimer> {
+        self.repeat_timer
+            .lock()
+            .expect("no thread panics while holding this lock")
+    }
+
+    /// Sends an offer, and once more over the connection for bodies if no reply comes in the usual time. The gate
+    /// starts nothing by it, and replies to both alike.
+    async fn offer(&self, offer: OfferRequest) -> Result<OfferReply, Status> {
+        let send = |mut client: PeerClient<Channel>| {
+            let offer = offer.clone();
+            async move { client.offer(offer).await.map(|reply| reply.into_inner()) }.boxed()
+        };
+        let began = self.uplink.now();
+        let delay = self.repeat_timer().delay();
+        let reply = match select(send(self.client()), sleep(delay.duration()).boxed()).await {
+            Either::Left((reply, _)) => reply,
+            Either::Right(((), first)) => {
+                let second = send(self.body_client().0);
+                select_ok([first, second]).await.map(|(reply, _)| reply)
+            }
+        };
+        if reply.is_ok() {
+            self.repeat_timer().record(self.uplink.now().since(began));
+        }
+        reply
+    }
+
     fn body_client(&self) -> (PeerClient<Channel>, Arc<BodyLink>) {
         let mut channel = self.body_channel();
         let create = || {
