--- a/crates/call/tests/window.rs
+++ b/crates/call/tests/window.rs
@@ -75,12 +75,12 @@
         }
         // One chunk of each host waits for its turn.
         loop {
-            for host in 0..hosts.len() {
+            for (host, window) in windows.iter_mut().enumerate() {
                 let waits = turns.iter().any(|(waiting, ..)| *waiting == host);
-                let chunk = windows[host].next_chunk().filter(|_| !waits);
+                let chunk = window.next_chunk().filter(|_| !waits);
                 if let Some(bytes) = chunk.map(|chunk| sum.limit_chunk(chunk)) {
-                    turns.push_back((host, bytes, windows[host].share(bytes)));
-                    windows[host].on_sent(bytes);
+                    turns.push_back((host, bytes, window.share(bytes)));
+                    window.on_sent(bytes);
                 }
             }
             let is_open = |(_, _, share): &mut (usize, Size, Size)| sum.open_at(*share, now) <= now;
