--- a/crates/call/tests/window.rs
+++ b/crates/call/tests/window.rs
@@ -126,6 +126,43 @@
     }
 }
 
+/// Each sender has a link of its own, and all meet in front of the gate's.
+#[test]
+fn small_messages_to_a_gate_wait_little_behind_bodies_of_many_hosts() {
+    for (senders, round_trip) in [(2, 200), (4, 2_000), (8, 200), (8, 10_000)] {
+        let mut gate = Link::new(10.0);
+        let mut windows: Vec<BodyWindow> = (0..senders).map(|_| BodyWindow::default()).collect();
+        let mut in_flight: Vec<(Moment, Moment, usize, Size)> = Vec::new();
+        let mut waits = Vec::new();
+        for now in (0..30_000_000).step_by(50).map(Moment) {
+            let due = in_flight.extract_if(.., |(at, ..)| *at <= now);
+            for (at, sent, host, bytes) in due.collect::<Vec<_>>() {
+                windows[host].on_acknowledged(bytes, at.since(sent), now);
+            }
+            for (host, window) in windows.iter_mut().enumerate() {
+                while let Some(bytes) = window.next_chunk() {
+                    window.on_sent(bytes);
+                    let acknowledged = gate.send(bytes, now) + Span(round_trip);
+                    in_flight.push((acknowledged, now, host, bytes));
+                }
+            }
+            if now >= SETTLED && now.0.is_multiple_of(7_350) {
+                waits.push(gate.free_at.since(now));
+            }
+        }
+        waits.sort();
+        let [p50, p99] = [0.5, 0.99].map(|part| waits[(waits.len() as f64 * part) as usize]);
+        assert!(
+            p50 < Span::from_millis(10),
+            "{senders} {round_trip}: {p50:?}"
+        );
+        assert!(
+            p99 < Span::from_millis(50),
+            "{senders} {round_trip}: {p99:?}"
+        );
+    }
+}
+
 #[test]
 fn bodies_use_most_of_the_link() {
     for (mbit, round_trip, hosts) in [
