rig: an upper bound of what full knowledge could serve of a load

`amaranthyoke-rig bound FILE...` reads a load, its servers and what happens to them from a file in our own terms and prints, by kind of request, the most that any policy can serve.

--- a/crates/rig/src/lib.rs
+++ b/crates/rig/src/lib.rs
@@ -12,6 +12,7 @@
 //! - [`process`]: starts, signals and ends node processes;
 //! - [`cluster`]: combines stubs, proxies and node processes into one small deployment;
 //! - [`capacity`]: measures the control-plane overhead of a node at several fleet sizes;
+//! - [`bound`]: computes what a policy with full knowledge could serve of a load at most;
 //! - [`emulator`]: plays a load through calls, balancers and gates without processes or network;
 //! - [`experiment`]: compares policies and limits under the same load;
 //! - [`soak`]: injects random faults from a seed and checks invariants;
@@ -19,6 +20,7 @@
 //! - [`report`] and [`plot`]: tables and plots of measurements.
 
 pub mod arrivals;
+pub mod bound;
 pub mod capacity;
 pub mod cluster;
 pub mod emulator;
--- a/crates/rig/src/main.rs
+++ b/crates/rig/src/main.rs
@@ -4,6 +4,7 @@
 
 use bpaf::Bpaf;
 use rig::{
+    bound::{self, Assumptions, Load},
     capacity, emulator,
     experiment::{self, Scenario},
     platform::Platform,
@@ -69,6 +70,13 @@
         /// Gates learn nothing about routes
         ordinary: bool,
     },
+    /// Compute what a policy with full knowledge could serve of a load at most
+    #[bpaf(command)]
+    Bound {
+        /// Files that describe a load and its servers, as JSON
+        #[bpaf(positional("FILE"), some("name at least one file"))]
+        files: Vec<PathBuf>,
+    },
     /// Inject random faults from a seed and check invariants of calls and backend servers
     #[bpaf(command)]
     Soak {
@@ -158,6 +166,7 @@
             print!("{}", emulator::render(&counts));
             Ok(())
         }
+        Command::Bound { files } => print_bounds(&files),
         Command::Capacity { seconds, sizes } => {
             let sizes = if sizes.is_empty() {
                 vec![10, 30, 100]
@@ -233,6 +242,18 @@
     }
 }
 
+fn print_bounds(files: &[PathBuf]) -> io::Result<()> {
+    for file in files {
+        let load = Load::read(file).map_err(io::Error::other)?;
+        for assumptions in [Assumptions::Generous, Assumptions::Likely] {
+            let bound = bound::bound(&load, assumptions).map_err(io::Error::other)?;
+            println!("{}, {assumptions:?}", file.display());
+            println!("{}", bound::render(&bound));
+        }
+    }
+    Ok(())
+}
+
 async fn run_soak(options: &soak::Options) -> io::Result<()> {
     let report = soak::run(options).await?;
     let (seed, faults) = (options.seed, report.fault_count);
