--- a/crates/cli/src/explain.rs
+++ b/crates/cli/src/explain.rs
@@ -3,6 +3,8 @@
 //! Log lines are `key=value` pairs. The lines with the call's identifier are sorted by timestamp,
 //! and the cause is derived from how the call ended and from the last reply of a gate.
 
+mod sum;
+
 use std::{collections::BTreeMap, fs, io::Read, path::PathBuf};
 
 use serde::Serialize;
@@ -10,6 +12,8 @@
 
 use crate::error::ToolError;
 
+pub use sum::{CallCount, ReplyCount, Sum, render_sum, sum};
+
 /// Parsed log line.
 #[derive(Debug, Clone, Default, PartialEq, Eq, Serialize)]
 pub struct LogLine {
@@ -144,7 +148,31 @@
             None => format!("The node that took the request logged no ending.{gate_state}"),
         };
     };
-    let meaning = match end.value("ending") {
+    let has_key = last("key_rejected").map(|line| line.value("has_key"));
+    let meaning = match (end.value("ending"), has_key) {
+        ("no_team", Some("false")) => {
+            "It was rejected and not run: it needs the key of a team, and came with none or several"
+        }
+        ("no_team", Some(_)) => {
+            "It was rejected and not run: no team holds the key that it came with"
+        }
+        ("no_team", None) => {
+            "It was rejected and not run: no team held its key any more when it was to run"
+        }
+        (ending, _) => meaning(ending),
+    };
+    let team_state = team_state(last("key_rejected"), last("team_refused"));
+    format!(
+        "{meaning} ({} after {} us, view {}).{team_state}{gate_state}",
+        end.value("ending"),
+        end.value("took_us"),
+        end.value("view"),
+    )
+}
+
+/// What an ending alone says about a call.
+fn meaning(ending: &str) -> &'static str {
+    match ending {
         "answer" => "It was answered by a backend server",
         "busy" => "It was refused and not run: no backend server could have answered in time",
         "limited" => {
@@ -166,13 +194,7 @@
         "down" => "It was refused and not run: no backend server could be reached",
         "joining" => "It was refused and not run: the node had no view yet",
         "no_route" => "No route takes it",
-        "no_team" => match last("key_rejected").map(|line| line.value("has_key")) {
-            Some("false") => {
-                "It was rejected and not run: it needs the key of a team, and came with none or several"
-            }
-            Some(_) => "It was rejected and not run: no team holds the key that it came with",
-            None => "It was rejected and not run: no team held its key any more when it was to run",
-        },
+        "no_team" => "It was rejected and not run: it came without the key of a known team",
         "keys_unproven" => {
             "It was rejected and not run: the node couldn't prove that its configuration is current, so that its \
              key may have been withdrawn"
@@ -184,14 +206,7 @@
         "unknown" => "Nobody can tell whether it ran: what was sent was not answered whole",
         "unknown_late" => "Nobody can tell whether it ran: its deadline passed while it ran",
         _ => "It ended otherwise",
-    };
-    let team_state = team_state(last("key_rejected"), last("team_refused"));
-    format!(
-        "{meaning} ({} after {} us, view {}).{team_state}{gate_state}",
-        end.value("ending"),
-        end.value("took_us"),
-        end.value("view"),
-    )
+    }
 }
 
 /// What the node knew of the proof for keys, or of the team's allowance.
--- a/crates/cli/src/main.rs
+++ b/crates/cli/src/main.rs
@@ -53,16 +53,10 @@
         #[bpaf(positional("ADMIN"), some("name at least one admin address"))]
         admins: Vec<SocketAddr>,
     },
-    /// Explain the outcome of a call from the nodes' logs. Exit code 2 if no log line belongs to it
+    /// Explain the outcome of a call from the nodes' logs, or count who was refused where and why. Exit code 2 if no
+    /// log line belongs to the call
     #[bpaf(command)]
-    Explain {
-        /// Identifier of the call, as in the caller's request
-        #[bpaf(positional("ID"))]
-        call: CallId,
-        /// Logs of the nodes that may have handled the call [default: standard input]
-        #[bpaf(positional("FILE"))]
-        files: Vec<PathBuf>,
-    },
+    Explain(#[bpaf(external(explain_command))] ExplainCommand),
     /// Print the hash of a team's key, which is read from standard input so that it reaches no command line. A line
     /// break at its end isn't part of it
     #[bpaf(command)]
@@ -87,6 +81,26 @@
     },
 }
 
+#[derive(Debug, Clone, Bpaf)]
+enum ExplainCommand {
+    Sum {
+        /// Count the calls in the logs by their ending, and the replies of gates by their outcome
+        #[bpaf(long("sum"), req_flag(()))]
+        sum: (),
+        /// Logs of the nodes [default: standard input]
+        #[bpaf(positional("FILE"))]
+        files: Vec<PathBuf>,
+    },
+    Call {
+        /// Identifier of the call, as in the caller's request
+        #[bpaf(positional("ID"))]
+        call: CallId,
+        /// Logs of the nodes that may have handled the call [default: standard input]
+        #[bpaf(positional("FILE"))]
+        files: Vec<PathBuf>,
+    },
+}
+
 #[derive(Debug, Clone, Bpaf)]
 enum NoteCommand {
     /// List all faults of release notes, which are applied in the given order
@@ -149,7 +163,12 @@
             print(json, &statuses, || nodes::render(&statuses));
             Ok(statuses.iter().all(|s| s.current))
         }
-        Command::Explain { call, files } => {
+        Command::Explain(ExplainCommand::Sum { sum: (), files }) => {
+            let sum = explain::sum(&files)?;
+            print(json, &sum, || explain::render_sum(&sum));
+            Ok(true)
+        }
+        Command::Explain(ExplainCommand::Call { call, files }) => {
             let explanation = explain::explain(&call, &files)?;
             print(json, &explanation, || explain::render(&explanation));
             Ok(true)
--- a/crates/cli/tests/explain.rs
+++ b/crates/cli/tests/explain.rs
@@ -91,3 +91,92 @@
     }
     Ok(())
 }
+
+/// Calls of two services, one of a team, one whose caller left and one without an ending.
+const MANY: &str = "\
+ts=10.100 level=info event=attempt_sent call=a attempt=0 service=fees server=i-1 left_ms=400 view=7
+ts=10.110 level=info event=attempt_heard call=a attempt=0 server=i-1 outcome=busy took_us=9 running=4 waiting=8 allowed=4 pace=100 view=7
+ts=10.111 level=info event=attempt_sent call=a attempt=1 service=fees server=i-2 left_ms=390 view=7
+ts=10.120 level=info event=attempt_heard call=a attempt=1 server=i-2 outcome=busy took_us=9 running=3 waiting=0 allowed=3 pace=100 view=7
+ts=10.121 level=info event=call_ended call=a ending=busy took_us=21000 view=7
+ts=10.200 level=info event=attempt_sent call=b attempt=0 service=fees server=i-1 left_ms=400 view=7
+ts=10.205 level=info event=attempt_heard call=b attempt=0 server=i-1 outcome=busy took_us=9 running=2 waiting=2 allowed=4 pace=100 view=7
+ts=10.210 level=info event=call_ended call=b ending=busy took_us=10000 view=7
+ts=10.300 level=info event=attempt_sent call=c attempt=0 service=draws server=i-9 left_ms=400 view=7
+ts=10.340 level=info event=attempt_heard call=c attempt=0 server=i-9 outcome=answer took_us=9 running=1 waiting=0 allowed=4 pace=100 view=7
+ts=10.341 level=info event=call_ended call=c ending=answer took_us=41000 view=7
+ts=10.350 level=info event=team_refused call=d team=club room_ms=350
+ts=10.351 level=info event=call_ended call=d ending=over_allowance took_us=90 view=7
+ts=10.400 level=info event=attempt_sent call=e attempt=0 service=draws server=i-9 left_ms=400 view=7
+ts=10.410 level=info event=caller_left call=e attempts=1
+ts=10.500 level=info event=attempt_sent call=f attempt=0 service=draws server=i-9 left_ms=400 view=7
+ts=10.600 level=warn event=logs_left_out of=run_ended of_level=info count=17
+";
+
+/// The gate's own lines, which repeat what the ingresses heard.
+const GATES: &str = "\
+ts=10.105 level=info event=run_ended call=a attempt=1.2.3 server=i-1 outcome=busy age_us=10 running=4 waiting=8 allowed=4 pace=100 view=7
+ts=10.105 level=info event=run_ended call=elsewhere attempt=1.2.4 server=i-1 outcome=busy age_us=10 running=4 waiting=8 allowed=4 pace=100 view=7
+";
+
+#[test]
+fn sums_who_was_refused_where_and_why() -> io::Result<()> {
+    let (many, gates) = (
+        write_file("many.log", MANY)?,
+        write_file("gates.log", GATES)?,
+    );
+    let files = [&many, &gates].map(|path| path.to_string_lossy().into_owned());
+    let output = run_tool(&["explain", "--sum", &files[0], &files[1]])?;
+    let text = stdout(&output);
+    assert_eq!(output.status.code(), Some(0), "{text}");
+    let rows: Vec<Vec<&str>> = text
+        .lines()
+        .map(|line| line.split_whitespace().take(7).collect())
+        .collect();
+    let expected = [
+        "- fees busy 2 3 21.0 It",
+        "- draws answer 1 1 41.0 It",
+        "- draws caller_left 1 1 0.0 The",
+        "- draws unfinished 1 1 0.0 No",
+        "club - over_allowance 1 0 0.1 It",
+        "fees i-1 busy 2 3.0 5.0 4.0",
+        "fees i-2 busy 1 3.0 0.0 3.0",
+    ];
+    for row in expected {
+        let row: Vec<&str> = row.split(' ').collect();
+        assert!(rows.contains(&row), "{row:?} is not in\n{text}");
+    }
+    // Two headings, an empty line, and a remark after another one.
+    assert_eq!(text.lines().count(), expected.len() + 5, "{text}");
+    assert!(
+        text.contains("its team had used up its allowance"),
+        "{text}"
+    );
+    assert!(
+        text.ends_with("Nodes left out 17 lines, so the counts are samples\n"),
+        "{text}"
+    );
+    assert_eq!(
+        rows[1][3], "2",
+        "the most frequent ending comes first: {text}"
+    );
+    Ok(())
+}
+
+#[test]
+fn sums_as_json_or_of_an_empty_log() -> io::Result<()> {
+    let many = write_file("many-json.log", MANY)?;
+    let file = many.to_string_lossy().into_owned();
+    let text = stdout(&run_tool(&["--json", "explain", "--sum", &file])?);
+    let sum: serde_json::Value = serde_json::from_str(&text)?;
+    assert_eq!(sum["calls"][0]["ending"], "busy", "{text}");
+    assert_eq!(sum["calls"][0]["calls"], 2, "{text}");
+    assert_eq!(sum["left_out"], 17, "{text}");
+    let empty = write_file("empty.log", "")?;
+    let output = run_tool(&["explain", "--sum", &empty.to_string_lossy()])?;
+    assert_eq!(output.status.code(), Some(0));
+    assert_eq!(stdout(&output).lines().count(), 3, "two headings alone");
+    let output = run_tool(&["explain", "--sum", "/nowhere/x.log"])?;
+    assert_eq!(output.status.code(), Some(2));
+    Ok(())
+}
