--- a/crates/rig/tests/bound.rs
+++ b/crates/rig/tests/bound.rs
@@ -224,6 +224,7 @@
                 orders,
                 lookups,
                 learns,
+                nested_waits: false,
             });
             let (order, lookup) = (counts[&Kind::Order], counts[&Kind::Lookup]);
             let worth = order.in_time as f64
