--- a/crates/rig/src/main.rs
+++ b/crates/rig/src/main.rs
@@ -109,6 +109,8 @@
         single: bool,
         /// With --site: write no odd items and no invalid configurations
         even: bool,
+        /// With --site: callers need keys of teams, which operators change
+        teams: bool,
     },
     /// Measure the control-plane overhead per node at several fleet sizes
     #[bpaf(command)]
@@ -190,6 +192,7 @@
             troubles,
             single,
             even,
+            teams,
             ..
         } => {
             let plan = match () {
@@ -201,6 +204,7 @@
                 seed,
                 plan,
                 odd: !even,
+                teams,
                 nodes,
                 net: (net, 0),
             }))
