gate, gate_actor, ingress: one place for load reports, closed attempts and questions to gates

Reports of a backend server's load were passed to the gate in two places, a query and a withdrawal checked alike whether the attempt has an id, and a cancelled and a settled attempt were closed alike. The queue entry of an offer was made twice where nested requests wait. Completion::Withheld says Quarantined now, as the refusal that follows does. The comments on repeated offers said that a gate replies to both alike; after a refusal the second reply says only that nothing ran.

--- a/crates/call/src/repeat.rs
+++ b/crates/call/src/repeat.rs
@@ -2,7 +2,7 @@
 //!
 //! The load it answers: a link that loses a packet now and then, beside uploads. The system sends a lost packet
 //! again after 200 ms at the earliest, and all messages of its connection wait for that long. An offer is small,
-//! and a gate that gets it twice replies to its id as it did before, so it goes over another connection as well.
+//! and a gate that knows its id starts nothing more by it, so it goes over another connection as well.
 
 use types::Span;
 
--- a/crates/gate/src/core/admission.rs
+++ b/crates/gate/src/core/admission.rs
@@ -107,9 +107,10 @@
     }
 
     pub(super) fn enqueue(&mut self, offer: Offer, now: Moment) -> Vec<Action> {
+        let queued = self.queued(&offer);
         let queued = Queued {
-            wait_until: self.wait_until(&offer, now),
-            ..self.queued(&offer)
+            wait_until: self.wait_until(&offer, queued.rank.service_time, now),
+            ..queued
         };
         let (ahead, work) = self.queue.ahead(&queued, now, self.slowdown_factor(now));
         let wait = self.expected_wait(ahead, work, now);
@@ -153,12 +154,12 @@
         !(declined || too_late || late_full)
     }
 
-    /// Until when a fail-fast request waits for a slot, `None` if it doesn't. It must still meet its objective then.
-    fn wait_until(&self, offer: &Offer, now: Moment) -> Option<Moment> {
+    /// Until when a fail-fast request of this service time waits for a slot, `None` if it doesn't. It must still meet
+    /// its objective then.
+    fn wait_until(&self, offer: &Offer, usual: Span, now: Moment) -> Option<Moment> {
         if !(self.nested_waits && offer.fail_fast && offer.rank.nested) {
             return None;
         }
-        let usual = self.queued(offer).rank.service_time;
         let latest = offer.rank.objective - usual.scale(self.slowdown_factor(now));
         Some(latest.min(now + usual.scale(WAIT_SHARE))).filter(|until| *until > now)
     }
--- a/crates/gate/src/core/mod.rs
+++ b/crates/gate/src/core/mod.rs
@@ -227,7 +227,7 @@
                 (Feedback::Restarted, self.not_run(Refusal::Misdirected, now))
             }
             Completion::Unsent => (Feedback::Restarted, self.not_run(Refusal::Down, now)),
-            Completion::Withheld => (Feedback::None, self.not_run(Refusal::Quarantined, now)),
+            Completion::Quarantined => (Feedback::None, self.not_run(Refusal::Quarantined, now)),
             Completion::Incomplete if is_full => (Feedback::None, Outcome::Unknown),
             Completion::Incomplete => (Feedback::Restarted, Outcome::Unknown),
             Completion::Cancelled => (Feedback::None, Outcome::Unknown),
--- a/crates/gate/src/event.rs
+++ b/crates/gate/src/event.rs
@@ -71,7 +71,7 @@
     /// No connection could be made, so nothing was sent.
     Unsent,
     /// It wasn't sent: since it was offered, backend servers have ended under such a request.
-    Withheld,
+    Quarantined,
     /// Part or all of the request was sent, and no complete answer arrived.
     Incomplete,
     /// No complete answer arrived by the deadline.
--- a/crates/gate_actor/src/observations.rs
+++ b/crates/gate_actor/src/observations.rs
@@ -1,7 +1,7 @@
 //! What the gate actor learns of its backend server from responses, probes and broken connections.
 
 use backend::ProbeError;
-use dialect::ResponseMetadata;
+use dialect::{ResponseMetadata, ServerLoad};
 use gate::{Completion, LimitSource, LimitState};
 use types::{AttemptId, Moment, NamedLimit, Rate, ServerId, Span};
 
@@ -54,11 +54,7 @@
             }
         }
         let was_cold = self.gate.is_cold(now);
-        if let Some(load) = metadata.as_ref().and_then(|m| m.load) {
-            self.gate.observe_slowdown(load.slowdown_percent, now);
-            let occupancy = load.running.saturating_add(load.queued);
-            self.gate.observe_occupancy(occupancy, load.slots, now);
-        }
+        self.observe_load(metadata.as_ref().and_then(|m| m.load), now);
         let warmup_left = metadata.as_ref().map(|m| m.warmup_left.unwrap_or_default());
         let actions = match warmup_left {
             Some(left) => self.gate.observe_cold(left, sent_at, now),
@@ -180,6 +176,15 @@
         );
     }
 
+    /// Records the load that the backend server states.
+    pub(super) fn observe_load(&mut self, load: Option<ServerLoad>, now: Moment) {
+        if let Some(load) = load {
+            self.gate.observe_slowdown(load.slowdown_percent, now);
+            let occupancy = load.running.saturating_add(load.queued);
+            self.gate.observe_occupancy(occupancy, load.slots, now);
+        }
+    }
+
     /// Logs a change of the learned room from what it was `before`.
     pub(super) fn log_room(&self, before: Option<usize>) {
         let room = self.gate.learned_room();
--- a/crates/gate_actor/src/state.rs
+++ b/crates/gate_actor/src/state.rs
@@ -206,11 +206,7 @@
         {
             self.server_ended(&server);
         }
-        if let Some(load) = metadata.load {
-            self.gate.observe_slowdown(load.slowdown_percent, now);
-            let occupancy = load.running.saturating_add(load.queued);
-            self.gate.observe_occupancy(occupancy, load.slots, now);
-        }
+        self.observe_load(metadata.load, now);
         if let Some(started_at) = self.attempts.get(&id).and_then(|a| a.started_at) {
             self.observe_statements(&completion, &metadata, started_at);
         }
@@ -310,7 +306,7 @@
             .evidence
             .refusal(&identity, attempt.trial, &self.board, now);
         if refusal.is_some() {
-            return self.gate.complete(id, Completion::Withheld, now);
+            return self.gate.complete(id, Completion::Quarantined, now);
         }
         let trial = attempt.trial && !self.evidence.has_trial(now);
         self.metrics.record_suspects("trial", usize::from(trial));
--- a/crates/ingress/src/driver/attempts.rs
+++ b/crates/ingress/src/driver/attempts.rs
@@ -5,11 +5,14 @@
     sync::{Arc, OnceLock},
 };
 
-use call::{Action, AttemptIndex, CallOutcome, SessionAttempt};
-use futures::{FutureExt, future::abortable};
+use call::{Action, AttemptIndex, CallOutcome};
+use futures::{
+    FutureExt,
+    future::{BoxFuture, abortable},
+};
 use gate::Rank;
 use peers::{Handover, Peer};
-use types::{Refusal, ServerId};
+use types::{AttemptId, Moment, Refusal, ServerId};
 
 use super::{AttemptState, CallDriver, Event};
 use crate::outgoing::OutgoingAttempt;
@@ -120,71 +123,62 @@
         }
     }
 
-    /// The peer of an attempt and the id under which it was sent. Without an id nothing was sent, and nothing will
-    /// be: the attempt counts as refused.
-    fn sent_to(
+    /// Has the gate of an attempt asked about it. Without an id nothing was sent, and nothing will be: the attempt
+    /// counts as refused.
+    fn ask(
         &mut self,
         attempt: AttemptIndex,
-    ) -> Result<(Arc<Peer>, SessionAttempt), Vec<Action>> {
-        let state = &self.attempts[attempt];
-        if let Some(registered) = state.registered.get().copied() {
-            return Ok((Arc::clone(&state.peer), registered));
-        }
-        state.abort_handle.abort();
-        let now = self.now();
-        Err(self.apply_refusal(attempt, Refusal::Down, now))
+        ask: impl FnOnce(Arc<Peer>, AttemptId, Moment) -> BoxFuture<'static, Event>,
+    ) -> Vec<Action> {
+        let (state, now) = (&self.attempts[attempt], self.now());
+        let Some(registered) = state.registered.get().copied() else {
+            state.abort_handle.abort();
+            return self.apply_refusal(attempt, Refusal::Down, now);
+        };
+        self.events
+            .push(ask(Arc::clone(&state.peer), registered.id, now));
+        Vec::new()
     }
 
     fn query(&mut self, attempt: AttemptIndex) -> Vec<Action> {
-        let (peer, registered) = match self.sent_to(attempt) {
-            Ok(sent) => sent,
-            Err(actions) => return actions,
-        };
-        let sent_at = self.now();
-        let query = async move {
-            let result = peer.client.query(registered.id).await;
-            Event::QueryEnded {
-                attempt,
-                result,
-                sent_at,
-            }
-        };
-        self.events.push(query.boxed());
-        Vec::new()
+        self.ask(attempt, |peer, id, sent_at| {
+            let query = async move {
+                let result = peer.client.query(id).await;
+                Event::QueryEnded {
+                    attempt,
+                    result,
+                    sent_at,
+                }
+            };
+            query.boxed()
+        })
     }
 
     /// Has the gate refuse an attempt if it is queued. The attempt itself goes on waiting for its outcome.
     fn withdraw(&mut self, attempt: AttemptIndex) -> Vec<Action> {
-        let (peer, registered) = match self.sent_to(attempt) {
-            Ok(sent) => sent,
-            Err(actions) => return actions,
-        };
-        let sent_at = self.now();
-        let withdrawal = async move {
-            match peer.client.withdraw(registered.id).await {
-                Ok(reply) => Event::QueryEnded {
-                    attempt,
-                    result: Ok(reply),
-                    sent_at,
-                },
-                Err(_) => Event::Aborted,
-            }
-        };
-        self.events.push(withdrawal.boxed());
-        Vec::new()
+        self.ask(attempt, |peer, id, sent_at| {
+            let withdrawal = async move {
+                match peer.client.withdraw(id).await {
+                    Ok(reply) => Event::QueryEnded {
+                        attempt,
+                        result: Ok(reply),
+                        sent_at,
+                    },
+                    Err(_) => Event::Aborted,
+                }
+            };
+            withdrawal.boxed()
+        })
     }
 
     /// Cancels an open attempt without waiting for the result. A gate that doesn't reply to that is
     /// avoided: its host may be down, and nothing else shows it until the connection times out.
     fn cancel(&mut self, attempt: AttemptIndex) {
-        let state = &mut self.attempts[attempt];
-        state.abort_handle.abort();
-        if std::mem::replace(&mut state.closed, true) {
+        self.attempts[attempt].abort_handle.abort();
+        if !self.close(attempt) {
             return;
         }
-        self.ingress
-            .services
-            .record_closed(&self.routed.service, &state.server);
+        let state = &self.attempts[attempt];
         let Some(registered) = state.registered.get().copied() else {
             return;
         };
@@ -202,18 +196,28 @@
     }
 
     fn settle(&mut self, attempt: AttemptIndex) {
-        let state = &mut self.attempts[attempt];
+        let state = &self.attempts[attempt];
         if state.handover.is_some() {
             state.abort_handle.abort();
         }
-        if std::mem::replace(&mut state.closed, true) {
+        if !self.close(attempt) {
             return;
         }
-        self.ingress
-            .services
-            .record_closed(&self.routed.service, &state.server);
+        let state = &self.attempts[attempt];
         if let Some(registered) = state.registered.get() {
             state.peer.settle(registered.id);
         }
     }
+
+    /// Counts an attempt as closed. Returns whether it was open.
+    fn close(&mut self, attempt: AttemptIndex) -> bool {
+        let state = &mut self.attempts[attempt];
+        if std::mem::replace(&mut state.closed, true) {
+            return false;
+        }
+        self.ingress
+            .services
+            .record_closed(&self.routed.service, &state.server);
+        true
+    }
 }
--- a/crates/peers/src/remote.rs
+++ b/crates/peers/src/remote.rs
@@ -131,7 +131,7 @@
     }
 
     /// Sends an offer, and once more over the connection for bodies if no reply comes in the usual time. The gate
-    /// starts nothing by it, and replies to both alike.
+    /// starts nothing by it. If it has refused the first one, its second reply says only that it didn't run.
     async fn offer(&self, offer: OfferRequest) -> Result<OfferReply, Status> {
         let send = |mut client: PeerClient<Channel>| {
             let offer = offer.clone();
