--- a/crates/ingress/src/tests/bodies.rs
+++ b/crates/ingress/src/tests/bodies.rs
@@ -19,7 +19,6 @@
     FutureExt,
     future::{BoxFuture, join_all},
 };
-use gate::Completion;
 use note::HostRoute;
 use tokio::{
     io::{AsyncReadExt, AsyncWriteExt},
@@ -34,7 +33,6 @@
     Code, Status,
     transport::{Server, server::TcpIncoming},
 };
-use types::Answer;
 use wire::peer::{
     self, BodyChunk, OfferRequest, OpenRequest, RunRequest, outcome::Result as Outcomes,
     peer_client::PeerClient, peer_server::PeerServer,
@@ -42,7 +40,7 @@
 
 use super::{
     super::Ingress,
-    fixtures::{ingress, now, publish, remote_view, route, routed, start_node, view},
+    fixtures::{answered, ingress, now, publish, remote_view, route, routed, start_node, view},
     reroute,
 };
 
@@ -71,11 +69,7 @@
     ) -> BoxFuture<'static, RequestResult> {
         let mut bodies = self.bodies.lock().expect("no test panics with this lock");
         bodies.push(request.body);
-        let answer = Answer {
-            status: 200,
-            ..Answer::default()
-        };
-        async { Completion::Answered(Arc::new(answer)).into() }.boxed()
+        async { answered() }.boxed()
     }
 
     fn probe(&self, _: Target) -> BoxFuture<'static, Result<ResponseMetadata, ProbeError>> {
--- a/crates/ingress/src/tests/fixtures.rs
+++ b/crates/ingress/src/tests/fixtures.rs
@@ -36,11 +36,7 @@
 
 impl Backend for SoundBackend {
     fn run(&self, _: ServerRequest, _: Target, _: Instant) -> BoxFuture<'static, RequestResult> {
-        let answer = Answer {
-            status: 200,
-            ..Answer::default()
-        };
-        async { Completion::Answered(Arc::new(answer)).into() }.boxed()
+        async { answered() }.boxed()
     }
 
     fn probe(&self, _: Target) -> BoxFuture<'static, Result<ResponseMetadata, ProbeError>> {
@@ -48,6 +44,15 @@
     }
 }
 
+/// A complete answer with status 200.
+pub(super) fn answered() -> RequestResult {
+    let answer = Answer {
+        status: 200,
+        ..Answer::default()
+    };
+    Completion::Answered(Arc::new(answer)).into()
+}
+
 /// A platform that never answers, so that only the test changes the view.
 struct SilentPlatform;
 
@@ -159,6 +164,12 @@
     limited_view(revision, id, routes, CallerLimits::default())
 }
 
+/// Publishes the view of a registry whose only route leads from this path to this service.
+pub(super) fn publish_route(ingress: &Ingress, revision: u64, path: &str, id: &str) {
+    let routes = vec![route("r", path, id)];
+    publish(&ingress.board, view(revision, id, routes));
+}
+
 /// As [`view`], with limits on callers' requests.
 pub(super) fn limited_view(
     revision: u64,
--- a/crates/ingress/src/tests/routing.rs
+++ b/crates/ingress/src/tests/routing.rs
@@ -8,7 +8,7 @@
 use tokio::task::yield_now;
 use types::{Size, Span};
 
-use super::fixtures::{ingress, limited_view, now, publish, route, routed, view};
+use super::fixtures::{ingress, limited_view, now, publish, publish_route, route, routed, view};
 
 /// Requests of withdrawn routes ran, by the first segment of their path, once operators had withdrawn all routes.
 #[tokio::test]
@@ -36,10 +36,7 @@
 #[tokio::test]
 async fn a_node_that_has_just_become_ready_knows_its_routes() {
     let ingress = ingress();
-    publish(
-        &ingress.board,
-        view(2, "rinks", vec![route("r", "/m/", "rinks")]),
-    );
+    publish_route(&ingress, 2, "/m/", "rinks");
     let judged = routed(&ingress, "PUT", "/m/1").map(|call| call.service.to_string());
     assert_eq!(judged, Ok("rinks".to_owned()));
 }
@@ -47,16 +44,10 @@
 #[tokio::test]
 async fn a_request_between_a_view_and_its_watchers_is_routed_by_the_view_alone() {
     let ingress = ingress();
-    publish(
-        &ingress.board,
-        view(2, "rinks", vec![route("r", "/m/", "rinks")]),
-    );
+    publish_route(&ingress, 2, "/m/", "rinks");
     tokio::spawn(Arc::clone(&ingress).watch_board());
     yield_now().await;
-    publish(
-        &ingress.board,
-        view(3, "draws", vec![route("r", "/m/", "draws")]),
-    );
+    publish_route(&ingress, 3, "/m/", "draws");
     let judged = routed(&ingress, "PUT", "/m/1").map(|call| call.service.to_string());
     assert_eq!(judged, Ok("draws".to_owned()));
 }
@@ -64,10 +55,7 @@
 #[tokio::test]
 async fn a_new_service_has_its_servers_with_its_first_request() {
     let ingress = ingress();
-    publish(
-        &ingress.board,
-        view(2, "rinks", vec![route("r", "/m/", "rinks")]),
-    );
+    publish_route(&ingress, 2, "/m/", "rinks");
     let _ = routed(&ingress, "PUT", "/m/1");
     let known = ingress.services.dump(now(&ingress));
     let servers: Vec<usize> = known.values().map(Vec::len).collect();
@@ -77,18 +65,12 @@
 #[tokio::test]
 async fn a_call_whose_service_is_dropped_before_it_runs_goes_to_the_new_one() {
     let ingress = ingress();
-    publish(
-        &ingress.board,
-        view(2, "rinks", vec![route("r", "/m/", "rinks")]),
-    );
+    publish_route(&ingress, 2, "/m/", "rinks");
     tokio::spawn(Arc::clone(&ingress).watch_board());
     yield_now().await;
     let judged = routed(&ingress, "PUT", "/m/1");
     assert!(judged.is_ok());
-    publish(
-        &ingress.board,
-        view(3, "draws", vec![route("r", "/m/", "draws")]),
-    );
+    publish_route(&ingress, 3, "/m/", "draws");
     let call = "call".parse().expect("a valid call id");
     let response = ingress.process(&call, judged, now(&ingress)).await;
     assert_eq!(response.status(), 200);
@@ -97,16 +79,10 @@
 #[tokio::test]
 async fn a_call_whose_route_is_dropped_before_it_runs_is_not_found() {
     let ingress = ingress();
-    publish(
-        &ingress.board,
-        view(2, "rinks", vec![route("r", "/m/", "rinks")]),
-    );
+    publish_route(&ingress, 2, "/m/", "rinks");
     let judged = routed(&ingress, "PUT", "/m/1");
     assert!(judged.is_ok());
-    publish(
-        &ingress.board,
-        view(3, "draws", vec![route("r", "/k/", "draws")]),
-    );
+    publish_route(&ingress, 3, "/k/", "draws");
     let call = "call".parse().expect("a valid call id");
     let response = ingress.process(&call, judged, now(&ingress)).await;
     assert_eq!(response.status(), 404);
@@ -138,10 +114,7 @@
 #[tokio::test]
 async fn a_call_that_a_leaving_node_takes_ends_before_the_node_exits() {
     let ingress = ingress();
-    publish(
-        &ingress.board,
-        view(2, "rinks", vec![route("r", "/m/", "rinks")]),
-    );
+    publish_route(&ingress, 2, "/m/", "rinks");
     let taken_before = routed(&ingress, "PUT", "/m/1").map(|call| call.deadline);
     let stop_at = now(&ingress) + Span::from_millis(600);
     ingress.board.stop_at.send_replace(stop_at);
--- a/crates/view_sync/src/tests.rs
+++ b/crates/view_sync/src/tests.rs
@@ -13,7 +13,7 @@
     time::Duration,
 };
 
-use board::Phase;
+use board::{Board, Phase};
 use fixtures::board;
 use fleet::{Snapshot, ViewUpdate};
 use futures::{FutureExt, future::BoxFuture, stream::BoxStream};
@@ -43,6 +43,35 @@
 /// Read budget of the node, in reads per second.
 const READS_PER_SECOND: u64 = 100;
 
+/// Options of a node that knows these peers, and may read so many times a second.
+fn options(seeds: Vec<SocketAddr>, reads: f64) -> SyncOptions {
+    SyncOptions {
+        seeds,
+        reads: Rate::new(reads).expect("a valid rate"),
+        lease: Span::from_millis(3_000),
+        key_lease: None,
+    }
+}
+
+async fn wait_until_ready(board: &Board) {
+    let mut phases = board.phase.subscribe();
+    let ready = phases.wait_for(|phase| *phase == Phase::Ready);
+    let ready = timeout(Duration::from_secs(5), ready).await;
+    ready.expect("ready in time").expect("a phase");
+}
+
+/// An empty listing of a registry at this revision.
+fn no_entries(revision: u64) -> RegistryEntries {
+    let listing = Listing {
+        stamp: Stamp::without_era(Revision(revision)),
+        ..Listing::default()
+    };
+    RegistryEntries {
+        listing,
+        ..RegistryEntries::default()
+    }
+}
+
 /// A platform that reports a newer revision but serves no notes, as happens if the next note
 /// exceeds the maximum value size.
 #[derive(Default)]
@@ -75,18 +104,12 @@
 async fn platform_without_its_newest_note_is_read_within_the_budget() {
     let board = board();
     let platform = Arc::new(MissingNotePlatform::default());
-    let budget = Rate::new(READS_PER_SECOND as f64).expect("a valid rate");
     let metrics = Arc::new(Metrics::new());
     let _view_sync = spawn(
         &board,
         Source::notes(Arc::clone(&platform) as _),
         &metrics,
-        SyncOptions {
-            seeds: Vec::new(),
-            reads: budget,
-            lease: Span::from_millis(3_000),
-            key_lease: None,
-        },
+        options(Vec::new(), READS_PER_SECOND as f64),
     );
     let seconds = 3;
     tokio::time::sleep(Duration::from_secs(seconds)).await;
@@ -215,12 +238,7 @@
         &board,
         Source::registry(Arc::new(UnreachableRegistry)),
         &Arc::new(Metrics::new()),
-        SyncOptions {
-            seeds: vec![address],
-            reads: Rate::new(3.0).expect("a valid rate"),
-            lease: Span::from_millis(3_000),
-            key_lease: None,
-        },
+        options(vec![address], 3.0),
     );
     let changed = timeout(TRANSFER_TIME * 2, views.changed()).await;
     changed.expect("the peer's view in time").expect("a view");
@@ -231,18 +249,7 @@
 
 impl Registry for FastRegistry {
     fn entries(&self) -> BoxFuture<'_, Result<RegistryEntries, PlatformError>> {
-        let stamp = Stamp::without_era(Revision(5));
-        let listing = Listing {
-            stamp,
-            ..Listing::default()
-        };
-        async {
-            Ok(RegistryEntries {
-                listing,
-                ..RegistryEntries::default()
-            })
-        }
-        .boxed()
+        async { Ok(no_entries(5)) }.boxed()
     }
 
     fn config(&self, _: Option<Stamp>) -> BoxFuture<'_, Result<ConfigRead, PlatformError>> {
@@ -268,21 +275,13 @@
     };
     let address = start_peer(Duration::from_millis(200), vec![suspect]).await;
     let board = board();
-    let mut phases = board.phase.subscribe();
     let _view_sync = spawn(
         &board,
         Source::registry(Arc::new(FastRegistry)),
         &Arc::new(Metrics::new()),
-        SyncOptions {
-            seeds: vec![address],
-            reads: Rate::new(3.0).expect("a valid rate"),
-            lease: Span::from_millis(3_000),
-            key_lease: None,
-        },
+        options(vec![address], 3.0),
     );
-    let ready = phases.wait_for(|phase| *phase == Phase::Ready);
-    let ready = timeout(Duration::from_secs(5), ready).await;
-    ready.expect("ready in time").expect("a phase");
+    wait_until_ready(&board).await;
     let quarantine = board.quarantine.borrow();
     assert!(quarantine.evidence(Fingerprint(7)).is_some());
 }
@@ -322,12 +321,7 @@
         &board(),
         Source::registry(Arc::clone(&registry) as _),
         &metrics,
-        SyncOptions {
-            seeds: Vec::new(),
-            reads: Rate::new(READS_PER_SECOND as f64).expect("a valid rate"),
-            lease: Span::from_millis(3_000),
-            key_lease: None,
-        },
+        options(Vec::new(), READS_PER_SECOND as f64),
     );
     while registry.reads.load(Ordering::Relaxed) < 4 {
         tokio::time::sleep(Duration::from_millis(10)).await;
--- a/crates/view_sync/src/tests/silent_watch.rs
+++ b/crates/view_sync/src/tests/silent_watch.rs
@@ -2,7 +2,6 @@
 
 use std::sync::{Mutex, MutexGuard};
 
-use board::Board;
 use kameo::actor::ActorRef;
 use tokio::time::sleep;
 
@@ -63,17 +62,8 @@
     fn entries(&self) -> BoxFuture<'_, Result<RegistryEntries, PlatformError>> {
         let mut state = self.state();
         state.revision += 1;
-        let listing = Listing {
-            stamp: Stamp::without_era(Revision(state.revision)),
-            ..Listing::default()
-        };
-        async {
-            Ok(RegistryEntries {
-                listing,
-                ..RegistryEntries::default()
-            })
-        }
-        .boxed()
+        let entries = no_entries(state.revision);
+        async { Ok(entries) }.boxed()
     }
 
     fn config(&self, known: Option<Stamp>) -> BoxFuture<'_, Result<ConfigRead, PlatformError>> {
@@ -105,21 +95,13 @@
 async fn start(registry: &Arc<WatchedRegistry>) -> (Arc<Board>, ActorRef<ViewSync>) {
     registry.write_config(7);
     let board = board();
-    let mut phases = board.phase.subscribe();
     let view_sync = spawn(
         &board,
         Source::registry(Arc::clone(registry) as _),
         &Arc::new(Metrics::new()),
-        SyncOptions {
-            seeds: Vec::new(),
-            reads: Rate::new(4.0).expect("a valid rate"),
-            lease: Span::from_millis(3_000),
-            key_lease: None,
-        },
+        options(Vec::new(), 4.0),
     );
-    let ready = phases.wait_for(|phase| *phase == Phase::Ready);
-    let ready = timeout(Duration::from_secs(5), ready).await;
-    ready.expect("ready in time").expect("a phase");
+    wait_until_ready(&board).await;
     sleep(CHANGE_TIMEOUT).await;
     (board, view_sync)
 }
