rig: a load with a slowdown of zero is refused

LoadError::Zero promises it, but only windows, periods and work were checked: a slowdown of zero made infinite capacity. The test of faulty loads fails without the check.

--- a/crates/rig/src/bound/capacity.rs
+++ b/crates/rig/src/bound/capacity.rs
@@ -1,4 +1,4 @@
-//! What the servers of a load bear, by window.
+//! What the servers of a load can serve, by window.
 
 use types::{RouteId, ServiceId, ZoneId};
 
--- a/crates/rig/src/bound/load.rs
+++ b/crates/rig/src/bound/load.rs
@@ -1,4 +1,4 @@
-//! A load and the servers that bear it, as read from a file.
+//! A load and its servers, as read from a file.
 
 use std::{
     collections::BTreeMap,
@@ -13,7 +13,7 @@
 /// Nested calls deeper than this are taken for a cycle.
 const MAX_DEPTH: u32 = 8;
 
-/// A load, the servers that bear it and what happens to both. Times are in milliseconds from the
+/// A load, its servers and what happens to both. Times are in milliseconds from the
 /// first arrival.
 #[derive(Debug, Clone, Deserialize)]
 #[serde(deny_unknown_fields)]
@@ -50,7 +50,7 @@
     pub knee: Option<Knee>,
     /// Slow periods that some of the servers are in at any time.
     pub spells: Option<Slowdown>,
-    /// What a server bears that has just started.
+    /// What a server can serve that has just started.
     pub cold: Option<Cold>,
 }
 
@@ -74,7 +74,7 @@
     pub slowdown: f64,
 }
 
-/// What a cold server bears.
+/// What a cold server can serve.
 #[derive(Debug, Clone, Copy, Deserialize)]
 #[serde(deny_unknown_fields)]
 pub struct Cold {
@@ -285,8 +285,20 @@
                 _ => {}
             }
         }
+        let services = self.services.values();
+        let by_service = services.flat_map(|service| {
+            let spells = service.spells.map(|spells| spells.slowdown);
+            let cold = service.cold.map(|cold| cold.slowdown);
+            [service.knee.map(|knee| knee.slowdown), spells, cold]
+        });
+        let by_event = self.events.iter().map(|event| match event.change {
+            Change::Slow { slowdown, .. } => Some(slowdown),
+            _ => None,
+        });
+        let mut slowdowns = by_service.chain(by_event).flatten();
         match self.window_ms {
             0 => Err(LoadError::Zero("window_ms")),
+            _ if slowdowns.any(|slowdown| slowdown <= 0.0) => Err(LoadError::Zero("slowdown")),
             _ => Ok(()),
         }
     }
--- a/crates/rig/tests/bound.rs
+++ b/crates/rig/tests/bound.rs
@@ -27,7 +27,7 @@
     assert!(bound <= exact * LOOSE, "{bound} is far above {exact}");
 }
 
-/// One service of ten slots, which bears 100 requests of 100 ms a second, and `rate` arrive for ten seconds.
+/// One service of ten slots, which serves 100 requests of 100 ms a second, while `rate` arrive for ten seconds.
 fn one_service(rate: f64) -> Value {
     json!({
         "duration_ms": 10_000,
@@ -126,7 +126,7 @@
 }
 
 #[test]
-fn servers_that_are_withdrawn_gone_or_cold_bear_less() {
+fn servers_that_are_withdrawn_gone_or_cold_serve_less() {
     let with = |change: Value| {
         let mut value = one_service(100.0);
         let mut event = change;
@@ -143,7 +143,7 @@
     assert_close(withdrawn(3_000), 900.0 + 50.0 + 10.0);
     let gone = json!({ "gone": { "share": 0.25, "service": "draws" } });
     assert_close(with(gone), 600.0 + 300.0 + 10.0);
-    // The cold server bears 25 requests a second by its speed, and 5 by its limit.
+    // The cold server serves 25 requests a second by its speed, and 5 by its limit.
     let cold = json!({ "cold": { "zone": "a" } });
     assert_close(with(cold), 600.0 + 220.0 + 10.0);
 }
@@ -182,6 +182,10 @@
     assert!(matches!(nowhere, LoadError::Services(_)), "{nowhere}");
     let zero = fault(|v| v["window_ms"] = 0.into());
     assert!(matches!(zero, LoadError::Zero("window_ms")), "{zero}");
+    let zero = fault(|v| {
+        v["services"]["draws"]["cold"] = json!({ "slowdown": 0.0, "starts": 5.0 });
+    });
+    assert!(matches!(zero, LoadError::Zero("slowdown")), "{zero}");
 }
 
 /// The load of the emulator: work differs by up to three tenths, and a quarter of the servers is slow.
