rig, route, node: plainer names

The stubs' flag and endpoints are called behavior and faults, a caller's time limit in the rig is a timeout, utilization without reports is UNREPORTED, and the state dump shows proof_ms. The script runner's three loops that wait for a count are one.

--- a/crates/node/src/admin.rs
+++ b/crates/node/src/admin.rs
@@ -37,7 +37,7 @@
     /// Number of teams.
     teams: usize,
     /// Time in milliseconds since the configuration was last known to be current, `null` if keys need no proof.
-    proof_age_ms: Option<u64>,
+    proof_ms: Option<u64>,
     gate: Option<gate_actor::GateDump>,
     spread: Option<view_sync::SyncDump>,
     services: HashMap<ServiceId, Vec<ServerDump>>,
@@ -124,7 +124,7 @@
         digest: view.digest.to_string(),
         lease_ms: board.lease.borrow().until().since(now).as_millis(),
         teams: view.state.teams.len(),
-        proof_age_ms: board.keys.borrow().map(|keys| keys.age(now).as_millis()),
+        proof_ms: board.keys.borrow().map(|keys| keys.age(now).as_millis()),
         gate,
         spread,
         services: admin.ingress.services.dump(now),
--- a/crates/rig/src/capacity.rs
+++ b/crates/rig/src/capacity.rs
@@ -90,11 +90,7 @@
     );
 }
 
-async fn measure(
-    cluster: &Cluster,
-    duration: Duration,
-    notes_per_second: u32,
-) -> io::Result<Usage> {
+async fn measure(cluster: &Cluster, duration: Duration, note_rate: u32) -> io::Result<Usage> {
     let nodes = cluster.nodes.len() as f64;
     let (cpu_ticks, bytes, reads) = (
         cpu_ticks(cluster)?,
@@ -103,7 +99,7 @@
     );
     let start = Instant::now();
     for _ in 0..duration.as_secs() {
-        (0..notes_per_second).for_each(|_| publish_zone_change(cluster));
+        (0..note_rate).for_each(|_| publish_zone_change(cluster));
         sleep(Duration::from_secs(1)).await;
     }
     let seconds = start.elapsed().as_secs_f64();
--- a/crates/rig/src/demo.rs
+++ b/crates/rig/src/demo.rs
@@ -122,7 +122,7 @@
             "server",
             "--listen",
             &listen,
-            "--conduct",
+            "--behavior",
             &behavior.to_string(),
         ])?);
     }
@@ -151,7 +151,7 @@
         let behavior = json!({
             "service_ms": service_ms, "node": spec.listen(), "cold": 2, "warm_ms": 3000,
         });
-        let url = format!("http://{}/control/conduct", spec.server);
+        let url = format!("http://{}/control/behavior", spec.server);
         let _ = client().post(url).json(&behavior).send().await;
     }
 }
--- a/crates/rig/src/main.rs
+++ b/crates/rig/src/main.rs
@@ -34,7 +34,7 @@
         listen: SocketAddr,
         /// Behavior of the backend server, as JSON
         #[bpaf(long, argument("JSON"), fallback("{}".to_owned()))]
-        conduct: String,
+        behavior: String,
     },
     /// Compare policies and limits under the same load, and print a table for each scenario
     #[bpaf(command)]
@@ -144,7 +144,7 @@
 async fn main() -> ExitCode {
     let result = match command().run() {
         Command::Platform { listen } => Platform::default().serve(listen).await,
-        Command::Server { listen, conduct } => match serde_json::from_str(&conduct) {
+        Command::Server { listen, behavior } => match serde_json::from_str(&behavior) {
             Ok(behavior) => server::Server::new(behavior).serve(listen).await,
             Err(error) => Err(error.into()),
         },
--- a/crates/rig/src/platform.rs
+++ b/crates/rig/src/platform.rs
@@ -111,7 +111,7 @@
             .route("/v1/notes", get(notes))
             .route("/v1/hosts", get(hosts))
             .route("/control/notes", post(publish))
-            .route("/control/conduct", post(set_faults))
+            .route("/control/faults", post(set_faults))
             .route("/control/reads", get(reads))
             .with_state(self.clone())
     }
--- a/crates/rig/src/server.rs
+++ b/crates/rig/src/server.rs
@@ -248,7 +248,7 @@
         let served = Router::new().route("/load", get(load)).fallback(run);
         Router::new()
             .route("/control/counts", get(counts))
-            .route("/control/conduct", post(set_behavior))
+            .route("/control/behavior", post(set_behavior))
             .merge(served.layer(from_fn_with_state(self.clone(), record_and_name)))
             .with_state(self.clone())
     }
--- a/crates/rig/src/site/caller.rs
+++ b/crates/rig/src/site/caller.rs
@@ -20,7 +20,7 @@
 
 /// Time for which callers wait for a connection.
 const CONNECT_TIMEOUT: Duration = Duration::from_secs(1);
-/// Time beyond its deadline for which a caller waits for an answer.
+/// Time beyond its timeout for which a caller waits for an answer.
 const ANSWER_SLACK: Duration = Duration::from_millis(1_500);
 
 /// A request.
@@ -35,7 +35,7 @@
     /// Identifier, new for each request.
     pub id: String,
     /// Time for which the caller waits.
-    pub deadline: Duration,
+    pub timeout: Duration,
     /// Further headers.
     pub headers: Vec<(String, String)>,
     /// Body.
@@ -53,7 +53,7 @@
             host: host.to_owned(),
             path: path.to_owned(),
             id: format!("{process:08x}{number:08x}"),
-            deadline: Duration::from_millis(1_000),
+            timeout: Duration::from_millis(1_000),
             headers: Vec::new(),
             body: Vec::new(),
         }
@@ -77,7 +77,7 @@
             id,
             ..
         } = self;
-        let deadline = self.deadline.as_millis();
+        let deadline = self.timeout.as_millis();
         let mut head = format!(
             "{method} {path} HTTP/1.1\r\nHost: {host}\r\nX-Request-Id: {id}\r\nX-Deadline-Ms: \
              {deadline}\r\n"
@@ -149,7 +149,7 @@
         {
             return Answer::Cut;
         }
-        let wait = request.deadline + ANSWER_SLACK;
+        let wait = request.timeout + ANSWER_SLACK;
         match timeout(wait, read_message(&mut self.reader)).await {
             Err(_) => Answer::None,
             Ok(Err(error)) if error.kind() == io::ErrorKind::InvalidData => {
--- a/crates/rig/src/site/soak/load.rs
+++ b/crates/rig/src/site/soak/load.rs
@@ -28,7 +28,7 @@
 /// Longest work of the few requests that take long, their share, and the time that their callers wait.
 const MAX_LONG_MS: u64 = 4_500;
 const LONG_SHARE: f64 = 0.04;
-const LONG_DEADLINE: Duration = Duration::from_secs(6);
+const LONG_TIMEOUT: Duration = Duration::from_secs(6);
 /// Versions whose changes are asked for.
 const RECENT: usize = 3;
 /// Time between two requests beyond a team's allowance, at one node: 40 times the allowance with six nodes.
@@ -187,7 +187,7 @@
             };
             self.add_key(&mut request, Some(KEPT_KEY));
             if is_long {
-                request.deadline = LONG_DEADLINE;
+                request.timeout = LONG_TIMEOUT;
             }
             let sent = Instant::now();
             let answer = connection.ask(&request).await;
--- a/crates/rig/src/site/soak/tests.rs
+++ b/crates/rig/src/site/soak/tests.rs
@@ -245,7 +245,7 @@
     let (end, begin) = (soak.at(ended), soak.at(sent));
     let sample = soak.samples.last_mut().expect("it was just added");
     sample.ended = end;
-    sample.request.deadline = Duration::from_secs(20);
+    sample.request.timeout = Duration::from_secs(20);
     if let Some(until) = at_work {
         soak.arrive(sent, &id, None);
         let until = soak.at(until);
--- a/crates/rig/src/site/stop.rs
+++ b/crates/rig/src/site/stop.rs
@@ -55,7 +55,7 @@
     fn concerns(&self, sample: &Sample) -> bool {
         sample.node == self.node
             && (self.at..=self.at + GRACE + AFTER_GRACE).contains(&sample.ended)
-            && sample.ended + CLOCK_SLACK < sample.sent + sample.request.deadline
+            && sample.ended + CLOCK_SLACK < sample.sent + sample.request.timeout
     }
 
     /// Whether a backend server was at work in the last sixth of the grace period, on a request that was sent
--- a/crates/rig/tests/faulty_messages.rs
+++ b/crates/rig/tests/faulty_messages.rs
@@ -50,7 +50,7 @@
     let others: Vec<_> = (0..8)
         .map(|_| {
             let request = Request {
-                deadline: ANSWER_TIMEOUT,
+                timeout: ANSWER_TIMEOUT,
                 ..Request::post(HOST, "/post/work-600/x", b"entry")
             };
             tokio::spawn(async move { ask_once(target, &request).await })
--- a/crates/rig/tests/planned_stop.rs
+++ b/crates/rig/tests/planned_stop.rs
@@ -72,7 +72,7 @@
 fn post(service: &str, work_ms: u64) -> Request {
     let path = format!("/post-{service}/work-{work_ms}/x");
     Request {
-        deadline: Duration::from_secs(20),
+        timeout: Duration::from_secs(20),
         ..Request::post(HOST, &path, b"entry")
     }
 }
@@ -290,7 +290,7 @@
         false => Request::post(HOST, &format!("/post-{service}/work-{work}/x"), b"entry"),
     };
     Request {
-        deadline: Duration::from_millis(deadline),
+        timeout: Duration::from_millis(deadline),
         ..request
     }
 }
--- a/crates/rig/tests/support/runner.rs
+++ b/crates/rig/tests/support/runner.rs
@@ -69,6 +69,14 @@
             .block_on(async { timeout(WAIT_TIMEOUT, condition).await.map_err(Into::into) })
     }
 
+    fn wait_until(&self, condition: impl Fn() -> bool) -> Result<(), Box<dyn Error>> {
+        self.wait(async {
+            while !condition() {
+                sleep(POLL_INTERVAL).await;
+            }
+        })
+    }
+
     fn start_cluster(&mut self, options: &[String], services: &[(String, usize)]) -> CommandResult {
         let mut builder = cluster(self.name, self.net);
         for (service, servers) in services {
@@ -162,31 +170,19 @@
     fn wait_for_start(&mut self, name: &str) -> CommandResult {
         let id = self.requests[name].0.clone();
         let servers = self.cluster().servers.clone();
-        self.wait(async move {
-            while servers.iter().all(|s| s.run_count(&id) == 0) {
-                sleep(POLL_INTERVAL).await;
-            }
-        })?;
+        self.wait_until(|| servers.iter().any(|s| s.run_count(&id) > 0))?;
         Ok(String::new())
     }
 
     fn wait_for_runs(&mut self, index: usize, count: u64) -> CommandResult {
         let server = self.cluster().servers[index].clone();
-        self.wait(async move {
-            while server.counts().runs < count {
-                sleep(POLL_INTERVAL).await;
-            }
-        })?;
+        self.wait_until(|| server.counts().runs >= count)?;
         Ok(String::new())
     }
 
     fn wait_for_cancellations(&mut self, index: usize, count: u64) -> CommandResult {
         let server = self.cluster().servers[index].clone();
-        self.wait(async move {
-            while server.counts().cancelled < count {
-                sleep(POLL_INTERVAL).await;
-            }
-        })?;
+        self.wait_until(|| server.counts().cancelled >= count)?;
         Ok(format!("{count} cancelled\n"))
     }
 
--- a/crates/route/src/zone_load.rs
+++ b/crates/route/src/zone_load.rs
@@ -9,12 +9,12 @@
 /// Highest utilization that is told apart. Beyond it the queues say how long a zone has been
 /// overloaded, not by how much.
 const MAX_UTILIZATION: f64 = 2.0;
-/// Utilization of a zone that wasn't heard of: half of what it can serve.
-const UNHEARD: f64 = FULL / 2.0;
+/// Utilization of a zone without reports: half of what it can serve.
+const UNREPORTED: f64 = FULL / 2.0;
 /// Half-life of a report's weight. One of many ingresses sends a server a request every few seconds.
 const HALF_LIFE: Span = Span::from_millis(1_000);
-/// Weight of [`UNHEARD`], relative to that of one new report.
-const UNHEARD_WEIGHT: f64 = 0.1;
+/// Weight of [`UNREPORTED`], relative to that of one new report.
+const UNREPORTED_WEIGHT: f64 = 0.1;
 /// A server that is avoided for longer than this takes nothing. Shorter ones are busy, which their
 /// reports tell.
 const MAX_BUSY: Span = Span::from_millis(50);
@@ -59,7 +59,7 @@
     let configured: u32 = used.iter().map(|s| s.member.slots).sum();
     let allowed = |s: &&ServerState| s.report.allowed.min(s.member.slots);
     let allowed: u32 = usable.iter().map(allowed).sum();
-    let (mut sum, mut weights) = (UNHEARD * UNHEARD_WEIGHT, UNHEARD_WEIGHT);
+    let (mut sum, mut weights) = (UNREPORTED * UNREPORTED_WEIGHT, UNREPORTED_WEIGHT);
     for server in &usable {
         let age = now.since(server.reported_at).0 as f64;
         let weight = 0.5_f64.powf(age / HALF_LIFE.0 as f64);
