gate: a server whose next request starts at once hasn't been idle

Cause: after idleness a gate keeps the cold limit until the first answer, since the server may have restarted unseen. The gate counted as idle as soon as nothing ran, before it started what waits. With a cold limit of one that is the case after each answer, so it started one request at a time for as long as requests waited (running=1, allowed=10 in its log). Now it counts as idle only if nothing starts when the last request ends: no time passes in which a restart could go unseen.

Deployments whose cold limit is above one, such as the users', meet this only if all requests end at once.

--- a/crates/gate/src/core/mod.rs
+++ b/crates/gate/src/core/mod.rs
@@ -239,9 +239,6 @@
             self.cold.invalidate();
         }
         self.concurrency.record(feedback, now);
-        if self.running.is_empty() {
-            self.concurrency.set_idle();
-        }
         self.sessions.record(id, state_after(&outcome));
         let misdirected = matches!(
             outcome,
@@ -255,6 +252,10 @@
             actions.extend(self.observe_identity(false, now));
         }
         actions.extend(self.start_queued(now));
+        // A backend server whose next request starts at the same time hasn't been idle.
+        if self.running.is_empty() {
+            self.concurrency.set_idle();
+        }
         actions
     }
 
