review: an upstream whose start seems older than its last one is never seen to leave

Cause: starts under one id are ordered by the time of day that they name, and an entry with an older one is replaced by the entry that a node knows. Change: case 10, a script in which the time of day of a machine steps while its upstream flaps, and the upstream leaves later.

--- a/review/standins-2/main.rs
+++ b/review/standins-2/main.rs
@@ -2,6 +2,7 @@
 
 mod early_stop;
 mod harness;
+mod lower_born;
 mod route_name;
 mod two_stops;
 
@@ -29,6 +30,7 @@
     let trouble = std::env::var("TROUBLE").map_or(true, |value| value != "0");
     let is_broken = match case {
         "early_stop" => early_stop::run(folder, trouble),
+        "lower_born" => lower_born::run(folder, trouble),
         "route_name" => route_name::run(folder, trouble),
         "two_stops" => two_stops::run(folder, trouble),
         _ => harness::cannot_run("no such case"),
