types, note, platform: names that the platform chooses are any text

Cause: identifiers had the rule of release notes, at most 63 lower-case letters, digits, - and ., also where the users' platform chooses them. A route named r_lists had the whole version refused. In the same way servers with such an id, service or zone were ignored, such zones never taken out, nodes with such settings didn't start, and ids beyond ASCII were left out of headers.

Change: an identifier is any text that its use allows. Servers and teams, which requests name in a header, are what a header can hold, and so is the service in a node's settings; a route's name may even be empty. Release notes keep their rule, in their parser, with the path of the field as before.

--- a/crates/node/src/settings.rs
+++ b/crates/node/src/settings.rs
@@ -6,7 +6,7 @@
 use route::{ByteCost, PolicyKind};
 use serde::{Deserialize, Deserializer, Serialize, de::Error as _};
 use smol_str::SmolStr;
-use types::{HostId, Rate, ServiceId, Size, Span, ZoneId};
+use types::{HostId, Rate, ServiceId, Size, Span, ZoneId, check_header_text};
 
 /// Allowed range of the graceful shutdown timeout, in milliseconds.
 const STOP_MS_RANGE: (u64, u64) = (100, 600_000);
@@ -324,6 +324,7 @@
     };
     let s = settings;
     let reads = s.reads.per_second();
+    let service = s.service.as_ref().map_or("none", ServiceId::as_str);
     match () {
         () if s.listen.port() == 0 => invalid("listen", &s.listen, "a port other than 0"),
         () if s.node.port() == 0 => invalid("node", &s.node, "a port other than 0"),
@@ -336,6 +337,11 @@
             &s.listen,
             "three different addresses",
         ),
+        () if check_header_text(service).is_err() => invalid(
+            "service",
+            &format_args!("{service:?}"),
+            "a name that a header can hold",
+        ),
         () if !s.platform.starts_with("http://") => {
             invalid("platform", &s.platform, "a URL that starts with http://")
         }
--- a/crates/note/tests/view.rs
+++ b/crates/note/tests/view.rs
@@ -79,6 +79,63 @@
     );
 }
 
+#[test]
+fn identifiers_of_notes_have_no_other_characters_than_those_that_operators_type() {
+    let server = |field: &str, value: &str| {
+        let mut server = json!({
+            "id": "s", "service": "fees", "zone": "a", "host": "h",
+            "node": "127.0.0.1:1", "address": "127.0.0.1:2",
+        });
+        server[field] = json!(value);
+        json!({ "servers": [server] })
+    };
+    let route = |id: &str, service: &str| {
+        json!({ "routes": [{
+            "id": id, "host": "x.example", "path": "/", "idempotent": true, "attempts": 1,
+            "parts": [{ "service": service, "weight": 1 }], "timeout_ms": 9, "objective_ms": 9,
+        }] })
+    };
+    let long = "n".repeat(64);
+    for name in ["", "A", "a_b", "a b", "a/b", "\u{e9}", &long] {
+        for add in [
+            json!({ "zones": [zone(name)] }),
+            json!({ "services": [{ "id": name }] }),
+            server("id", name),
+            server("service", name),
+            server("zone", name),
+            server("host", name),
+            route(name, "fees"),
+            route("r", name),
+            json!({ "teams": [{ "id": name }] }),
+        ] {
+            for text in [
+                note(1, add.clone(), json!({})),
+                note(1, json!({}), add.clone()),
+            ] {
+                let faults = base().apply(&text);
+                assert_eq!(faults[0].problem, Problem::Malformed, "{text}");
+            }
+        }
+        for kind in ["zones", "services", "servers", "routes", "teams"] {
+            let mut withdrawn: Value =
+                serde_json::from_str(&note(1, json!({}), json!({}))).expect("a note in JSON");
+            withdrawn["withdraw"] = json!({ kind: [name] });
+            let faults = base().apply(&withdrawn.to_string());
+            assert_eq!(faults[0].problem, Problem::Malformed, "{withdrawn}");
+        }
+    }
+    let longest = "n".repeat(63);
+    assert_eq!(
+        base().apply(&note(1, json!({ "zones": [zone(&longest)] }), json!({}))),
+        vec![]
+    );
+    let error = note::parse(&note(1, server("zone", "a_b"), json!({}))).expect_err("malformed");
+    assert_eq!(
+        error.to_string(),
+        "release note is malformed at add.servers[0].zone"
+    );
+}
+
 #[test]
 fn next_note_applies_after_malformed_note() {
     let mut view = base();
--- a/crates/rig/src/site/cluster.rs
+++ b/crates/rig/src/site/cluster.rs
@@ -51,6 +51,8 @@
     pub net: (u8, u8),
     /// Services, with the number of backend servers of each. Each server has a host with a node.
     pub services: Vec<(String, usize)>,
+    /// Begin of the identifiers of all servers.
+    pub prefix: String,
     /// Availability zones, over which the servers of a service are spread in rotation.
     pub zones: Vec<String>,
     /// Largest number of concurrent requests of a server.
@@ -75,6 +77,7 @@
             services: services
                 .map(|(name, count)| (name.to_owned(), count))
                 .to_vec(),
+            prefix: "i-".to_owned(),
             zones: ["a", "b", "c"].map(str::to_owned).to_vec(),
             slots: 8,
             behavior: Behavior::default(),
@@ -96,6 +99,7 @@
                 let index = places.len();
                 places.push(Place {
                     index,
+                    prefix: self.prefix.clone(),
                     service: service.clone(),
                     zone: self.zones[index % self.zones.len()].clone(),
                     address: self.address(index + 1, SERVER_PORT),
--- a/crates/rig/src/site/journal.rs
+++ b/crates/rig/src/site/journal.rs
@@ -20,6 +20,8 @@
     pub method: String,
     /// Target.
     pub path: String,
+    /// Service of the host whose node took it, if it names one.
+    pub caller: Option<String>,
     /// Teams that it names, in order.
     pub teams: Vec<String>,
     /// Whether it has a caller's key, in any header.
--- a/crates/rig/src/site/server.rs
+++ b/crates/rig/src/site/server.rs
@@ -49,6 +49,8 @@
 pub struct Place {
     /// Index of the server.
     pub index: usize,
+    /// Begin of its identifiers.
+    pub prefix: String,
     /// Service that it belongs to.
     pub service: String,
     /// Availability zone.
@@ -147,7 +149,7 @@
         let place = &self.shared.place;
         let since_epoch = SystemTime::now().duration_since(UNIX_EPOCH);
         let life = Arc::new(Life {
-            id: format!("i-{}-{}", place.index, self.starts),
+            id: format!("{}{}-{}", place.prefix, place.index, self.starts),
             born: since_epoch.unwrap_or_default().as_millis() as u64,
             is_draining: AtomicBool::new(false),
             seq: AtomicU32::new(0),
@@ -314,6 +316,7 @@
             id: id.to_owned(),
             method: request.method().to_owned(),
             path: request.target().to_owned(),
+            caller: request.header("x-caller-service").map(str::to_owned),
             teams: teams_of(request),
             has_key: request.headers.iter().any(|(_, v)| v.contains(KEY_MARK)),
             run_at: None,
--- a/crates/rig/src/site/soak/tests.rs
+++ b/crates/rig/src/site/soak/tests.rs
@@ -93,6 +93,7 @@
             id: id.to_owned(),
             method: "GET".to_owned(),
             path: "/".to_owned(),
+            caller: None,
             teams: Vec::new(),
             has_key: false,
             run_at: Some(self.at(millis)),
--- a/crates/types/src/id.rs
+++ b/crates/types/src/id.rs
@@ -5,8 +5,6 @@
 use serde::{Deserialize, Serialize};
 use smol_str::{SmolStr, format_smolstr};
 
-const MAX_ID_BYTES: usize = 63;
-
 /// Reason why a string is not a valid identifier.
 #[derive(Debug, Clone, PartialEq, Eq)]
 pub enum IdError {
@@ -19,7 +17,7 @@
         /// Maximum length in bytes.
         max: usize,
     },
-    /// The string contains a character that identifiers may not contain.
+    /// The string contains a character that the identifier may not contain.
     InvalidChar {
         /// The first such character.
         found: char,
@@ -38,21 +36,38 @@
 
 impl std::error::Error for IdError {}
 
-fn check_id(text: &str) -> Result<(), IdError> {
-    let allowed = |c: &char| c.is_ascii_lowercase() || c.is_ascii_digit() || "-.".contains(*c);
-    match text.chars().find(|c| !allowed(c)) {
+/// Accepts any text.
+fn check_any(_text: &str) -> Result<(), IdError> {
+    Ok(())
+}
+
+/// Accepts any text but an empty one.
+fn check_filled(text: &str) -> Result<(), IdError> {
+    match text.is_empty() {
+        true => Err(IdError::Empty),
+        false => Ok(()),
+    }
+}
+
+/// Checks that a text arrives unchanged as the value of an HTTP header (RFC 9110, section 5.5): it has at least
+/// one character, no control characters other than tabs, and no white space at its ends.
+///
+/// # Errors
+///
+/// [`IdError::Empty`], or [`IdError::InvalidChar`] with the first character that a header can't hold.
+pub fn check_header_text(text: &str) -> Result<(), IdError> {
+    const SPACE: [char; 2] = [' ', '\t'];
+    let at_ends = text.strip_prefix(SPACE).or(text.strip_suffix(SPACE));
+    let control = text.chars().find(|c| c.is_ascii_control() && *c != '\t');
+    match control.or(at_ends.map(|_| ' ')) {
         _ if text.is_empty() => Err(IdError::Empty),
-        _ if text.len() > MAX_ID_BYTES => Err(IdError::TooLong {
-            bytes: text.len(),
-            max: MAX_ID_BYTES,
-        }),
         Some(found) => Err(IdError::InvalidChar { found }),
         None => Ok(()),
     }
 }
 
 macro_rules! text_id {
-    ($(#[$doc:meta])* $name:ident) => {
+    ($(#[$doc:meta])* $name:ident, $check:ident) => {
         $(#[$doc])*
         #[derive(Debug, Clone, PartialEq, Eq, PartialOrd, Ord, Hash, Serialize, Deserialize)]
         #[serde(try_from = "SmolStr", into = "SmolStr")]
@@ -75,7 +90,7 @@
             type Err = IdError;
 
             fn from_str(text: &str) -> Result<Self, IdError> {
-                check_id(text)?;
+                $check(text)?;
                 Ok(Self(SmolStr::new(text)))
             }
         }
@@ -84,7 +99,7 @@
             type Error = IdError;
 
             fn try_from(text: SmolStr) -> Result<Self, IdError> {
-                check_id(&text)?;
+                $check(&text)?;
                 Ok(Self(text))
             }
         }
@@ -99,27 +114,29 @@
 
 text_id! {
     /// Identifier of a host, which runs one backend server and one node.
-    HostId
+    HostId, check_filled
 }
 text_id! {
     /// Identifier of an availability zone.
-    ZoneId
+    ZoneId, check_filled
 }
 text_id! {
     /// Identifier of a service. Without routes, the first path segment of a request names it.
-    ServiceId
+    ServiceId, check_filled
 }
 text_id! {
-    /// Identifier of one backend server of a service.
-    ServerId
+    /// Identifier of one backend server of a service. Requests carry it in a header, see [`check_header_text`].
+    ServerId, check_header_text
 }
 text_id! {
-    /// Identifier of a team, whose callers send its keys.
-    TeamId
+    /// Identifier of a team, whose callers send its keys. Requests carry it in a header, see
+    /// [`check_header_text`].
+    TeamId, check_header_text
 }
 text_id! {
-    /// Identifier of a route, which maps a caller's host and path to services.
-    RouteId
+    /// Identifier of a route, which maps a caller's host and path to services. Any text, as nothing but logs and
+    /// statistics depends on it.
+    RouteId, check_any
 }
 
 macro_rules! number_id {
@@ -238,8 +255,8 @@
 
 /// Identifier of one caller's request, as seen by callers, logs and backend servers.
 ///
-/// An identifier that the caller supplies is never changed. It is what a header can hold: at least one
-/// character, without control characters other than tabs, and without white space at its ends.
+/// An identifier that the caller supplies is never changed. It is what a header can hold, see
+/// [`check_header_text`].
 #[derive(Debug, Clone, PartialEq, Eq, PartialOrd, Ord, Hash)]
 pub struct CallId(SmolStr);
 
@@ -267,14 +284,8 @@
     type Err = IdError;
 
     fn from_str(text: &str) -> Result<Self, IdError> {
-        const SPACE: [char; 2] = [' ', '\t'];
-        let at_ends = text.strip_prefix(SPACE).or(text.strip_suffix(SPACE));
-        let control = text.chars().find(|c| c.is_ascii_control() && *c != '\t');
-        match control.or(at_ends.map(|_| ' ')) {
-            _ if text.is_empty() => Err(IdError::Empty),
-            Some(found) => Err(IdError::InvalidChar { found }),
-            None => Ok(Self(SmolStr::new(text))),
-        }
+        check_header_text(text)?;
+        Ok(Self(SmolStr::new(text)))
     }
 }
 
--- a/crates/types/src/lib.rs
+++ b/crates/types/src/lib.rs
@@ -12,7 +12,7 @@
 
 pub use fingerprint::Fingerprint;
 pub use id::{AttemptId, Boot, CallId, Era, HostId, IdError, Revision, RouteId, Seq, ServerId};
-pub use id::{ServiceId, SessionId, Stamp, TeamId, ZoneId};
+pub use id::{ServiceId, SessionId, Stamp, TeamId, ZoneId, check_header_text};
 pub use outcome::{Answer, Header, Outcome, Refusal};
 pub use size::{NamedLimit, ParseError, Rate, Size, Slots};
 pub use time::{Moment, Span};
