platform, view_sync, cli: a service that can't be read costs itself, not its version

Cause: one resource that can't be read had the whole version refused, also a service that no route names, so that changes of other routes weren't in force. Change: such a service is left out, and told in the log (config_entries_unusable) and by "amaranthyoke check" (left out). If a route leads to it, the version is refused as before, with the same faults: without the service its requests would be turned away. Routes and teams still refuse their version: without the route its requests match another prefix and run at another service, without the team withdrawn keys stay in force or no key is needed.

--- a/crates/cli/src/config.rs
+++ b/crates/cli/src/config.rs
@@ -33,6 +33,8 @@
     pub is_old: bool,
     /// Faults. If there are any, nodes refuse the configuration.
     pub faults: Vec<Fault>,
+    /// Entries that can't be used. Nodes leave them out.
+    pub unusable: Vec<Fault>,
     /// What nodes take, but can't have been meant.
     pub findings: Vec<Finding>,
     /// What differs from the configuration in force, `None` without a baseline.
@@ -42,7 +44,8 @@
 impl Report {
     /// Whether nodes would take the configuration, and nothing in it is doubtful.
     pub fn is_clean(&self) -> bool {
-        self.faults.is_empty() && self.findings.is_empty() && !self.is_old
+        let has_faults = !self.faults.is_empty() || !self.unusable.is_empty();
+        !has_faults && self.findings.is_empty() && !self.is_old
     }
 }
 
@@ -83,6 +86,7 @@
         in_force,
         is_old: in_force.is_some_and(|in_force| config.version <= in_force),
         faults: Vec::new(),
+        unusable: config.unusable,
         findings: note::lint(&state, fleet.as_ref()),
         differences: before.map(|before| note::diff(&before, &state)),
     })
@@ -107,6 +111,7 @@
         in_force,
         is_old,
         faults,
+        unusable,
         findings,
         differences,
     } = report;
@@ -121,6 +126,7 @@
     }
     text += "\n";
     let lines = faults.iter().map(|fault| format!("refused  {fault}\n"));
+    let lines = lines.chain(unusable.iter().map(|fault| format!("left out {fault}\n")));
     let lines = lines.chain(findings.iter().map(|found| format!("doubtful {found}\n")));
     let differences = differences.iter().flatten();
     let lines = lines.chain(differences.map(|d| format!("differs  {d}\n")));
--- a/crates/cli/tests/check.rs
+++ b/crates/cli/tests/check.rs
@@ -53,6 +53,19 @@
     Ok(())
 }
 
+#[test]
+fn services_that_nodes_leave_out_are_named() -> io::Result<()> {
+    let output = run_tool(&["check", &config("unused")])?;
+    assert_eq!(output.status.code(), Some(1));
+    let text = stdout(&output);
+    assert!(
+        text.contains("left out resources[3]: can't be read: \"soon\" is not a duration"),
+        "{text}"
+    );
+    assert!(!text.contains("refused"), "{text}");
+    Ok(())
+}
+
 #[test]
 fn entries_that_never_match_and_limits_that_contradict_are_doubtful() -> io::Result<()> {
     let output = run_tool(&["--json", "check", &config("doubtful")])?;
--- a/crates/note/src/registry.rs
+++ b/crates/note/src/registry.rs
@@ -7,6 +7,7 @@
 use types::{Boot, Rate, Revision, Size, Slots, Stamp, ZoneId};
 
 use crate::{
+    check::Fault,
     state::{
         Addressing, CallerLimits, Entry, HostRoute, Limits, Server, Service, State, Zone,
         ZoneStatus,
@@ -64,6 +65,9 @@
     /// Availability zones that are taken out of service.
     #[serde(rename = "out")]
     pub zones_out: Vec<ZoneId>,
+    /// Entries that were left out as they can't be used, where nothing else refers to them.
+    #[serde(default, skip_serializing_if = "Vec::is_empty")]
+    pub unusable: Vec<Fault>,
 }
 
 /// Maximum requests queued at one gate. Deadlines bound the waiting time; this bounds the memory.
--- a/crates/view_sync/src/registry.rs
+++ b/crates/view_sync/src/registry.rs
@@ -4,7 +4,7 @@
 
 use fleet::Parts;
 use kameo::message::{Context, Message};
-use note::OperatorConfig;
+use note::{Fault, OperatorConfig};
 use platform::{ConfigRead, PlatformError, RefusedVersion, RegistryEntries, UnusableItem};
 use types::{Moment, Revision, Stamp};
 
@@ -126,6 +126,10 @@
         progress.watch.on_unchanged(checked, now);
         if let Some(config) = changed {
             let version = config.version;
+            if !config.unusable.is_empty() {
+                let (count, faults) = (config.unusable.len(), shown_faults(&config.unusable));
+                log::warn!(version, count, faults; "config_entries_unusable");
+            }
             progress.watch.on_read(config.proven);
             let config = OperatorConfig { checked, ..config };
             if snapshot.update_from_registry(config, now) {
@@ -150,11 +154,9 @@
         }
         self.metrics
             .record_refused_config(refused.version.unwrap_or_default());
-        let shown = refused.faults.iter().take(MAX_LOGGED_FAULTS);
-        let shown: Vec<String> = shown.map(ToString::to_string).collect();
         log::error!(
             version = refused.version.unwrap_or_default(), in_force = snapshot.config_version(),
-            count = refused.faults.len(), faults = shown.join("; ");
+            count = refused.faults.len(), faults = shown_faults(&refused.faults);
             "config_refused"
         );
         progress.refused = Some(refused);
@@ -328,6 +330,15 @@
     }
 }
 
+/// The first faults, as logs show them.
+fn shown_faults(faults: &[Fault]) -> String {
+    let shown = faults.iter().take(MAX_LOGGED_FAULTS);
+    shown
+        .map(ToString::to_string)
+        .collect::<Vec<_>>()
+        .join("; ")
+}
+
 fn has_same_keys(before: &[UnusableItem], now: &[UnusableItem]) -> bool {
     let keys = |items: &[UnusableItem]| items.iter().map(|i| i.key.clone()).collect::<Vec<_>>();
     keys(before) == keys(now)
