cli: explain reads names that logs escape

Cause: logs quote names with spaces, quotes or characters beyond ASCII and escape them as Rust does; explain took the letter behind each backslash as it is, so that a line break became an n. Change: escapes are decoded, and the tool escapes control characters when it prints names, so that none breaks a line of its output.

--- a/crates/cli/src/config.rs
+++ b/crates/cli/src/config.rs
@@ -11,7 +11,7 @@
 use serde::Serialize;
 use types::Revision;
 
-use crate::{client::AdminClient, error::ToolError};
+use crate::{client::AdminClient, error::ToolError, text::single_line};
 
 /// What a configuration is compared with.
 #[derive(Debug, Clone, Default)]
@@ -125,12 +125,12 @@
         None => {}
     }
     text += "\n";
-    let lines = faults.iter().map(|fault| format!("refused  {fault}\n"));
-    let lines = lines.chain(unusable.iter().map(|fault| format!("left out {fault}\n")));
-    let lines = lines.chain(findings.iter().map(|found| format!("doubtful {found}\n")));
+    let lines = faults.iter().map(|fault| format!("refused  {fault}"));
+    let lines = lines.chain(unusable.iter().map(|fault| format!("left out {fault}")));
+    let lines = lines.chain(findings.iter().map(|found| format!("doubtful {found}")));
     let differences = differences.iter().flatten();
-    let lines = lines.chain(differences.map(|d| format!("differs  {d}\n")));
-    text.extend(lines);
+    let lines = lines.chain(differences.map(|d| format!("differs  {d}")));
+    text.extend(lines.map(|line| single_line(&line) + "\n"));
     if report.is_clean() {
         text += "in order\n";
     }
--- a/crates/cli/src/explain.rs
+++ b/crates/cli/src/explain.rs
@@ -5,12 +5,12 @@
 
 mod sum;
 
-use std::{collections::BTreeMap, fs, io::Read, path::PathBuf};
+use std::{collections::BTreeMap, fs, io::Read, path::PathBuf, str::Chars};
 
 use serde::Serialize;
 use types::CallId;
 
-use crate::error::ToolError;
+use crate::{error::ToolError, text::single_line};
 
 pub use sum::{CallCount, ReplyCount, Sum, render_sum, sum};
 
@@ -101,21 +101,33 @@
         return Some((text[..end].to_owned(), &text[end..]));
     };
     let mut value = String::new();
-    let mut escaped = false;
-    for (index, c) in quoted.char_indices() {
+    let mut chars = quoted.chars();
+    while let Some(c) = chars.next() {
         match c {
-            _ if escaped => {
-                value.push(c);
-                escaped = false;
-            }
-            '\\' => escaped = true,
-            '"' => return Some((value, &quoted[index + 1..])),
-            _ => value.push(c),
+            '"' => return Some((value, chars.as_str())),
+            '\\' => value.push(parse_escape(&mut chars)?),
+            c => value.push(c),
         }
     }
     None
 }
 
+/// Parses what follows a backslash in a quoted value.
+fn parse_escape(chars: &mut Chars<'_>) -> Option<char> {
+    match chars.next()? {
+        'n' => Some('\n'),
+        'r' => Some('\r'),
+        't' => Some('\t'),
+        '0' => Some('\0'),
+        'u' => {
+            let (digits, rest) = chars.as_str().strip_prefix('{')?.split_once('}')?;
+            *chars = rest.chars();
+            char::from_u32(u32::from_str_radix(digits, 16).ok()?)
+        }
+        other => Some(other),
+    }
+}
+
 impl LogLine {
     /// Returns the value of a key, or an empty string if the line lacks the key.
     pub fn value(&self, key: &str) -> &str {
@@ -134,7 +146,7 @@
     let gate_state = reply.map_or(String::new(), |line| {
         format!(
             " The last word came from the gate of {}: {}, with {} running, {} waiting, {} allowed, pace {} %.",
-            line.value("server"),
+            single_line(line.value("server")),
             line.value("outcome"),
             line.value("running"),
             line.value("waiting"),
@@ -217,10 +229,10 @@
         }
         (_, Some(team)) if !matches!(team.value("room_ms"), "" | "None") => format!(
             " There was room for team {} in {} ms.",
-            team.value("team"),
+            single_line(team.value("team")),
             team.value("room_ms"),
         ),
-        (_, Some(team)) => format!(" It was of team {}.", team.value("team")),
+        (_, Some(team)) => format!(" It was of team {}.", single_line(team.value("team"))),
         _ => String::new(),
     }
 }
--- a/crates/cli/src/explain/sum.rs
+++ b/crates/cli/src/explain/sum.rs
@@ -10,7 +10,7 @@
 use serde::Serialize;
 
 use super::{LogLine, meaning, parse, read_logs};
-use crate::error::ToolError;
+use crate::{error::ToolError, text::single_line};
 
 /// Stands for a value that no line names.
 const UNNAMED: &str = "-";
@@ -220,8 +220,8 @@
         let _ = writeln!(
             text,
             "{:<16} {:<24} {:<18} {:>8} {:>8} {:>10.1}  {}",
-            count.team,
-            count.service,
+            single_line(&count.team),
+            single_line(&count.service),
             count.ending,
             count.calls,
             count.attempts,
@@ -238,8 +238,8 @@
         let _ = writeln!(
             text,
             "{:<24} {:<24} {:<18} {:>8} {:>8.1} {:>8.1} {:>8.1}",
-            count.service,
-            count.server,
+            single_line(&count.service),
+            single_line(&count.server),
             count.outcome,
             count.replies,
             count.running,
--- a/crates/cli/src/lib.rs
+++ b/crates/cli/src/lib.rs
@@ -10,6 +10,7 @@
 pub mod explain;
 pub mod nodes;
 pub mod notes;
+mod text;
 
 pub use client::AdminClient;
 pub use error::ToolError;
--- a/crates/cli/tests/explain.rs
+++ b/crates/cli/tests/explain.rs
@@ -58,6 +58,27 @@
     Ok(())
 }
 
+/// A server whose name nodes log in quotes.
+const QUOTED: &str = r#"
+ts=10.130 level=info event=attempt_heard call="a b" attempt=0 server="i \"1\"\t\u{e9}\n\\" outcome=busy running=4 waiting=9 allowed=4 pace=400 view=7
+ts=10.131 level=info event=call_ended call="a b" ending=busy took_us=31000 view=7
+"#;
+
+#[test]
+fn names_that_are_logged_in_quotes_are_shown_as_they_are() -> io::Result<()> {
+    let log = write_file("quoted.log", QUOTED)?;
+    let output = run_tool(&["--json", "explain", "a b", &log.to_string_lossy()])?;
+    let explanation: serde_json::Value = serde_json::from_slice(&output.stdout)?;
+    let server = &explanation["lines"][0]["pairs"]["server"];
+    assert_eq!(server, "i \"1\"\t\u{e9}\n\\");
+    let output = run_tool(&["explain", "a b", &log.to_string_lossy()])?;
+    let text = stdout(&output);
+    let cause = text.lines().last().unwrap_or_default();
+    let told = "from the gate of i \"1\"\\t\u{e9}\\n\\: busy, with 4 running";
+    assert!(cause.contains(told), "{cause}");
+    Ok(())
+}
+
 /// Requests that were rejected before any attempt.
 const REJECTED: &str = "\
 ts=10.100 level=info event=key_rejected call=old has_key=true proof_ms=4912
