board, ingress, view_sync: a node that is stopped before it knows a configuration answers 503

Cause: a node counted as joining by its phase alone, which SIGTERM replaces. From then until its exit it judged requests by the empty view of its start. For the same reason it told peers that its view is current, in its own comparisons and in replies, and never used a configuration that it learned after the signal. A head beyond the default limit got 431 from a node that doesn't know the limit.

Change: Board::join records once per process, apart from the phase, that the view is as new as that of the peers. Requests are judged, the gate opens and peers are told by that alone; a node that joins while it stops judges the requests that it still gets. A head that is too large is 503 until then.

--- a/crates/board/src/lib.rs
+++ b/crates/board/src/lib.rs
@@ -11,7 +11,8 @@
 //! | `hosts` | `ViewSync` | `GateActor`, ingress |
 //! | `leaving` | any, through [`Board::mark_leaving`] | `GateActor`, ingress, `ViewSync` |
 //! | `quarantine` | any, by merging | `GateActor`, ingress, `ViewSync` |
-//! | `phase` | `ViewSync` (ready), lifecycle (leaving, stopping, exiting) | all |
+//! | `joined` | `ViewSync`, through [`Board::join`] | `GateActor`, ingress, `ViewSync`, peer server |
+//! | `phase` | `ViewSync` (ready, through [`Board::join`]), lifecycle (leaving, stopping, exiting) | all |
 //! | `stop_at` | lifecycle | `GateActor`, ingress |
 
 mod clock;
@@ -31,7 +32,8 @@
 #[derive(Debug, Clone, Copy, PartialEq, Eq, Serialize)]
 #[serde(rename_all = "lowercase")]
 pub enum Phase {
-    /// The node's view may be older than that of its peers.
+    /// The node's view may be older than that of its peers. A node that is stopped before it has joined leaves
+    /// this phase all the same, see [`Board::has_joined`].
     Joining,
     /// The node accepts new requests.
     Ready,
@@ -87,6 +89,9 @@
     pub leaving: watch::Sender<LeavingServers>,
     /// Evidence about requests under which backend servers ended.
     pub quarantine: watch::Sender<Quarantine>,
+    /// Whether the view has been as new as that of the peers since the process started. Without that, a node judges
+    /// no request, whatever its phase.
+    pub joined: watch::Sender<bool>,
     /// Phase of the node's lifecycle.
     pub phase: watch::Sender<Phase>,
     /// When a stopping node exits, whether or not its requests are completed. It is written before `phase`.
@@ -106,6 +111,7 @@
             hosts: watch::Sender::default(),
             leaving: watch::Sender::default(),
             quarantine: watch::Sender::default(),
+            joined: watch::Sender::new(false),
             phase: watch::Sender::new(Phase::Joining),
             stop_at: watch::Sender::new(Moment::MAX),
         })
@@ -121,6 +127,24 @@
         *self.phase.borrow()
     }
 
+    /// Returns whether the view has been as new as that of the peers since the process started.
+    pub fn has_joined(&self) -> bool {
+        *self.joined.borrow()
+    }
+
+    /// Records that the view is as new as that of the peers. A node that isn't stopping becomes ready; returns
+    /// whether it did.
+    pub fn join(&self) -> bool {
+        self.joined.send_replace(true);
+        self.phase.send_if_modified(|phase| {
+            let is_joining = *phase == Phase::Joining;
+            if is_joining {
+                *phase = Phase::Ready;
+            }
+            is_joining
+        })
+    }
+
     /// Returns the backend server on this node's host, `None` if the view has none.
     pub fn own_server(&self) -> Option<Server> {
         self.view
--- a/crates/gate_actor/src/lib.rs
+++ b/crates/gate_actor/src/lib.rs
@@ -215,6 +215,7 @@
     let mut lease = board.lease.subscribe();
     let mut hosts = board.hosts.subscribe();
     let mut leaving = board.leaving.subscribe();
+    let mut joined = board.joined.subscribe();
     let mut phase = board.phase.subscribe();
     loop {
         let changed = tokio::select! {
@@ -222,6 +223,7 @@
             changed = lease.changed() => changed,
             changed = hosts.changed() => changed,
             changed = leaving.changed() => changed,
+            changed = joined.changed() => changed,
             changed = phase.changed() => changed,
         };
         let Some(actor) = actor.upgrade() else { return };
@@ -345,8 +347,7 @@
 /// Applies the lease, the phase and the status of the backend server to the gate.
 fn apply_board(board: &Board, gate: &mut Gate, server: Option<&ServerId>) -> Vec<gate::Action> {
     gate.extend_lease(board.lease.borrow().until());
-    let open =
-        server.is_some_and(|id| board.accepts_requests(id)) && board.phase() != Phase::Joining;
+    let open = server.is_some_and(|id| board.accepts_requests(id)) && board.has_joined();
     let mut actions = gate.set_open(open);
     let (exit_at, now) = (*board.stop_at.borrow(), board.clock.now());
     match board.phase() {
--- a/crates/gate_actor/src/tests/actor.rs
+++ b/crates/gate_actor/src/tests/actor.rs
@@ -40,7 +40,7 @@
     let mut lease = Lease::new(Span::from_millis(60_000));
     lease.renew(board.clock.now());
     board.lease.send_replace(lease);
-    board.phase.send_replace(board::Phase::Ready);
+    board.join();
     board.view.send_replace(view(2, &server()));
     let metrics = Arc::new(Metrics::new());
     let mut actor = GateActor::new(
--- a/crates/gate_actor/src/tests/malformed.rs
+++ b/crates/gate_actor/src/tests/malformed.rs
@@ -199,7 +199,7 @@
     let mut lease = Lease::new(Span::from_millis(60_000));
     lease.renew(board.clock.now());
     board.lease.send_replace(lease);
-    board.phase.send_replace(board::Phase::Ready);
+    board.join();
     let limits = Limits {
         slots: Slots(2),
         queue: Slots(4),
--- a/crates/ingress/src/http1.rs
+++ b/crates/ingress/src/http1.rs
@@ -390,6 +390,11 @@
     /// Rejects bytes that form no valid head, and then ends the connection.
     fn reject_head(&mut self, rejection: Rejection) {
         let now = self.now();
+        // A node without a configuration doesn't know the limit on heads.
+        let rejection = match rejection {
+            Rejection::HeadTooLarge if !self.ingress.board.has_joined() => Rejection::Joining,
+            other => other,
+        };
         let pending = PendingRequest {
             call: CallId::from(rand::random::<u128>()),
             routed: Err(rejection),
--- a/crates/ingress/src/http2.rs
+++ b/crates/ingress/src/http2.rs
@@ -69,7 +69,10 @@
     if head.method == "CONNECT" {
         routed = Err(Rejection::Malformed);
     }
-    if header_bytes(&head.headers) > limits.head || head.target.len() as u64 > limits.line() {
+    let is_large =
+        header_bytes(&head.headers) > limits.head || head.target.len() as u64 > limits.line();
+    // A node without a configuration doesn't know the limit on heads.
+    if is_large && !matches!(routed, Err(Rejection::Joining)) {
         routed = Err(Rejection::HeadTooLarge);
     }
     let mut reservation = BodyReservation::default();
--- a/crates/ingress/src/routing.rs
+++ b/crates/ingress/src/routing.rs
@@ -5,7 +5,6 @@
 use attempt::ServerRequest;
 use axum::http::HeaderMap;
 use backend::end_to_end_headers;
-use board::Phase;
 use bytes::Bytes;
 use dialect::{Dialect, Rejection, RequestMetadata};
 use note::{HostRoute, KeyHash, Limits, Service, View};
@@ -219,7 +218,7 @@
     head: &RequestHead,
     now: Moment,
 ) -> Result<RoutedCall, Rejection> {
-    if ingress.board.phase() == Phase::Joining {
+    if !ingress.board.has_joined() {
         return Err(Rejection::Joining);
     }
     let metadata = ingress
--- a/crates/ingress/src/tests/fixtures.rs
+++ b/crates/ingress/src/tests/fixtures.rs
@@ -7,7 +7,7 @@
 use attempt::ServerRequest;
 use axum::http::{HeaderMap, HeaderValue};
 use backend::{Backend, ProbeError, RequestResult, Target};
-use board::{Board, Identity, Phase};
+use board::{Board, Identity};
 use dialect::{Rejection, ResponseMetadata};
 use fixtures::board;
 use fleet::Lease;
@@ -32,7 +32,7 @@
 };
 
 /// A backend server that answers each request with status 200.
-struct SoundBackend;
+pub(super) struct SoundBackend;
 
 impl Backend for SoundBackend {
     fn run(&self, _: ServerRequest, _: Target, _: Instant) -> BoxFuture<'static, RequestResult> {
@@ -74,7 +74,7 @@
 /// A ready node with an empty view and this backend server: its ingress, and the service for its peers.
 pub(super) fn start_node(backend: Arc<dyn Backend>) -> (Arc<Ingress>, PeerService) {
     let board = board();
-    board.phase.send_replace(Phase::Ready);
+    board.join();
     let mut lease = Lease::new(Span::from_millis(60_000));
     lease.renew(board.clock.now());
     board.lease.send_replace(lease);
--- a/crates/ingress/src/tests/teams.rs
+++ b/crates/ingress/src/tests/teams.rs
@@ -3,7 +3,6 @@
 use std::sync::Arc;
 
 use axum::http::{HeaderMap, HeaderValue};
-use board::Phase;
 use dialect::Rejection;
 use fleet::KeyLease;
 use note::{Entry, HostRoute, KeyHash, Team, View};
@@ -136,7 +135,7 @@
 #[tokio::test]
 async fn a_joining_node_judges_no_key() {
     let ingress = team_ingress();
-    ingress.board.phase.send_replace(Phase::Joining);
+    ingress.board.joined.send_replace(false);
     let judged = routed(&ingress, "/m/1", &[]).map(|call| call.team);
     assert_eq!(judged, Err(Rejection::Joining));
 }
--- a/crates/peers/src/server.rs
+++ b/crates/peers/src/server.rs
@@ -4,7 +4,7 @@
 
 use allowances::Allowances;
 use attempt::Reply;
-use board::{Board, Phase};
+use board::Board;
 use fleet::Digests;
 use futures::stream::BoxStream;
 use gate::Query;
@@ -57,7 +57,7 @@
             revision: view.revision.0,
             digest: view.digest.0.to_vec().into(),
             node: self.board.identity.node.to_string(),
-            ready: self.board.phase() != Phase::Joining,
+            ready: self.board.has_joined(),
             checked_era: checked.era.0,
             checked_revision: checked.revision.0,
             leaving: leaving_servers(&self.board),
--- a/crates/rig/tests/planned_stop.rs
+++ b/crates/rig/tests/planned_stop.rs
@@ -15,6 +15,7 @@
     journal::Arrival,
     server::Behavior,
     stop::{GRACE, Stop},
+    store::Trouble,
 };
 use serde_json::json;
 use tokio::{
@@ -370,3 +371,57 @@
 async fn two_planned_stops_at_once_answer_what_they_have_read() -> io::Result<()> {
     stop_under_load("stop-two", (96, 4), 60, 2, 2).await
 }
+
+/// Asks a node until its process has ended, and returns what callers got.
+async fn ask_until_exit(site: &mut Site, node: usize) -> Vec<Answer> {
+    let mut answers = Vec::new();
+    while !site.nodes[node].has_exited() {
+        let request = Request::get(HOST, "/get-left/x");
+        answers.push(ask_once(site.target(node), &request).await);
+        sleep(Duration::from_millis(20)).await;
+    }
+    answers
+}
+
+/// Nodes that were stopped before they knew a configuration answered 404 on a route that it has.
+#[tokio::test(flavor = "multi_thread", worker_threads = 2)]
+async fn a_node_that_is_stopped_before_it_has_joined_answers_503_until_it_exits() -> io::Result<()>
+{
+    let mut site = Layout::new("site-early-stop", (113, 0), 4).prepare()?;
+    let config = Config {
+        version: 1,
+        routes: vec![Route::new("get-left", HOST, "left")],
+        services: vec!["left".to_owned()],
+        teams: Vec::new(),
+        limits: CallerLimits::default(),
+    };
+    config.publish(&site.store).await;
+    site.store.trouble(Trouble::Silent);
+    let signals: [&[&str]; 4] = [&["TERM"], &["INT"], &["HUP", "TERM"], &["TERM", "TERM"]];
+    for node in 0..signals.len() {
+        let process = site.start_node(node)?;
+        site.nodes.push(process);
+    }
+    for node in 0..signals.len() {
+        let request = Request::get(HOST, "/get-left/x");
+        while ask_once(site.target(node), &request).await != NOT_RUN {
+            sleep(Duration::from_millis(20)).await;
+        }
+    }
+    for (node, signals) in signals.into_iter().enumerate() {
+        for signal in signals {
+            site.nodes[node].signal(signal).await;
+            sleep(SETTLED).await;
+        }
+        let answers = ask_until_exit(&mut site, node).await;
+        let refused = answers.iter().filter(|answer| **answer == NOT_RUN).count();
+        assert!(refused > 10, "{signals:?}: {answers:?}");
+        let others = answers.iter().filter(|answer| {
+            // The last requests meet a listener that is closed, or a process that is gone.
+            !matches!(answer, Answer::Unconnected | Answer::Cut) && **answer != NOT_RUN
+        });
+        assert_eq!(others.count(), 0, "{signals:?}: {answers:?}");
+    }
+    site.stop().await;
+    Ok(())
+}
--- a/crates/view_sync/src/exchange.rs
+++ b/crates/view_sync/src/exchange.rs
@@ -6,7 +6,6 @@
 
 use std::{net::SocketAddr, time::Duration};
 
-use board::Phase;
 use fleet::{Action, Digests, HistoryError, ViewUpdate};
 use kameo::message::{Context, Message};
 use note::Digest;
@@ -59,7 +58,7 @@
                 self.set_timer();
             }
         }
-        self.try_become_ready();
+        self.try_join();
     }
 }
 
@@ -72,7 +71,7 @@
             self.apply_update(msg.peer, msg.sent_at, update);
         }
         self.execute(actions);
-        self.try_become_ready();
+        self.try_join();
     }
 }
 
@@ -101,7 +100,7 @@
             revision: view.revision.0,
             digest: view.digest.0.to_vec().into(),
             node: self.board.identity.node.to_string(),
-            ready: self.board.phase() != Phase::Joining,
+            ready: self.board.has_joined(),
             clock: self.gossip.fleet_time(sent_at).0,
             read_hops,
             checked_era: checked.era.0,
--- a/crates/view_sync/src/lib.rs
+++ b/crates/view_sync/src/lib.rs
@@ -1,7 +1,7 @@
 //! Keeps the view in sync with the platform and with peers, by gossip.
 //!
 //! The [`ViewSync`] actor owns the [`Source`] that the view is computed from. It writes the board's
-//! `view`, `lease` and `hosts`, and moves `phase` from joining to ready once. Reads, comparisons
+//! `view`, `lease` and `hosts`, and joins once. Reads, comparisons
 //! and pulls run in tasks that report back to the actor with the moment at which they sent their
 //! request.
 //!
@@ -21,7 +21,7 @@
 
 use std::{collections::HashMap, net::SocketAddr, sync::Arc};
 
-use board::{Board, Phase};
+use board::Board;
 use fleet::{Action, Digests, Gossip, KeyLease, Lease, ReadBudget, Readiness, ViewUpdate};
 use kameo::{
     actor::{ActorRef, Spawn, WeakActorRef},
@@ -264,7 +264,7 @@
         self.drop_expired(now);
         self.check_keys(now);
         let mut actions = self.gossip.tick(now);
-        if self.board.phase() == Phase::Joining {
+        if !self.board.has_joined() {
             let unasked = self.readiness.take_unasked(self.gossip.neighbours());
             actions.extend(unasked.into_iter().map(Action::Compare));
         }
@@ -357,9 +357,10 @@
         );
     }
 
-    /// Moves the phase from joining to ready once the view is known to be current.
-    fn try_become_ready(&mut self) {
-        if self.board.phase() != Phase::Joining {
+    /// Joins once the view is known to be current. A node that is stopping then judges the requests that it still
+    /// gets.
+    fn try_join(&mut self) {
+        if self.board.has_joined() {
             return;
         }
         let unasked = self.readiness.take_unasked(self.gossip.neighbours());
@@ -369,14 +370,11 @@
             Source::Registry { .. } => self.is_snapshot_current(),
         };
         if current && self.readiness.has_heard_peers() {
-            log::info!(revision:% = self.source.view().revision; "ready");
-            self.board.phase.send_if_modified(|phase| {
-                let joining = *phase == Phase::Joining;
-                if joining {
-                    *phase = Phase::Ready;
-                }
-                joining
-            });
+            let revision = self.source.view().revision;
+            match self.board.join() {
+                true => log::info!(revision:%; "ready"),
+                false => log::info!(revision:%; "joined_while_stopping"),
+            }
         }
     }
 }
--- a/crates/view_sync/src/notes.rs
+++ b/crates/view_sync/src/notes.rs
@@ -34,7 +34,7 @@
                 log::debug!(error:% = error; "read_failed");
             }
         }
-        self.try_become_ready();
+        self.try_join();
     }
 }
 
--- a/crates/view_sync/src/registry.rs
+++ b/crates/view_sync/src/registry.rs
@@ -44,7 +44,7 @@
             }
             Err(error) => self.record_failure(&error, msg.sent_at),
         }
-        self.try_become_ready();
+        self.try_join();
     }
 }
 
@@ -68,7 +68,7 @@
             }
             Err(error) => self.record_failure(&error, msg.sent_at),
         }
-        self.try_become_ready();
+        self.try_join();
     }
 }
 
--- a/crates/view_sync/src/tests.rs
+++ b/crates/view_sync/src/tests.rs
@@ -7,7 +7,7 @@
 use std::{
     net::SocketAddr,
     sync::{
-        Arc,
+        Arc, Mutex,
         atomic::{AtomicU64, Ordering},
     },
     time::Duration,
@@ -140,21 +140,41 @@
     /// Time that it takes for a comparison.
     compare_time: Duration,
     suspects: Vec<SuspectRequest>,
+    /// Whether it knows a configuration itself.
+    ready: bool,
+    /// Whether those that compared with it said that their view is current, in this order.
+    told: Arc<Mutex<Vec<bool>>>,
+}
+
+impl SlowPeer {
+    fn new(compare_time: Duration, suspects: Vec<SuspectRequest>) -> Self {
+        Self {
+            snapshot: snapshot(),
+            address: String::new(),
+            compare_time,
+            suspects,
+            ready: true,
+            told: Arc::default(),
+        }
+    }
+
+    /// Starts to serve, and returns the address.
+    async fn start(self) -> SocketAddr {
+        let listener = TcpListener::bind("127.0.0.1:0").await.expect("a free port");
+        let address = listener.local_addr().expect("a bound address");
+        let peer = Self {
+            address: address.to_string(),
+            ..self
+        };
+        let server = Server::builder().add_service(PeerServer::new(peer));
+        tokio::spawn(server.serve_with_incoming(TcpIncoming::from(listener)));
+        address
+    }
 }
 
 /// Starts a peer, and returns its address.
 async fn start_peer(compare_time: Duration, suspects: Vec<SuspectRequest>) -> SocketAddr {
-    let listener = TcpListener::bind("127.0.0.1:0").await.expect("a free port");
-    let address = listener.local_addr().expect("a bound address");
-    let peer = SlowPeer {
-        snapshot: snapshot(),
-        address: address.to_string(),
-        compare_time,
-        suspects,
-    };
-    let server = Server::builder().add_service(PeerServer::new(peer));
-    tokio::spawn(server.serve_with_incoming(TcpIncoming::from(listener)));
-    address
+    SlowPeer::new(compare_time, suspects).start().await
 }
 
 #[tonic::async_trait]
@@ -184,14 +204,17 @@
         Err(Status::unimplemented("not used"))
     }
 
-    async fn compare(&self, _: Request<View>) -> Result<Response<View>, Status> {
+    async fn compare(&self, request: Request<View>) -> Result<Response<View>, Status> {
+        let ready = request.into_inner().ready;
+        let told = || self.told.lock().expect("no test panics with this lock");
+        told().push(ready);
         tokio::time::sleep(self.compare_time).await;
         let view = self.snapshot.view();
         Ok(Response::new(View {
             revision: view.revision.0,
             digest: view.digest.0.to_vec().into(),
             node: self.address.clone(),
-            ready: true,
+            ready: self.ready,
             suspects: self.suspects.clone(),
             ..View::default()
         }))
@@ -286,6 +309,46 @@
     assert!(quarantine.evidence(Fingerprint(7)).is_some());
 }
 
+/// A node that was stopped before it had joined told its peers that its view is current.
+#[tokio::test]
+async fn a_node_that_is_stopped_before_it_has_joined_does_not_tell_peers_that_its_view_is_current()
+{
+    let peer = SlowPeer {
+        ready: false,
+        ..SlowPeer::new(Duration::ZERO, Vec::new())
+    };
+    let told = Arc::clone(&peer.told);
+    let address = peer.start().await;
+    let board = board();
+    board.phase.send_replace(Phase::Leaving);
+    let _view_sync = spawn(
+        &board,
+        Source::registry(Arc::new(UnreachableRegistry)),
+        &Arc::new(Metrics::new()),
+        options(vec![address], 3.0),
+    );
+    tokio::time::sleep(Duration::from_secs(2)).await;
+    let told = told.lock().expect("no test panics with this lock");
+    assert!(!told.is_empty() && !told.contains(&true), "{told:?}");
+}
+
+#[tokio::test]
+async fn a_node_that_learns_the_configuration_while_it_stops_has_joined_and_goes_on_stopping() {
+    let board = board();
+    board.phase.send_replace(Phase::Leaving);
+    let mut joined = board.joined.subscribe();
+    let _view_sync = spawn(
+        &board,
+        Source::registry(Arc::new(FastRegistry)),
+        &Arc::new(Metrics::new()),
+        options(Vec::new(), 3.0),
+    );
+    let joining = joined.wait_for(|joined| *joined);
+    let joined = timeout(Duration::from_secs(5), joining).await;
+    joined.expect("joined in time").expect("a board");
+    assert_eq!(board.phase(), Phase::Leaving);
+}
+
 /// A registry whose configuration is invalid.
 #[derive(Default)]
 struct RefusingRegistry {
