route, ingress, note: a route's host may have a port, or characters beyond ASCII

Callers would have got 404 on such a route, though operators' configurations may have it: the port of a request was dropped before the look-up, and a Host header beyond ASCII counted as none. Change: the host is looked up as it is, then without its port.

--- a/crates/ingress/src/routing.rs
+++ b/crates/ingress/src/routing.rs
@@ -33,7 +33,8 @@
 
 impl RequestHead {
     fn host(&self) -> &str {
-        let host = self.headers.get("host").and_then(|v| v.to_str().ok());
+        let host = self.headers.get("host");
+        let host = host.and_then(|value| str::from_utf8(value.as_bytes()).ok());
         host.unwrap_or_default()
     }
 }
--- a/crates/ingress/src/tests/routing.rs
+++ b/crates/ingress/src/tests/routing.rs
@@ -4,7 +4,7 @@
 
 use board::Phase;
 use dialect::Rejection;
-use note::CallerLimits;
+use note::{CallerLimits, HostRoute};
 use tokio::{
     io::{AsyncReadExt, AsyncWriteExt},
     net::{TcpListener, TcpStream},
@@ -183,6 +183,26 @@
     assert_eq!(status, "431");
 }
 
+/// Requests for a host with other characters than those of ASCII got 404.
+#[tokio::test]
+async fn a_host_and_a_path_beyond_ascii_or_with_a_port_are_routed() {
+    let ingress = ingress();
+    for (host, path) in [
+        ("\u{e9}.example", "/m/"),
+        ("bowls.example", "/\u{e9}/"),
+        ("bowls.example:8080", "/m/"),
+    ] {
+        let revision = ingress.board.view().revision.next();
+        let route = HostRoute {
+            host: host.into(),
+            ..route("r", path, "rinks")
+        };
+        publish(&ingress.board, view(revision.0, "rinks", vec![route]));
+        let status = status_of(&ingress, &format!("{path}1"), host, 1).await;
+        assert_eq!(status, "200", "{host} {path}");
+    }
+}
+
 /// Peers took a node that was stopped before it had joined for one whose view is current.
 #[tokio::test]
 async fn a_node_that_has_not_joined_tells_its_peers_so_in_each_phase() {
--- a/crates/note/src/lint.rs
+++ b/crates/note/src/lint.rs
@@ -18,7 +18,7 @@
 #[derive(Debug, Clone, PartialEq, Serialize)]
 #[serde(rename_all = "snake_case")]
 pub enum Doubt {
-    /// No request names such a host: requests are matched without their port, and hosts have no spaces.
+    /// No request names such a host: hosts have no spaces, and end before the path.
     HostNeverMatches,
     /// No request has such a path: requests are matched without their query.
     PathNeverMatches,
@@ -135,7 +135,8 @@
     findings: &mut Vec<Finding>,
 ) {
     let place = format_smolstr!("routes[{}]", route.id);
-    let is_host_char = |c: char| c.is_ascii_graphic() && !":/?#@".contains(c);
+    let is_visible = |c: char| !c.is_whitespace() && !c.is_control();
+    let is_host_char = |c: char| is_visible(c) && !"/?#@".contains(c);
     if route.host.is_empty() || !route.host.chars().all(is_host_char) {
         add(
             findings,
@@ -146,7 +147,7 @@
     if !route
         .path
         .chars()
-        .all(|c| c.is_ascii_graphic() && !"?#".contains(c))
+        .all(|c| is_visible(c) && !"?#".contains(c))
     {
         add(
             findings,
--- a/crates/route/src/route_table.rs
+++ b/crates/route/src/route_table.rs
@@ -44,17 +44,19 @@
     }
 
     /// The route with the longest matching path prefix among those of the host. A port in `host` is
-    /// ignored.
+    /// ignored, unless routes name the host with it.
     pub fn find(&self, host: &str, path: &str) -> Option<Arc<HostRoute>> {
-        let name = host_name(host);
-        let routes = match self.hosts.get(name) {
-            Some(routes) => routes,
-            None => self.hosts.get(name.to_ascii_lowercase().as_str())?,
-        };
+        let routes = self.routes_of(host);
+        let routes = routes.or_else(|| self.routes_of(host_name(host)))?;
         let matches = |route: &&Arc<HostRoute>| path.starts_with(route.path.as_str());
         routes.iter().find(matches).cloned()
     }
 
+    fn routes_of(&self, host: &str) -> Option<&Vec<Arc<HostRoute>>> {
+        let routes = self.hosts.get(host);
+        routes.or_else(|| self.hosts.get(host.to_ascii_lowercase().as_str()))
+    }
+
     /// Picks the service for the next request of a route, `None` if the route has no service, or
     /// several without any weight.
     pub fn pick_service(&mut self, route: &HostRoute) -> Option<ServiceId> {
--- a/crates/route/tests/route_table.rs
+++ b/crates/route/tests/route_table.rs
@@ -112,3 +112,27 @@
         assert_ne!(chosen(&parts), Some("unused".into()));
     }
 }
+
+/// Requests for such a host got 404, as their port was dropped before the look-up.
+#[test]
+fn a_host_with_a_port_is_that_of_requests_with_this_port() {
+    let table = route_table(vec![
+        route("plain", "a.example", "/", &[("s", 1)]),
+        route("port", "a.example:8080", "/", &[("s", 1)]),
+        route("only", "B.example:80", "/", &[("s", 1)]),
+        route("address", "[::1]:80", "/", &[("s", 1)]),
+        route("accent", "\u{e9}.example", "/\u{e9}/", &[("s", 1)]),
+    ]);
+    for (host, path, id) in [
+        ("a.example", "/", Some("plain")),
+        ("a.example:80", "/", Some("plain")),
+        ("A.example:8080", "/", Some("port")),
+        ("b.Example:80", "/", Some("only")),
+        ("b.example:81", "/", None),
+        ("b.example", "/", None),
+        ("[::1]:80", "/", Some("address")),
+        ("\u{e9}.example:80", "/\u{e9}/x", Some("accent")),
+    ] {
+        assert_eq!(found(&table, host, path).as_deref(), id, "{host}");
+    }
+}
