backend, peers, ingress: a response without a final status of HTTP is no answer

Reported from a like system: an answer with the status 000 reached the client. Here statuses below 100 were never passed on, as a test shows now for 000 to 099 and for statuses that aren't three digits. Those from 600 to 999 were, with body and signature, and what such a response said of itself was believed, also in probes. Cause: the parser takes any three digits from 100 on. Change: only statuses from 200 to 599 are those of answers, at the gate before any header is read, in what another node's gate tells, and at the ingress, which no longer sends a status of its own with the headers of an answer that it can't forward.

--- a/crates/backend/src/lib.rs
+++ b/crates/backend/src/lib.rs
@@ -163,6 +163,11 @@
                 return Completion::Incomplete.into();
             }
         };
+        let status = response.status().as_u16();
+        if !Answer::is_final(status) && !target.shed_statuses.contains(&status) {
+            log::warn!(address:% = target.address, call:% = call, status; "answer_not_final");
+            return Completion::Incomplete.into();
+        }
         let metadata = self.dialect.read_response(
             response.status(),
             response.headers(),
@@ -174,7 +179,7 @@
         }
         let closes = has_close(response.headers());
         let completion = match () {
-            () if switches_protocol(response.status(), &method) => Completion::Incomplete,
+            () if opens_tunnel(response.status(), &method) => Completion::Incomplete,
             () if metadata.misdirected => Completion::Misdirected,
             () if metadata.shed => Completion::Shed,
             () if !self.is_delimited(&response, &method) => Completion::Incomplete,
@@ -301,6 +306,9 @@
             Err(SendError::Refused) => return Err(ProbeError::Refused),
             Err(SendError::NotSent | SendError::MaybeSent) => return Err(ProbeError::NoAnswer),
         };
+        if !Answer::is_final(response.status().as_u16()) {
+            return Err(ProbeError::NoAnswer);
+        }
         let metadata = self
             .dialect
             .read_response(response.status(), response.headers(), &[]);
@@ -378,9 +386,9 @@
     }
 }
 
-/// Whether another protocol follows a response, which then is no answer.
-fn switches_protocol(status: StatusCode, method: &Method) -> bool {
-    status.is_informational() || (method == Method::CONNECT && status.is_success())
+/// Whether a tunnel follows a response, which then is no answer.
+fn opens_tunnel(status: StatusCode, method: &Method) -> bool {
+    method == Method::CONNECT && status.is_success()
 }
 
 /// Whether a message carries `connection: close`.
--- a/crates/backend/src/tests/framing.rs
+++ b/crates/backend/src/tests/framing.rs
@@ -10,7 +10,7 @@
     time::{Duration, Instant, sleep},
 };
 
-use super::{Backend, backend, request, target};
+use super::{Backend, Target, backend, request, target};
 
 /// How the server ends a connection.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
@@ -276,3 +276,46 @@
     )]);
     assert_eq!(fetch(address.await, 0, "CONNECT").await, None);
 }
+
+/// An answer with the status 600 or above was passed on as it was.
+#[tokio::test]
+async fn an_answer_whose_status_is_no_final_one_is_none() {
+    let statuses = [
+        "000", "00", "0", "001", "099", "101", "600", "666", "999", "1000", "0200", "20", "2xx",
+        "-20", "+20", " 200", "200OK", "2e2", "0x0", "",
+    ];
+    let served = statuses.map(|status| {
+        let head = format!("HTTP/1.1 {status} OK\r\nx-request-id: first\r\n");
+        Case::new(head + "content-length: 16\r\n\r\n" + BODY, End::Close)
+    });
+    let address = serve_cases(served.to_vec()).await;
+    for (number, status) in statuses.iter().enumerate() {
+        assert_eq!(fetch(address, number, "GET").await, None, "{status:?}");
+    }
+}
+
+#[tokio::test]
+async fn the_lowest_and_the_highest_final_status_are_those_of_answers() {
+    let served = ["200", "599"].map(|status| {
+        let head = format!("HTTP/1.1 {status} OK\r\nx-request-id: first\r\n");
+        Case::new(head + "content-length: 16\r\n\r\n" + BODY, End::Close)
+    });
+    let address = serve_cases(served.to_vec()).await;
+    for (number, status) in [200, 599].into_iter().enumerate() {
+        let answer = fetch(address, number, "GET").await;
+        assert_eq!(answer, Some((status, BODY.as_bytes().to_vec())));
+    }
+}
+
+#[tokio::test]
+async fn an_answer_to_a_probe_whose_status_is_no_final_one_is_none() {
+    for status in ["000", "101", "600", "999"] {
+        let head = format!("HTTP/1.1 {status} OK\r\ncontent-length: 0\r\n\r\n");
+        let address = serve_cases(vec![Case::new(head, End::Close)]).await;
+        let target = Target {
+            health_path: "/0".into(),
+            ..target(address)
+        };
+        assert!(backend().probe(target).await.is_err(), "{status}");
+    }
+}
--- a/crates/ingress/src/response.rs
+++ b/crates/ingress/src/response.rs
@@ -4,7 +4,7 @@
 mod tests;
 
 use axum::http::{Response, StatusCode};
-use backend::{TooManyHeaders, copy_headers};
+use backend::copy_headers;
 use bytes::{Buf, BufMut, Bytes, BytesMut};
 use call::CallOutcome;
 use dialect::{CallFailure, Dialect, Rejection};
@@ -49,9 +49,10 @@
 pub(super) fn respond(dialect: &dyn Dialect, call: &CallId, result: CallResult) -> Response<Bytes> {
     let failure = match result {
         Ok(CallOutcome::Answer(answer)) => match forward_answer(dialect, call, &answer) {
-            Ok(response) => return response,
-            Err(TooManyHeaders) => {
-                log::warn!(call:% = call, headers = answer.headers.len(); "answer_not_forwardable");
+            Some(response) => return response,
+            None => {
+                let (status, headers) = (answer.status, answer.headers.len());
+                log::warn!(call:% = call, status, headers; "answer_not_forwardable");
                 CallFailure::Unknown { late: false }
             }
         },
@@ -89,16 +90,20 @@
     retry_after.scale(rand::rng().random_range(1.0..2.0))
 }
 
+/// The response that forwards an answer. Returns `None` if its status is no status, or if it has too many headers.
 fn forward_answer(
     dialect: &dyn Dialect,
     call: &CallId,
     answer: &Answer,
-) -> Result<Response<Bytes>, TooManyHeaders> {
+) -> Option<Response<Bytes>> {
     let mut response = Response::new(answer.body.clone());
-    *response.status_mut() = StatusCode::from_u16(answer.status).unwrap_or(StatusCode::BAD_GATEWAY);
-    copy_headers(&answer.headers, response.headers_mut())?;
+    *response.status_mut() = match Answer::is_final(answer.status) {
+        true => StatusCode::from_u16(answer.status).ok()?,
+        false => return None,
+    };
+    copy_headers(&answer.headers, response.headers_mut()).ok()?;
     dialect.set_call_id(call, response.headers_mut());
-    Ok(response)
+    Some(response)
 }
 
 /// Encodes a response without copying its body. `omit_body` is set for the answer to HEAD.
--- a/crates/peers/src/convert.rs
+++ b/crates/peers/src/convert.rs
@@ -216,7 +216,7 @@
 /// Converts an answer. One whose status isn't that of a final response counts as unknown.
 fn from_answer(answer: peer::Answer) -> Outcome {
     match u16::try_from(answer.status) {
-        Ok(status @ 200..=999) => Outcome::Answer(Arc::new(Answer {
+        Ok(status) if Answer::is_final(status) => Outcome::Answer(Arc::new(Answer {
             status,
             headers: from_headers(answer.headers),
             body: answer.body,
--- a/crates/peers/src/tests.rs
+++ b/crates/peers/src/tests.rs
@@ -161,3 +161,27 @@
     let refused = without_body(reply(Outcome::refused(Refusal::Busy), Boot(1)));
     assert_eq!(refused.outcome, Outcome::refused(Refusal::Busy));
 }
+
+#[test]
+fn an_answer_of_another_node_whose_status_is_no_final_one_is_unknown() {
+    let outcome = |status| {
+        let answer = peer::Answer {
+            status,
+            ..peer::Answer::default()
+        };
+        let result = Some(peer::outcome::Result::Answer(answer));
+        from_outcome(peer::Outcome {
+            result,
+            ..peer::Outcome::default()
+        })
+        .outcome
+    };
+    for status in [0, 99, 100, 199, 600, 999, 1_000, 65_736, u32::MAX] {
+        assert_eq!(outcome(status), Outcome::Unknown, "{status}");
+    }
+    for status in [200, 599] {
+        assert!(
+            matches!(outcome(status), Outcome::Answer(answer) if u32::from(answer.status) == status)
+        );
+    }
+}
--- a/crates/types/src/outcome.rs
+++ b/crates/types/src/outcome.rs
@@ -115,6 +115,11 @@
 const MIN_FAILURE_STATUS: u16 = 500;
 
 impl Answer {
+    /// Whether a status is that of a final response (RFC 9110, section 15), and so of an answer.
+    pub fn is_final(status: u16) -> bool {
+        (200..=599).contains(&status)
+    }
+
     /// Whether the status reports a server error.
     pub fn is_failure(&self) -> bool {
         self.status >= MIN_FAILURE_STATUS
