support: the buffer of a body without a length is not grown step by step

Reported from a like system: a server sent bytes without end until the machine ran out of memory. Here bodies were cut at the memory set aside for them, but a node beside such a server still reached 189,032 kB with all slots busy, where the smallest machine of the users has 163,840. Cause: the buffer of a body without a length doubled as it grew; each step copied it, and the allocator kept the holes that the smaller ones left in the heap. Change: beyond 1 MiB the buffer gets room for the largest body at once, whose pages take memory only as they are filled and go back as a whole.

--- a/crates/support/src/body_budget.rs
+++ b/crates/support/src/body_budget.rs
@@ -21,6 +21,10 @@
 const MAX_BODY_BYTES: u64 = 64 << 20;
 /// Largest body that needs no reservation.
 const MAX_UNRESERVED_BYTES: u64 = 64 << 10;
+/// Size beyond which the buffer of a body without a length gets room for the largest body. Its pages take memory
+/// only as they are filled, while a buffer that grows step by step is copied each time, and the smaller ones that it
+/// leaves behind fragment the heap.
+const MAX_GROWN_BYTES: u64 = 1 << 20;
 /// Granularity of reservations.
 const UNIT_BYTES: u64 = 64 << 10;
 
@@ -116,10 +120,8 @@
                 first = part;
                 continue;
             }
-            if whole.is_empty() {
-                whole.reserve(size.max(length) as usize);
-                whole.put(std::mem::take(&mut first));
-            }
+            make_room(&mut whole, size.max(length));
+            whole.put(std::mem::take(&mut first));
             whole.put(part);
         }
         match whole.is_empty() {
@@ -128,3 +130,15 @@
         }
     }
 }
+
+/// Makes room in the buffer of a body that has at least `size` bytes in all, or exactly as many as its first part
+/// announces.
+fn make_room(buffer: &mut BytesMut, size: u64) {
+    let is_first = buffer.is_empty();
+    let capacity = match size {
+        size if size <= buffer.capacity() as u64 => return,
+        size if is_first || size <= MAX_GROWN_BYTES => size,
+        _ => MAX_BODY_BYTES,
+    };
+    buffer.reserve(capacity as usize - buffer.len());
+}
