rig: a server that a request has ended runs nothing until it starts again

A process that has ended runs nothing, and no gate could have known. Since gates start all slots at once after idleness, which made the case frequent; the gate is unchanged.

Change: until it starts again, such a server cuts the requests that still reach it. They count as arrived, ends are counted as before, and the check of limits stays as it is. Result: a_server_that_has_ended_runs_no_request_of_an_open_connection fails without the change (trial) and passes with it.

--- a/crates/rig/src/server.rs
+++ b/crates/rig/src/server.rs
@@ -73,6 +73,8 @@
     boot: u64,
     started: Instant,
     failing_until: Option<Instant>,
+    /// Whether a deadly request has ended the server, and it hasn't started again.
+    down: bool,
     running: usize,
     runs: HashMap<String, u64>,
     /// When requests and probes arrived.
@@ -104,6 +106,7 @@
             boot: rand::random::<u64>() >> 1,
             started: Instant::now(),
             failing_until: None,
+            down: false,
             running: 0,
             runs: HashMap::new(),
             arrivals: Vec::new(),
@@ -165,6 +168,7 @@
         let ends = !headers.contains_key(HARMLESS)
             && deadly.is_some_and(|segment| path.split('/').any(|s| s == segment));
         if ends {
+            inner.down = true;
             inner.counts.ends += 1;
             let ends = inner.path_ends.entry(path.to_owned()).or_default();
             ends.push(PathEnd {
@@ -177,6 +181,7 @@
             let server = self.clone();
             tokio::spawn(async move {
                 sleep(DOWN_DURATION).await;
+                server.inner().down = false;
                 server.set_listening(true);
             });
         }
@@ -380,6 +385,10 @@
     if server.end_if_deadly(parts.uri.path(), &parts.headers) {
         return respond(ResponseMode::Cut, 0, None).await;
     }
+    // A request that reached the process just before its end, over a connection that was open.
+    if server.inner().down {
+        return respond(ResponseMode::Cut, 0, None).await;
+    }
     if parts.headers.contains_key(HARMLESS) {
         return empty_response(StatusCode::OK);
     }
--- a/crates/rig/tests/deadly_request.rs
+++ b/crates/rig/tests/deadly_request.rs
@@ -6,9 +6,14 @@
     cluster::{Cluster, cluster},
     load::{self, Workload},
     process::client,
+    server::{Behavior, Server},
 };
 use serde_json::json;
-use tokio::time::sleep;
+use tokio::{
+    io::{AsyncReadExt, AsyncWriteExt},
+    net::{TcpListener, TcpStream},
+    time::sleep,
+};
 
 /// Number of times that callers send the deadly request, and the time between.
 const REQUESTS: usize = 30;
@@ -96,3 +101,40 @@
     }
     Ok(())
 }
+
+/// The stand-in ran requests that reached it together with a deadly one, after its end. Two of them exceeded the
+/// limit of a server that has just started, which no gate could have kept.
+#[tokio::test]
+async fn a_server_that_has_ended_runs_no_request_of_an_open_connection() -> io::Result<()> {
+    let behavior = Behavior {
+        deadly: Some("deadly".to_owned()),
+        ..Behavior::default()
+    };
+    let server = Server::new(behavior);
+    let address = TcpListener::bind("127.0.0.1:0").await?.local_addr()?;
+    let serving = server.clone();
+    tokio::spawn(async move { serving.serve(address).await });
+    let connect = async || loop {
+        match TcpStream::connect(address).await {
+            Ok(stream) => return stream,
+            Err(_) => tokio::task::yield_now().await,
+        }
+    };
+    let (mut first, mut second) = (connect().await, connect().await);
+    let id = "00000000000000000000000000000abc";
+    let head = format!("GET /draws/item HTTP/1.1\r\nhost: h\r\nx-request-id: {id}\r\n");
+    first.write_all(head.as_bytes()).await?;
+    sleep(Duration::from_millis(100)).await;
+    second
+        .write_all(b"GET /draws/deadly HTTP/1.1\r\nhost: h\r\n\r\n")
+        .await?;
+    let mut received = Vec::new();
+    let _ = second.read_to_end(&mut received).await;
+    assert_eq!(server.counts().ends, 1);
+    first.write_all(b"\r\n").await?;
+    let _ = first.read_to_end(&mut received).await;
+    let received = String::from_utf8_lossy(&received);
+    assert!(!received.contains(id), "{received}");
+    assert_eq!((server.arrival_count(id), server.run_count(id)), (1, 0));
+    Ok(())
+}
