--- a/crates/backend/src/pool.rs
+++ b/crates/backend/src/pool.rs
@@ -201,7 +201,7 @@
     }
 }
 
-/// Counts the interim responses to a request, which isn't sent yet.
+/// Makes the client count the interim responses to a request, from zero.
 fn count_interim(request: &mut Request<Full<Bytes>>, interim: &Arc<AtomicUsize>) {
     interim.store(0, Ordering::Relaxed);
     let interim = Arc::clone(interim);
@@ -210,13 +210,13 @@
     });
 }
 
-/// A stream that can't be read any more once too many interim responses have come.
-struct Guarded {
+/// A stream whose reads fail once too many interim responses have come.
+struct LimitedStream {
     stream: TcpStream,
     interim: Arc<AtomicUsize>,
 }
 
-impl AsyncRead for Guarded {
+impl AsyncRead for LimitedStream {
     fn poll_read(
         mut self: Pin<&mut Self>,
         context: &mut Context<'_>,
@@ -229,7 +229,7 @@
     }
 }
 
-impl AsyncWrite for Guarded {
+impl AsyncWrite for LimitedStream {
     fn poll_write(
         mut self: Pin<&mut Self>,
         context: &mut Context<'_>,
@@ -267,7 +267,7 @@
     let handshake = Builder::new()
         .max_headers(MAX_HEADERS)
         .allow_obsolete_multiline_headers_in_responses(true)
-        .handshake(TokioIo::new(Guarded {
+        .handshake(TokioIo::new(LimitedStream {
             stream,
             interim: Arc::clone(&interim),
         }));
--- a/crates/cli/src/config.rs
+++ b/crates/cli/src/config.rs
@@ -33,7 +33,7 @@
     pub is_old: bool,
     /// Faults. If there are any, nodes refuse the configuration.
     pub faults: Vec<Fault>,
-    /// Entries that can't be used. Nodes leave them out.
+    /// Faults of entries that nodes leave out.
     pub unusable: Vec<Fault>,
     /// What nodes take, but can't have been meant.
     pub findings: Vec<Finding>,
--- a/crates/note/src/registry.rs
+++ b/crates/note/src/registry.rs
@@ -65,7 +65,7 @@
     /// Availability zones that are taken out of service.
     #[serde(rename = "out")]
     pub zones_out: Vec<ZoneId>,
-    /// Entries that were left out as they can't be used, where nothing else refers to them.
+    /// Faults of the entries that were left out, since they can't be used and nothing refers to them.
     #[serde(default, skip_serializing_if = "Vec::is_empty")]
     pub unusable: Vec<Fault>,
 }
--- a/crates/support/src/body_budget.rs
+++ b/crates/support/src/body_budget.rs
@@ -131,8 +131,7 @@
     }
 }
 
-/// Makes room in the buffer of a body that has at least `size` bytes in all, or exactly as many as its first part
-/// announces.
+/// Makes room for a body of at least `size` bytes, which is its length if it has one.
 fn make_room(buffer: &mut BytesMut, size: u64) {
     let is_first = buffer.is_empty();
     let capacity = match size {
